Add a thin whole path: platform, engine, agent, router as processes

One caller's request goes through a router that claims a slot from its node agent and relays the engine's answer. The release note is read from the platform stand-in. The end-to-end test checks a plain and a streamed answer and that a wrong key reaches no engine.

--- /dev/null
+++ b/src/tanagerworks/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Node agent: reader of the platform, peer exchange, slot ledger, administration."""
--- /dev/null
+++ b/src/tanagerworks/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Hash-chained audit trail of changes."""
--- /dev/null
+++ b/src/tanagerworks/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator's tool."""
--- /dev/null
+++ b/src/tanagerworks/ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the program as ``python -m tanagerworks.ctl``."""
+
+from tanagerworks.ctl.main import run
+
+run()
--- /dev/null
+++ b/src/tanagerworks/errors.py
@@ -0,0 +1,181 @@
+"""Exception tree of the project.
+
+Every class has a stable ``code`` for programs to match on, the HTTP ``status`` under which a
+caller sees it, and the ``outcome`` of the request that failed.
+"""
+
+from tanagerworks.outcome import Outcome
+
+
+class TanagerError(Exception):
+    """Base of all errors that the project raises on purpose."""
+
+    code = "internal_error"
+    status = 500
+    outcome = Outcome.UNKNOWN
+    # Seconds after which the caller may try again; None when a repeat would fail the same way.
+    retry_after_s: float | None = None
+
+    def __init__(self, message: str, *, outcome: Outcome | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        if outcome is not None:
+            self.outcome = outcome
+
+
+class SettingsError(TanagerError):
+    """A settings file that cannot be used; gives the file, the key path and the reason."""
+
+    code = "settings_invalid"
+
+    def __init__(self, file: str, key_path: str, reason: str) -> None:
+        super().__init__(f"{file}: {key_path or '(document)'}: {reason}")
+        self.file = file
+        self.key_path = key_path
+        self.reason = reason
+
+
+class RequestError(TanagerError):
+    """A request that is refused before anything reached a backend server."""
+
+    code = "bad_request"
+    status = 400
+    outcome = Outcome.NOT_RUN
+
+
+class AuthenticationError(RequestError):
+    """The bearer key belongs to no customer."""
+
+    code = "invalid_api_key"
+    status = 401
+
+
+class PermissionDeniedError(RequestError):
+    """The customer may not use what it asked for."""
+
+    code = "permission_denied"
+    status = 403
+
+
+class NotFoundError(RequestError):
+    """No such path, model or service."""
+
+    code = "not_found"
+    status = 404
+
+
+class ModelNotFoundError(NotFoundError):
+    """No model, version or alias of this name is in force for the customer."""
+
+    code = "model_not_found"
+
+
+class PayloadTooLargeError(RequestError):
+    """The body is over the configured limit."""
+
+    code = "payload_too_large"
+    status = 413
+
+
+class ConflictError(RequestError):
+    """The request collides with another one that is running."""
+
+    code = "conflict"
+    status = 409
+
+
+class TicketRequiredError(RequestError):
+    """An idempotency key was given for a service that does not deduplicate by key."""
+
+    code = "ticket_required"
+    status = 422
+
+
+class TicketUnknownError(TanagerError):
+    """The process that issued the ticket is gone or the ticket expired."""
+
+    code = "ticket_unknown"
+    status = 409
+    outcome = Outcome.UNKNOWN
+
+
+class CapacityError(RequestError):
+    """No backend server may take the request now."""
+
+    code = "no_capacity"
+    status = 503
+    retry_after_s = 1.0
+
+
+class RateLimitError(RequestError):
+    """The customer is over its own limit."""
+
+    code = "rate_limit_exceeded"
+    status = 429
+    retry_after_s = 1.0
+
+
+class DeadlineError(RequestError):
+    """The deadline passed while the request was waiting."""
+
+    code = "deadline_exceeded"
+    status = 503
+    retry_after_s = 1.0
+
+
+class NotReadyError(RequestError):
+    """The process has no usable configuration or view, or is shutting down."""
+
+    code = "not_ready"
+    status = 503
+    retry_after_s = 1.0
+
+
+class BackendError(TanagerError):
+    """A backend server failed; the outcome says what is known about the execution."""
+
+    code = "backend_failed"
+    status = 502
+
+
+class BackendConnectError(BackendError):
+    """No connection could be made, so no byte of the request was sent."""
+
+    code = "backend_unreachable"
+    outcome = Outcome.NOT_RUN
+    retry_after_s = 1.0
+
+
+class BackendProtocolError(BackendError):
+    """The answer does not belong to the request or is not framed as a whole answer."""
+
+    code = "backend_protocol"
+
+
+class BackendTimeoutError(BackendError):
+    """The backend server did not answer within the deadline."""
+
+    code = "backend_timeout"
+    status = 504
+
+
+class NoteError(TanagerError):
+    """A release note that cannot be accepted."""
+
+    code = "note_invalid"
+    status = 422
+    outcome = Outcome.NOT_RUN
+
+
+class PlatformError(TanagerError):
+    """The platform's configuration service, VM list or weight store did not answer as expected."""
+
+    code = "platform_unavailable"
+    status = 503
+
+
+class PeerError(TanagerError):
+    """A peer could not be reached or refused the exchange."""
+
+    code = "peer_unavailable"
+    status = 503
--- /dev/null
+++ b/src/tanagerworks/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/src/tanagerworks/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Pure membership decisions: node entries, incarnations, suspicion, peer selection."""
--- /dev/null
+++ b/src/tanagerworks/router/__init__.py
@@ -0,0 +1,1 @@
+"""Router: caller port, request stages, streams to backend servers."""
--- /dev/null
+++ b/src/tanagerworks/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure routing decisions: no I/O, no clock, no global randomness."""
--- /dev/null
+++ b/src/tanagerworks/routing/ranking.py
@@ -0,0 +1,34 @@
+"""Ranks engines for a chat by weighted rendezvous hashing.
+
+Every node computes the same ranking from the chat's key and the configured engines, so nothing
+has to be remembered or exchanged, and the loss of an engine moves only that engine's chats.
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (1998); weights
+by the logarithm method of Schindelhauer and Schomaker (2005).
+"""
+
+import math
+from collections.abc import Mapping
+
+from xxhash import xxh3_64_intdigest
+
+_HASH_RANGE = float(2**64)
+
+
+def chat_hash(chat_key: str) -> int:
+    """Returns the 64-bit hash under which a chat is known to the nodes."""
+    return xxh3_64_intdigest(chat_key.encode())
+
+
+def rank_engines(chat_key: str, weights: Mapping[str, float]) -> list[str]:
+    """Returns engine ids, the chat's first choice first.
+
+    `weights` maps engine ids to positive weights (slots).
+    """
+    scored = []
+    for engine_id, weight in weights.items():
+        digest = xxh3_64_intdigest(f"{engine_id}\0{chat_key}".encode())
+        # Adding one half keeps the argument of the logarithm inside (0, 1).
+        uniform = (digest + 0.5) / _HASH_RANGE
+        scored.append((-weight / math.log(uniform), engine_id))
+    scored.sort(reverse=True)
+    return [engine_id for _score, engine_id in scored]
--- /dev/null
+++ b/src/tanagerworks/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC messages between the processes of the system (generated code is committed)."""
--- /dev/null
+++ b/src/tanagerworks/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform, model engines and order services."""
--- /dev/null
+++ b/src/tanagerworks/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logging and OpenTelemetry metrics."""
--- /dev/null
+++ b/src/tanagerworks/tls/__init__.py
@@ -0,0 +1,1 @@
+"""Keys and certificates: loading, reload on change, rotation."""
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,63 @@
+"""The whole path through separate processes."""
+
+import json
+
+import pytest
+
+from tests.builders import CUSTOMER_KEY, note_document
+from tools.fleet import Fleet, free_address, new_node
+
+
+@pytest.fixture(name="running")
+def running_fleet(tmp_path):
+    engine_address = free_address()
+    node = new_node("n1", "sfax-medina")
+    document = note_document(nodes={"n1": {"zone": "sfax-medina", "peer_address": node.peer}})
+    document["statement"]["engines"]["m1"]["address"] = engine_address
+    with Fleet(tmp_path) as fleet:
+        fleet.start_platform()
+        fleet.start_engine("m1", engine_address, tokens_per_s=500.0)
+        fleet.wait_for("m1", f"http://{engine_address}/v1/boot")
+        fleet.publish(document)
+        fleet.start_node(node, [])
+        fleet.wait_for_node(node)
+        yield fleet, node.callers[0], engine_address
+
+
+def _chat(fleet, caller, key=CUSTOMER_KEY, stream=False):
+    body = {
+        "model": "wax",
+        "messages": [{"role": "user", "content": "How coarse is the winter wax?"}],
+        "max_tokens": 5,
+        "stream": stream,
+    }
+    return fleet.pool.request(
+        "POST",
+        f"http://{caller}/v1/chat/completions",
+        body=json.dumps(body),
+        headers={"Authorization": f"Bearer {key}"},
+    )
+
+
+def test_request_is_served_end_to_end(running):
+    """Guards against a break anywhere between caller and engine."""
+    fleet, caller, engine_address = running
+    plain = _chat(fleet, caller)
+    assert plain.status == 200
+    assert plain.json()["id"] == plain.headers["X-Request-Id"]
+    assert len(plain.json()["choices"][0]["message"]["content"].split()) == 5
+    streamed = _chat(fleet, caller, stream=True)
+    assert streamed.data.endswith(b"data: [DONE]\n\n")
+    counters = fleet.get_json(f"http://{engine_address}/control/counters")
+    assert counters["requests"] == 2
+    assert counters["overloaded_samples"] == 0
+
+
+def test_wrong_key_reaches_no_engine(running):
+    """Guards against serving a caller that is no customer."""
+    fleet, caller, engine_address = running
+    answer = _chat(fleet, caller, key="wrong")
+    assert answer.status == 401
+    assert answer.json()["error"]["code"] == "invalid_api_key"
+    assert answer.headers["X-Outcome"] == "not_run"
+    assert fleet.get_json(f"http://{engine_address}/control/counters")["requests"] == 0
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development programs: demo launcher and measurements."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,230 @@
+"""Starts stand-ins and nodes as processes on loopback, for demo, measurements and tests."""
+
+import hashlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterable
+from contextlib import AbstractContextManager
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import yaml
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+_START_TIMEOUT_S = 30.0
+_POLL_S = 0.05
+_STOP_TIMEOUT_S = 10.0
+
+
+class FleetError(Exception):
+    """A process of the fleet did not start, or ended early."""
+
+
+def free_port() -> int:
+    """Returns a loopback port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def free_address() -> str:
+    """Returns a free loopback address as ``IP:PORT``."""
+    return f"127.0.0.1:{free_port()}"
+
+
+def key_sha256(key: str) -> str:
+    """Returns the form in which a bearer key stands in a release note."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclass
+class FleetProcess:
+    """One running process and the address that answers for it."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log_path: Path
+
+    def stop(self) -> int:
+        """Asks for a graceful shutdown and returns the exit status."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            return self.process.wait(_STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+
+    def kill(self) -> None:
+        """Ends the process without notice."""
+        self.process.kill()
+        self.process.wait()
+
+
+@dataclass
+class NodeAddresses:
+    """Addresses of one node; `callers` holds one address for each of its routers."""
+
+    node_id: str
+    zone: str
+    peer: str
+    admin: str
+    router_link: str
+    callers: list[str] = field(default_factory=list)
+
+
+class Fleet(AbstractContextManager["Fleet"]):
+    """Processes in a working directory; leaving the context ends them all."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.processes: dict[str, FleetProcess] = {}
+        self.pool = PoolManager(retries=False)
+        self.platform_address = ""
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends all processes, newest first."""
+        running = list(reversed(self.processes.values()))
+        for item in running:
+            if item.process.poll() is None:
+                item.process.send_signal(signal.SIGTERM)
+        for item in running:
+            item.stop()
+
+    def start(self, name: str, module: str, arguments: Iterable[str], settings: Any) -> None:
+        """Starts ``python -m module`` with `settings` written to a YAML file."""
+        settings_path = self.directory / f"{name}.yaml"
+        settings_path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        log_path = self.directory / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments, f"--settings={settings_path}"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.processes[name] = FleetProcess(name, process, log_path)
+
+    def wait_for(self, name: str, url: str) -> None:
+        """Waits until `url` answers 200.
+
+        Raises:
+            FleetError: the process ended or did not answer in time.
+        """
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        item = self.processes[name]
+        while time.monotonic() < deadline:
+            if item.process.poll() is not None:
+                raise FleetError(f"{name} ended: {item.log_path.read_text()[-2000:]}")
+            try:
+                if self.pool.request("GET", url, timeout=1.0).status == 200:
+                    return
+            except HTTPError:
+                pass
+            time.sleep(_POLL_S)
+        raise FleetError(f"{name} did not answer at {url}: {item.log_path.read_text()[-2000:]}")
+
+    def start_platform(self, **settings: Any) -> None:
+        """Starts the platform stand-in."""
+        self.platform_address = free_address()
+        self.start(
+            "platform",
+            "tanagerworks.standin",
+            ["platform"],
+            {"address": self.platform_address, **settings},
+        )
+        self.wait_for("platform", f"http://{self.platform_address}/v1/vms")
+
+    def start_engine(self, engine_id: str, address: str, **settings: Any) -> None:
+        """Starts one engine stand-in."""
+        self.start(
+            engine_id,
+            "tanagerworks.standin",
+            ["engine"],
+            {"address": address, "engine_id": engine_id, **settings},
+        )
+
+    def start_order_service(self, server_id: str, address: str, **settings: Any) -> None:
+        """Starts one order service stand-in."""
+        self.start(
+            server_id,
+            "tanagerworks.standin",
+            ["order-service"],
+            {"address": address, "server_id": server_id, **settings},
+        )
+
+    def start_node(self, node: NodeAddresses, peers: Iterable[str], **settings: Any) -> None:
+        """Starts the agent of a node and one router for each caller address."""
+        self.start(
+            f"{node.node_id}-agent",
+            "tanagerworks.agent",
+            [],
+            {
+                "node_id": node.node_id,
+                "zone": node.zone,
+                "router_link_address": node.router_link,
+                "peer_address": node.peer,
+                "admin_address": node.admin,
+                "platform_url": f"http://{self.platform_address}",
+                "seed_peers": [peer for peer in peers if peer != node.peer],
+                "invariants": True,
+                **settings,
+            },
+        )
+        for number, caller in enumerate(node.callers):
+            self.start(
+                f"{node.node_id}-router-{number}",
+                "tanagerworks.router",
+                [],
+                {
+                    "router_id": f"{node.node_id}-{number}",
+                    "zone": node.zone,
+                    "caller_address": caller,
+                    "forward_address": free_address(),
+                    "agent_address": node.router_link,
+                    "invariants": True,
+                },
+            )
+
+    def wait_for_node(self, node: NodeAddresses) -> None:
+        """Waits until all routers of a node are ready."""
+        for number, caller in enumerate(node.callers):
+            self.wait_for(f"{node.node_id}-router-{number}", f"http://{caller}/readyz")
+
+    def publish(self, note: dict[str, Any], key: str = "release-note-full") -> None:
+        """Publishes a release note at the platform stand-in."""
+        answer = self.pool.request(
+            "PUT",
+            f"http://{self.platform_address}/control/values/{key}",
+            body=yaml.safe_dump(note).encode(),
+        )
+        if answer.status != 200:
+            raise FleetError(f"the platform refused a value: {answer.status}")
+
+    def get_json(self, url: str) -> Any:
+        """Returns the JSON document at `url`."""
+        return json.loads(self.pool.request("GET", url, timeout=5.0).data)
+
+
+def new_node(node_id: str, zone: str, routers: int = 1) -> NodeAddresses:
+    """Returns a node with free loopback addresses."""
+    return NodeAddresses(
+        node_id=node_id,
+        zone=zone,
+        peer=free_address(),
+        admin=free_address(),
+        router_link=free_address(),
+        callers=[free_address() for _ in range(routers)],
+    )
