Stop the agent and the platform stand-in without waiting for a watch

A process that had nothing open took 10 s and more to end. The agent read the platform in the executor of asyncio.to_thread, which is joined at exit, so a pending watch of up to 20 s delayed it; the stand-in joined the thread that served this watch. The agent now reads in a daemon thread and the stand-in ends its waits.

--- a/src/tanagerworks/agent/main.py
+++ b/src/tanagerworks/agent/main.py
@@ -4,6 +4,10 @@
 import json
 import logging
 import signal
+import threading
+from collections.abc import Callable
+from functools import partial
+from typing import TypeVar
 
 import yaml
 from grpc.aio import server as create_grpc_server
@@ -21,14 +25,46 @@
 _LOGGER = logging.getLogger(__name__)
 _PLATFORM_RETRY_S = 0.5
 
+ResultT = TypeVar("ResultT")
+
+
+async def _call_in_daemon_thread(function: Callable[[], ResultT]) -> ResultT:
+    """Runs a blocking call in a daemon thread.
+
+    The executor of `asyncio.to_thread` is joined at exit, so a pending watch of the platform
+    would delay the end of the process by up to `platform_watch_s`.
+    """
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[ResultT] = loop.create_future()
+
+    def deliver(result: ResultT | None, error: BaseException | None) -> None:
+        if future.done():
+            return
+        if error is not None:
+            future.set_exception(error)
+        else:
+            future.set_result(result)  # type: ignore[arg-type]
+
+    def run() -> None:
+        result, error = None, None
+        try:
+            result = function()
+        except BaseException as raised:
+            error = raised
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(deliver, result, error)
+
+    threading.Thread(target=run, name="platform-read", daemon=True).start()
+    return await future
+
 
 async def _follow_platform(settings: AgentSettings, state: AgentState) -> None:
     client = PlatformClient(settings.platform_url, settings.platform_timeout_s)
     revision: str | None = None
     while True:
         try:
-            value = await asyncio.to_thread(
-                client.read, "release-note-full", revision, settings.platform_watch_s
+            value = await _call_in_daemon_thread(
+                partial(client.read, "release-note-full", revision, settings.platform_watch_s)
             )
         except PlatformError as error:
             _LOGGER.warning("cannot read the configuration service", extra={"error": str(error)})
--- a/src/tanagerworks/standin/platform.py
+++ b/src/tanagerworks/standin/platform.py
@@ -25,6 +25,7 @@
         self.values: dict[str, bytes] = {}
         self.vms: dict[str, str] = {}
         self.changed = threading.Condition()
+        self.stopping = False
 
     def publish(self, key: str, value: bytes) -> str:
         """Stores a value and wakes its watchers; returns the revision."""
@@ -33,6 +34,12 @@
             self.changed.notify_all()
         return revision_of(value)
 
+    def stop(self) -> None:
+        """Ends all waits for a change."""
+        with self.changed:
+            self.stopping = True
+            self.changed.notify_all()
+
     def read(self, key: str, after: str | None, wait_s: float) -> bytes | None:
         """Returns the value once its revision differs from `after`, or None after `wait_s`."""
         end = time.monotonic() + wait_s
@@ -42,7 +49,7 @@
                 if value is not None and revision_of(value) != after:
                     return value
                 remaining = end - time.monotonic()
-                if remaining <= 0:
+                if remaining <= 0 or self.stopping:
                     return None
                 self.changed.wait(remaining)
 
@@ -84,6 +91,7 @@
 
 def serve_platform(settings: PlatformSettings) -> int:
     """Serves until a signal; returns the exit status."""
+    standin = PlatformStandin(settings)
     return serve_routes(
-        settings.address, PlatformStandin(settings).handle, threads=settings.threads
+        settings.address, standin.handle, threads=settings.threads, on_stop=standin.state.stop
     )
--- a/src/tanagerworks/standin/server.py
+++ b/src/tanagerworks/standin/server.py
@@ -10,8 +10,13 @@
 Handler = Callable[[Environ], Response]
 
 
-def serve_routes(address: str, handle: Handler, *, threads: int) -> int:
-    """Serves `handle` at `address` and returns the exit status after a signal."""
+def serve_routes(
+    address: str, handle: Handler, *, threads: int, on_stop: Callable[[], None] | None = None
+) -> int:
+    """Serves `handle` at `address` and returns the exit status after a signal.
+
+    `on_stop` ends the waits of handlers, because the server joins their threads.
+    """
 
     def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         try:
@@ -32,5 +37,7 @@
     except KeyboardInterrupt:
         pass
     finally:
+        if on_stop is not None:
+            on_stop()
         server.stop()
     return EXIT_OK
