--- /dev/null
+++ b/src/tanagerworks/routing/load_bound.py
@@ -0,0 +1,41 @@
+"""Bound on the load of an engine, as a multiple of the mean load of its model's engines."""
+
+import math
+from collections.abc import Mapping
+
+
+def mean_running(running: Mapping[str, int]) -> float:
+    """Returns the mean number of running requests per serving engine; 0 without engines."""
+    if not running:
+        return 0.0
+    return sum(running.values()) / len(running)
+
+
+def index_bound(load_multiple: float, mean: float) -> int:
+    """Returns the slot index below which slots may be used: at least 1."""
+    return max(1, math.ceil(load_multiple * mean))
+
+
+class RunningCounts:
+    """Running requests per engine, as last reported by each node."""
+
+    def __init__(self) -> None:
+        self.by_node: dict[str, dict[str, int]] = {}
+        self.totals: dict[str, int] = {}
+
+    def report(self, node_id: str, running: Mapping[str, int]) -> None:
+        """Replaces the counts of a node."""
+        self.forget(node_id)
+        counts = {engine_id: count for engine_id, count in running.items() if count}
+        self.by_node[node_id] = counts
+        for engine_id, count in counts.items():
+            self.totals[engine_id] = self.totals.get(engine_id, 0) + count
+
+    def forget(self, node_id: str) -> None:
+        """Drops the counts of a node."""
+        for engine_id, count in self.by_node.pop(node_id, {}).items():
+            self.totals[engine_id] -= count
+
+    def total(self, engine_id: str) -> int:
+        """Returns the running requests of all reporting nodes at an engine."""
+        return self.totals.get(engine_id, 0)
