Schedule claims with a full slot ledger, a waiting queue and slot lending

Cause: the ledger only knew owned slots in use, scanned all slots for each claim, and a claim that found no free slot was refused at once.

NodeScheduler combines it with the other decisions; the agent waits for it without blocking, borrows over gRPC, and ends its Watch streams at shutdown. Before, the server waited for these streams until drain_limit_s.

Gained slots open only when all nodes of the note have drained; NodeEntry.all_drained_serial spreads that fact.

--- a/src/tanagerworks/agent/main.py
+++ b/src/tanagerworks/agent/main.py
@@ -20,6 +20,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _PLATFORM_RETRY_S = 0.5
+_STOP_GRACE_S = 0.5
 
 
 async def _follow_platform(settings: AgentSettings, state: AgentState) -> None:
@@ -50,21 +51,24 @@
 
 
 async def _serve(settings: AgentSettings) -> None:
-    state = AgentState(settings.node_id)
+    state = AgentState(settings.node_id, invariants=settings.invariants)
     router_link = create_grpc_server()
     add_NodeAgentServicer_to_server(RouterService(state), router_link)
     router_link.add_insecure_port(settings.router_link_address)
     await router_link.start()
     follower = asyncio.create_task(_follow_platform(settings, state))
+    ticker = asyncio.create_task(state.run_ticks())
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await stopped.wait()
-    state.draining = True
-    state.notify()
+    clean = await state.drain(settings.drain_notice_s, settings.drain_limit_s)
+    _LOGGER.info("stopping", extra={"clean": clean})
     follower.cancel()
-    await router_link.stop(settings.drain_limit_s)
+    ticker.cancel()
+    # All watches end when the state stops; a call that is still open then has no caller.
+    await router_link.stop(_STOP_GRACE_S)
 
 
 def serve(settings: AgentSettings) -> int:
--- a/src/tanagerworks/agent/router_service.py
+++ b/src/tanagerworks/agent/router_service.py
@@ -1,16 +1,20 @@
 """Serves the routers on the node's VM over gRPC."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 
 from grpc.aio import ServicerContext
 
 from tanagerworks.agent.state import AgentState
-from tanagerworks.errors import CapacityError
+from tanagerworks.errors import NotReadyError
+from tanagerworks.routing.placement import Candidate
+from tanagerworks.routing.scheduler import Claim, Evidence, Refused
 from tanagerworks.routing.slots import SlotId
 from tanagerworks.rpc.tanager_pb2 import (
     ClaimReply,
     ClaimRequest,
+    Ended,
     RefreshRequest,
     ReleaseReply,
     ReleaseRequest,
@@ -22,6 +26,9 @@
 
 # Routers take a view older than this as a lost agent, so views come more often.
 VIEW_PERIOD_S = 0.5
+# A refusal for a passed deadline leaves this long before it, so that it arrives before the
+# router's own timeout.
+REPLY_MARGIN_S = 0.1
 
 
 class RouterService(NodeAgentServicer):
@@ -29,21 +36,38 @@
 
     def __init__(self, state: AgentState) -> None:
         self.state = state
+        # Open watches by router process.
+        self.watches: Counter[str] = Counter()
 
     async def Watch(  # noqa: N802 - the name is fixed by the gRPC service
         self, request: WatchRequest, context: ServicerContext
     ) -> AsyncIterator[View]:
-        """Sends a view at once, on every change and at least every `VIEW_PERIOD_S`."""
+        """Sends a view at once, on every change and at least every `VIEW_PERIOD_S`.
+
+        The stream ends when the agent stops; without that the server would wait for it until the
+        end of its grace period. A stream that breaks is the sign of a lost router.
+        """
+        now_s = self.state.clock()
+        for slot in request.held:
+            slot_id = SlotId(slot.engine_id, slot.index)
+            self.state.scheduler.adopt(slot_id, slot.grant_id, request.instance_id, now_s)
+        self.watches[request.instance_id] += 1
         serial = request.note_serial
-        while True:
-            changed = self.state.changed
-            view = self.state.view(serial)
-            serial = view.note_serial
-            yield view
-            try:
-                await asyncio.wait_for(changed.wait(), VIEW_PERIOD_S)
-            except TimeoutError:
-                continue
+        try:
+            while not self.state.stopping.is_set():
+                changed = self.state.changed
+                view = self.state.view(serial)
+                serial = view.note_serial
+                yield view
+                try:
+                    await asyncio.wait_for(changed.wait(), VIEW_PERIOD_S)
+                except TimeoutError:
+                    continue
+        finally:
+            self.watches[request.instance_id] -= 1
+            if not self.watches[request.instance_id]:
+                del self.watches[request.instance_id]
+                self.state.scheduler.lose_holder(request.instance_id, self.state.clock())
 
     async def Refresh(  # noqa: N802
         self, request: RefreshRequest, context: ServicerContext
@@ -54,16 +78,45 @@
     async def Claim(  # noqa: N802
         self, request: ClaimRequest, context: ServicerContext
     ) -> ClaimReply:
-        """Grants a slot or refuses."""
-        granted = self.state.claim([candidate.engine_id for candidate in request.candidates])
-        if granted is None:
+        """Waits for a slot until the deadline; a caller that cancels leaves the queue."""
+        arrived_at_s = self.state.clock()
+        if self.state.closed:
+            return ClaimReply(
+                refusal=NotReadyError.code,
+                reason="the node takes no new work",
+                retry_after_s=NotReadyError.retry_after_s or 0.0,
+            )
+        claim = Claim(
+            claim_id=f"{request.instance_id}/{request.request_id}",
+            holder=request.instance_id,
+            customer=request.customer,
+            request_class=request.request_class,
+            deadline_s=arrived_at_s + request.deadline_s - REPLY_MARGIN_S,
+            candidates=[Candidate(item.engine_id, item.rebuild_s) for item in request.candidates],
+            arrived_at_s=arrived_at_s,
+            chat_hash=request.chat_hash,
+            explain=request.explain,
+        )
+        decision = await self.state.claim(claim)
+        if isinstance(decision, Refused):
             return ClaimReply(
-                refusal=CapacityError.code,
-                reason="no engine has a free slot",
-                retry_after_s=CapacityError.retry_after_s or 0.0,
+                refusal=decision.error.code,
+                reason=decision.reason,
+                retry_after_s=decision.retry_after_s,
+                trace=claim.trace,
             )
-        slot, grant_id = granted
-        return ClaimReply(slot=Slot(engine_id=slot.engine_id, index=slot.index, grant_id=grant_id))
+        grant = decision.grant
+        return ClaimReply(
+            slot=Slot(
+                engine_id=grant.slot.engine_id, index=grant.slot.index, grant_id=grant.grant_id
+            ),
+            boot_id=decision.boot_id,
+            # The router counts from the sending of its claim, which came before its arrival.
+            start_by_s=grant.start_by_s - arrived_at_s,
+            max_work_s=grant.max_work_s,
+            cold=decision.cold,
+            trace=claim.trace,
+        )
 
     async def Release(  # noqa: N802
         self, request: ReleaseRequest, context: ServicerContext
@@ -71,5 +124,21 @@
         """Frees the slots of requests that ended."""
         for ended in request.ended:
             slot = SlotId(ended.slot.engine_id, ended.slot.index)
-            self.state.ledger.release(slot, ended.slot.grant_id)
+            self.state.release(slot, ended.slot.grant_id, _evidence(ended))
         return ReleaseReply()
+
+
+def _evidence(ended: Ended) -> Evidence | None:
+    seen = ended.evidence
+    if not seen.engine_id:
+        return None
+    return Evidence(
+        engine_id=seen.engine_id,
+        boot_id=seen.boot_id,
+        whole=seen.whole,
+        first_token_s=seen.first_token_s,
+        expected_first_token_s=seen.expected_first_token_s,
+        failure=seen.failure,
+        chat_hash=seen.chat_hash,
+        first_choice=seen.first_choice,
+    )
--- /dev/null
+++ b/src/tanagerworks/agent/slot_lending.py
@@ -0,0 +1,131 @@
+"""Lends slots to peers and borrows slots from them over gRPC."""
+
+import logging
+from collections.abc import Callable, Sequence
+
+import grpc
+from grpc.aio import ServicerContext
+
+from tanagerworks.agent.state import AgentState
+from tanagerworks.errors import CapacityError
+from tanagerworks.routing.slots import SlotId
+from tanagerworks.rpc.tanager_pb2 import (
+    BorrowReply,
+    BorrowRequest,
+    BorrowWish,
+    FreeSlots,
+    ReturnReply,
+    ReturnRequest,
+    Slot,
+)
+from tanagerworks.rpc.tanager_pb2_grpc import PeerExchangeServicer, PeerExchangeStub
+
+_LOGGER = logging.getLogger(__name__)
+# Time that a peer has to answer a Borrow; asking the next peer is cheaper than waiting longer.
+BORROW_TIMEOUT_S = 0.25
+RETURN_TIMEOUT_S = 1.0
+
+
+class SlotLending(PeerExchangeServicer):
+    """Serves `Borrow` and `Return`; the other calls of the service are in a subclass."""
+
+    def __init__(self, state: AgentState) -> None:
+        self.state = state
+
+    async def Borrow(  # noqa: N802 - the name is fixed by the gRPC service
+        self, request: BorrowRequest, context: ServicerContext
+    ) -> BorrowReply:
+        """Lends the first free slot that fits the wishes."""
+        wishes = [(wish.engine_id, wish.below_index) for wish in request.wishes]
+        loan = self.state.lend(request.sender, request.incarnation, request.claim_id, wishes)
+        reply = BorrowReply()
+        now_s = self.state.clock()
+        for engine_id, _below_index in wishes:
+            lowest = self.state.ledger.lowest_free(engine_id, now_s)
+            if lowest is not None:
+                count = self.state.ledger.free_count(engine_id, now_s)
+                reply.free.append(FreeSlots(engine_id=engine_id, lowest=lowest, count=count))
+        if loan is None:
+            reply.refusal = CapacityError.code
+            return reply
+        reply.slot.CopyFrom(
+            Slot(engine_id=loan.slot.engine_id, index=loan.slot.index, grant_id=loan.loan_id)
+        )
+        reply.start_by_s = loan.max_lent_s
+        reply.max_work_s = loan.max_work_s
+        return reply
+
+    async def Return(  # noqa: N802
+        self, request: ReturnRequest, context: ServicerContext
+    ) -> ReturnReply:
+        """Takes back slots, and ends the loans of claims that were given up."""
+        now_s = self.state.clock()
+        scheduler = self.state.scheduler
+        for slot in request.slots:
+            slot_id = SlotId(slot.engine_id, slot.index)
+            self.state.apply(scheduler.take_back(request.sender, slot_id, slot.grant_id, now_s))
+        for claim_id in request.claim_ids:
+            self.state.apply(
+                scheduler.cancel_loan(request.sender, request.incarnation, claim_id, now_s)
+            )
+        return ReturnReply()
+
+
+class PeerSlots:
+    """Borrows slots from peers; `stub_of` returns the connection to a node, or None."""
+
+    def __init__(
+        self, state: AgentState, stub_of: Callable[[str], PeerExchangeStub | None]
+    ) -> None:
+        self.state = state
+        self.stub_of = stub_of
+
+    async def borrow(
+        self, lender: str, borrow_id: str, wishes: Sequence[tuple[str, int]]
+    ) -> tuple[SlotId, int, float, float] | None:
+        """Returns (slot, loan id, start_by_s after sending, max_work_s), or None."""
+        stub = self.stub_of(lender)
+        if stub is None:
+            return None
+        request = BorrowRequest(
+            sender=self.state.node_id,
+            incarnation=self.state.incarnation,
+            claim_id=borrow_id,
+            note_serial=self.state.ledger.serial,
+            wishes=[BorrowWish(engine_id=e, below_index=below) for e, below in wishes],
+        )
+        try:
+            reply = await stub.Borrow(request, timeout=BORROW_TIMEOUT_S)
+        except grpc.RpcError as error:
+            _LOGGER.info(
+                "peer did not answer a borrow",
+                extra={"peer": lender, "code": str(getattr(error, "code", lambda: "")())},
+            )
+            # The peer may have lent a slot in an answer that was lost.
+            self.state.spawn(self._send_return(lender, ReturnRequest(claim_ids=[borrow_id])))
+            return None
+        free = {item.engine_id: (item.lowest, item.count) for item in reply.free}
+        self.state.scheduler.believe_free(lender, [e for e, _below in wishes], free)
+        if reply.refusal:
+            return None
+        slot = SlotId(reply.slot.engine_id, reply.slot.index)
+        return slot, reply.slot.grant_id, reply.start_by_s, reply.max_work_s
+
+    async def give_back(self, lender: str, slot: SlotId, loan_id: int) -> None:
+        """Returns a borrowed slot; if that fails, the loan expires at the lender."""
+        returned = Slot(engine_id=slot.engine_id, index=slot.index, grant_id=loan_id)
+        await self._send_return(lender, ReturnRequest(slots=[returned]))
+
+    async def _send_return(self, lender: str, request: ReturnRequest) -> None:
+        stub = self.stub_of(lender)
+        if stub is None:
+            return
+        request.sender = self.state.node_id
+        request.incarnation = self.state.incarnation
+        try:
+            await stub.Return(request, timeout=RETURN_TIMEOUT_S)
+        except grpc.RpcError as error:
+            _LOGGER.info(
+                "peer did not take back a slot",
+                extra={"peer": lender, "code": str(getattr(error, "code", lambda: "")())},
+            )
--- a/src/tanagerworks/agent/state.py
+++ b/src/tanagerworks/agent/state.py
@@ -1,61 +1,306 @@
 """State of the node agent, changed only on its event loop."""
 
 import asyncio
+import logging
+import os
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from random import Random
+from typing import Protocol
 
-from tanagerworks.note.model import Note
-from tanagerworks.routing.slots import SlotId, SlotLedger
-from tanagerworks.rpc.tanager_pb2 import EngineView, View
+from tanagerworks.clock import boot_time_s
+from tanagerworks.note.model import Note, ZoneState
+from tanagerworks.program import EXIT_FAILED
+from tanagerworks.routing.scheduler import (
+    Claim,
+    Decision,
+    Effect,
+    Evidence,
+    Granted,
+    MustBorrow,
+    NodeReport,
+    NodeScheduler,
+    Refused,
+    ReturnSlot,
+)
+from tanagerworks.routing.slots import LedgerError, Loan, SlotId, SlotLedger
+from tanagerworks.rpc.tanager_pb2 import (
+    ChatException,
+    EngineView,
+    FreeSlots,
+    NodeEntry,
+    ServiceView,
+    View,
+    WarmAnswers,
+)
+
+_LOGGER = logging.getLogger(__name__)
+# Waiting claims are tried again and expired this often.
+TICK_S = 0.1
+# A node without peers has nobody to ask for a predecessor, so it gives its routers this long to
+# report the slots that they hold.
+ROUTER_REPORT_S = 0.5
+
+
+class Lender(Protocol):
+    """Way to borrow slots from peers."""
+
+    async def borrow(
+        self, lender: str, borrow_id: str, wishes: Sequence[tuple[str, int]]
+    ) -> tuple[SlotId, int, float, float] | None:
+        """Returns (slot, loan id, start_by_s after sending, max_work_s), or None."""
+
+    async def give_back(self, lender: str, slot: SlotId, loan_id: int) -> None:
+        """Returns a borrowed slot."""
 
 
 class AgentState:
-    """The note in force, the slot ledger and the views sent to routers."""
+    """The note in force, the node's scheduler and the claims that wait for it."""
 
-    def __init__(self, node_id: str) -> None:
+    def __init__(
+        self,
+        node_id: str,
+        *,
+        invariants: bool = False,
+        clock: Callable[[], float] = boot_time_s,
+        random: Random | None = None,
+    ) -> None:
         self.node_id = node_id
+        self.invariants = invariants
+        self.clock = clock
+        random = random or Random()
+        # Grant ids of two processes of one node must not meet, so they start at a random number.
+        self.scheduler = NodeScheduler(node_id, random, (random.getrandbits(40) << 20) + 1)
+        self.incarnation = int(clock() * 1000)
         self.note: Note | None = None
-        self.ledger = SlotLedger(node_id)
+        self.lender: Lender | None = None
         self.draining = False
+        # Set while an operator keeps new work from this node.
+        self.closed = False
+        self.stopping = asyncio.Event()
         self.changed = asyncio.Event()
+        self.waiting: dict[str, asyncio.Future[Granted | Refused]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def ledger(self) -> SlotLedger:
+        """The node's slot ledger."""
+        return self.scheduler.ledger
 
-    def accept(self, note: Note) -> None:
+    # Notes and views.
+
+    def accept(self, note: Note, clean_nodes: Iterable[str] = ()) -> None:
         """Puts a note in force."""
         self.note = note
-        self.ledger.apply(note.statement)
+        self.apply(self.scheduler.apply_note(note, self.clock(), list(clean_nodes)))
+        if not self.ledger.confirmed and not self.ledger.peers:
+            asyncio.get_running_loop().call_later(ROUTER_REPORT_S, self.confirm_start)
         self.notify()
 
+    def confirm_start(self) -> None:
+        """Ends the hold after a start: every peer knows of no unclean predecessor."""
+        if not self.ledger.confirmed:
+            self.apply(self.scheduler.confirm_start(self.clock()))
+
     def notify(self) -> None:
         """Wakes all watchers of the view."""
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def heard(self) -> None:
+        """Records that the platform or a peer confirmed the node's knowledge."""
+        self.scheduler.freshness.heard(self.clock())
+
     def view(self, known_serial: int) -> View:
         """Returns the view for a router that has the note `known_serial`."""
         view = View(node_id=self.node_id, draining=self.draining, ready=self.note is not None)
+        view.incarnation = self.incarnation
         if self.note is None:
             return view
+        now_s = self.clock()
+        freshness = self.scheduler.freshness
+        if freshness.ever_heard:
+            view.age_s = freshness.age_s(now_s)
         view.note_serial = self.note.serial
         if self.note.serial != known_serial:
             view.note = self.note.canonical()
-        for engine_id, engine in self.note.statement.engines.items():
-            zone = self.note.statement.zones[engine.zone]
+        for engine_id in self.note.statement.engines:
             view.engines.append(
                 EngineView(
                     engine_id=engine_id,
-                    eligible=zone.state.value == "in",
-                    allowance=engine.slots,
+                    eligible=self.scheduler.eligible(engine_id, now_s),
+                    boot_id=self.scheduler.warmth.boot_id(engine_id),
+                    allowance=self.scheduler.allowance(engine_id),
                 )
             )
+        for name, service in self.note.statement.services.items():
+            addresses = [
+                server.address
+                for server in service.servers.values()
+                if self.note.statement.zones[server.zone].state is ZoneState.IN
+            ]
+            view.services.append(ServiceView(service=name, addresses=addresses))
+        view.exceptions.extend(_exceptions(self.scheduler.exceptions.newest(64)))
         return view
 
-    def claim(self, engine_ids: list[str]) -> tuple[SlotId, int] | None:
-        """Returns the first free slot in order of preference."""
-        if self.note is None:
+    # Claims.
+
+    async def claim(self, claim: Claim) -> Granted | Refused:
+        """Waits until the claim is decided; a cancelled wait leaves the queue."""
+        decision = self.scheduler.claim(claim, self.clock())
+        self._check()
+        if isinstance(decision, Granted | Refused):
+            return decision
+        future: asyncio.Future[Granted | Refused] = asyncio.get_running_loop().create_future()
+        self.waiting[claim.claim_id] = future
+        if isinstance(decision, MustBorrow):
+            self.spawn(self._borrow(decision))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.scheduler.cancel(claim.claim_id)
+            if future.done() and not future.cancelled():
+                self._give_up(future.result())
+            raise
+        finally:
+            del self.waiting[claim.claim_id]
+
+    def _give_up(self, decision: Granted | Refused) -> None:
+        """Frees a slot that was granted to a caller that has gone."""
+        if isinstance(decision, Granted):
+            self.release(decision.grant.slot, decision.grant.grant_id, None)
+
+    def release(self, slot: SlotId, grant_id: int, evidence: Evidence | None) -> None:
+        """Ends a grant."""
+        self.apply(self.scheduler.release(slot, grant_id, evidence, self.clock()))
+
+    def apply(self, effects: Iterable[Effect]) -> None:
+        """Carries out what the scheduler decided besides its direct answer."""
+        self._check()
+        for effect in effects:
+            if isinstance(effect, MustBorrow):
+                self.spawn(self._borrow(effect))
+            elif isinstance(effect, ReturnSlot):
+                if self.lender is not None:
+                    self.spawn(self.lender.give_back(effect.lender, effect.slot, effect.loan_id))
+            else:
+                self._decide(effect)
+
+    def _decide(self, decision: Granted | Refused) -> None:
+        future = self.waiting.get(decision.claim.claim_id)
+        if future is None or future.done():
+            self._give_up(decision)
+            return
+        future.set_result(decision)
+
+    async def _borrow(self, wanted: MustBorrow) -> None:
+        decision: Decision | None = wanted
+        while isinstance(decision, MustBorrow):
+            peer = decision.peers[0]
+            sent_at_s = self.clock()
+            loan = None
+            if self.lender is not None:
+                loan = await self.lender.borrow(peer, decision.borrow_id, decision.wishes)
+            decision, effects = self.scheduler.borrow_reply(
+                decision.borrow_id, peer, loan, sent_at_s, self.clock()
+            )
+            self.apply(effects)
+        if isinstance(decision, Granted | Refused):
+            self._decide(decision)
+
+    def lend(
+        self, borrower: str, incarnation: int, borrow_id: str, wishes: list[tuple[str, int]]
+    ) -> Loan | None:
+        """Lends a slot to a peer; nothing while this node is shutting down."""
+        if self.draining:
             return None
-        for engine_id in engine_ids:
-            engine = self.note.statement.engines.get(engine_id)
-            if engine is None:
-                continue
-            granted = self.ledger.claim(engine_id, engine.slots)
-            if granted is not None:
-                return granted
-        return None
+        loan = self.scheduler.lend(borrower, incarnation, borrow_id, wishes, self.clock())
+        self._check()
+        return loan
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Runs work in the background; a failure is logged."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOGGER.error("background task failed", exc_info=task.exception())
+
+    def _check(self) -> None:
+        if not self.invariants:
+            return
+        try:
+            self.scheduler.check()
+        except LedgerError:
+            _LOGGER.critical("an invariant is broken; the process ends", exc_info=True)
+            logging.shutdown()
+            os._exit(EXIT_FAILED)
+
+    # Time and shutdown.
+
+    async def run_ticks(self) -> None:
+        """Ticks the scheduler until cancelled."""
+        while True:
+            self.apply(self.scheduler.tick(self.clock()))
+            await asyncio.sleep(TICK_S)
+
+    async def drain(self, notice_s: float, limit_s: float) -> bool:
+        """Shuts down: serves for `notice_s`, then refuses claims and waits for running work.
+
+        Returns whether all work has ended within `limit_s`, so that the stop is clean.
+        """
+        self.draining = True
+        self.notify()
+        await asyncio.sleep(notice_s)
+        self.closed = True
+        ends_at_s = self.clock() + limit_s
+        while self.clock() < ends_at_s and (not self.ledger.quiet() or self.tasks):
+            await asyncio.sleep(TICK_S)
+        self.stopping.set()
+        self.notify()
+        return self.ledger.quiet()
+
+    # Peers.
+
+    def fill_entry(self, entry: NodeEntry, max_exceptions: int = 64) -> None:
+        """Writes the scheduler's part of this node's entry."""
+        report = self.scheduler.report(self.clock(), max_exceptions)
+        entry.note_serial = report.note_serial
+        entry.drained_serial = report.drained_serial
+        entry.all_drained_serial = report.all_drained_serial
+        entry.running = sum(report.running.values())
+        if self.note is not None:
+            engine_ids = sorted(self.note.statement.engines)
+            entry.running_by_engine[:] = [report.running.get(e, 0) for e in engine_ids]
+        del entry.free[:], entry.warm[:], entry.exceptions[:]
+        for engine_id, (lowest, count) in report.free.items():
+            entry.free.append(FreeSlots(engine_id=engine_id, lowest=lowest, count=count))
+        for engine_id, boot_id, answers in report.warm:
+            entry.warm.append(WarmAnswers(engine_id=engine_id, boot_id=boot_id, answers=answers))
+        entry.exceptions.extend(_exceptions(report.exceptions))
+
+    def take_entry(self, entry: NodeEntry) -> None:
+        """Takes the newest entry of a live peer."""
+        running: dict[str, int] = {}
+        # The counts are parallel to the engines of the sender's note.
+        if self.note is not None and entry.note_serial == self.note.serial:
+            engine_ids = sorted(self.note.statement.engines)
+            running = dict(zip(engine_ids, entry.running_by_engine, strict=False))
+        else:
+            running = self.scheduler.counts.by_node.get(entry.node_id, {})
+        report = NodeReport(
+            note_serial=entry.note_serial,
+            drained_serial=entry.drained_serial,
+            all_drained_serial=entry.all_drained_serial,
+            running=running,
+            free={free.engine_id: (free.lowest, free.count) for free in entry.free},
+            warm=[(warm.engine_id, warm.boot_id, warm.answers) for warm in entry.warm],
+            exceptions=[(item.chat_hash, item.engine_id) for item in entry.exceptions],
+        )
+        self.apply(self.scheduler.take_report(entry.node_id, report, self.clock()))
+
+
+def _exceptions(items: Iterable[tuple[int, str]]) -> list[ChatException]:
+    return [ChatException(chat_hash=chat, engine_id=engine_id) for chat, engine_id in items]
--- /dev/null
+++ b/src/tanagerworks/routing/scheduler.py
@@ -0,0 +1,683 @@
+"""All scheduling decisions of one node, combined: slots, bounds, warmth, admission, placement."""
+
+import math
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from tanagerworks.errors import (
+    CapacityError,
+    DeadlineError,
+    NotReadyError,
+    RateLimitError,
+    RequestError,
+    TanagerError,
+)
+from tanagerworks.note.model import Engine, Note, Statement
+from tanagerworks.routing.admission import AdmissionQueue, CustomerLimits
+from tanagerworks.routing.exceptions import ExceptionMap
+from tanagerworks.routing.freshness import Freshness
+from tanagerworks.routing.load_bound import RunningCounts, index_bound, mean_running
+from tanagerworks.routing.outliers import OutlierDetector
+from tanagerworks.routing.placement import Candidate, Choice, Placement, Way, place, prefer_cached
+from tanagerworks.routing.slots import Grant, LedgerError, Loan, SlotId, SlotLedger
+from tanagerworks.routing.warmth import Warmth, in_time
+from tanagerworks.routing.zones import Eligibility
+
+# Waiting claims tried per class after a change, so that a long queue does not block the node.
+QUEUE_TRIES = 16
+# A waiting claim asks peers at most this often.
+BORROW_RETRY_S = 0.1
+# Peers asked in a row for one claim before it waits.
+BORROW_ATTEMPTS = 4
+# A borrowed slot with less time left than this goes back instead of to the next waiting claim.
+MIN_START_S = 1.0
+# Weight of the newest duration in the mean duration of an engine's requests.
+_DURATION_WEIGHT = 0.05
+_FIRST_DURATION_S = 1.0
+
+
+@dataclass(slots=True)
+class Claim:
+    """A request for a slot; times are on the node's CLOCK_BOOTTIME."""
+
+    claim_id: str
+    holder: str
+    customer: str
+    request_class: str
+    deadline_s: float
+    candidates: Sequence[Candidate]
+    arrived_at_s: float
+    chat_hash: int = 0
+    explain: bool = False
+    borrows: int = 0
+    borrow_after_s: float = -math.inf
+    borrowing: bool = False
+    peers: list[str] = field(default_factory=list)
+    wish: tuple[str, int] = ("", 0)
+    trace: list[str] = field(default_factory=list)
+
+    @property
+    def borrow_id(self) -> str:
+        """Name of the current attempt to borrow."""
+        return f"{self.claim_id}#{self.borrows}"
+
+    def explain_step(self, stage: str, reason: str) -> None:
+        """Adds a stage to the trace, if the caller wants one."""
+        if self.explain:
+            self.trace.append(f"{stage}: {reason}")
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The claim has a slot. `cold` slots need no proof of the boot id."""
+
+    claim: Claim
+    grant: Grant
+    boot_id: str
+    cold: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MustBorrow:
+    """The claim needs a slot of a peer; `peers` in the order in which to ask them."""
+
+    claim: Claim
+    # Names this attempt to the lenders, so that a repeated request gets the same slot.
+    borrow_id: str
+    peers: Sequence[str]
+    wishes: Sequence[tuple[str, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The claim waits in the admission queue."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The claim is refused; nothing ran."""
+
+    claim: Claim
+    error: type[TanagerError]
+    reason: str
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnSlot:
+    """A borrowed slot that goes back to its owner."""
+
+    lender: str
+    slot: SlotId
+    loan_id: int
+
+
+Decision = Granted | MustBorrow | Queued | Refused
+Effect = Granted | MustBorrow | Refused | ReturnSlot
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a router saw of an engine while it served one request."""
+
+    engine_id: str
+    boot_id: str = ""
+    whole: bool = False
+    first_token_s: float = 0.0
+    expected_first_token_s: float = 0.0
+    failure: str = ""
+    chat_hash: int = 0
+    first_choice: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReport:
+    """What a node tells its peers about itself."""
+
+    note_serial: int
+    drained_serial: int
+    all_drained_serial: int
+    running: Mapping[str, int]
+    # Engine id -> (lowest free index, number of free slots).
+    free: Mapping[str, tuple[int, int]]
+    # (engine id, boot id, answers seen by the node).
+    warm: Sequence[tuple[str, str, int]]
+    # (chat hash, engine id); an empty engine id means the first choice again.
+    exceptions: Sequence[tuple[int, str]]
+
+
+class NodeScheduler:
+    """Decides for one node; every method that can free slots returns the effects on claims."""
+
+    def __init__(self, node_id: str, random: Random, first_grant_id: int = 1) -> None:
+        self.node_id = node_id
+        self.random = random
+        self.note: Note | None = None
+        self.ledger = SlotLedger(node_id, first_grant_id)
+        self.warmth = Warmth(node_id)
+        self.counts = RunningCounts()
+        self.queue = AdmissionQueue()
+        self.limits = CustomerLimits()
+        self.outliers = OutlierDetector()
+        self.eligibility = Eligibility()
+        self.exceptions = ExceptionMap()
+        self.freshness = Freshness()
+        # Waiting and borrowing claims.
+        self.claims: dict[str, Claim] = {}
+        self.borrows: dict[str, Claim] = {}
+        self.customer_of: dict[int, str] = {}
+        self.started_at_s: dict[int, float] = {}
+        self.duration_s: dict[str, float] = {}
+        self.waiting_for: Counter[str] = Counter()
+        self.peer_free: dict[str, dict[str, tuple[int, int]]] = {}
+        self.live_peers: set[str] = set()
+        self.pools: dict[tuple[str, str], list[str]] = {}
+
+    # Notes and knowledge of the fleet.
+
+    def apply_note(
+        self, note: Note, now_s: float, clean_nodes: Collection[str] = ()
+    ) -> list[Effect]:
+        """Puts a note in force."""
+        statement = note.statement
+        self.note = note
+        self.ledger.apply(statement, note.serial, now_s, clean_nodes)
+        self.eligibility.set_statement(statement)
+        self.queue.set_classes(statement.classes)
+        self.warmth.keep_only(set(statement.engines))
+        self.outliers.keep_only(statement.engines)
+        self.live_peers &= statement.nodes.keys()
+        self.pools = {}
+        for engine_id, engine in statement.engines.items():
+            self.pools.setdefault((engine.model, engine.version), []).append(engine_id)
+        for node_id in self.counts.by_node.keys() - statement.nodes.keys():
+            self.forget_node(node_id)
+        return self._serve_queue(now_s)
+
+    def confirm_start(self, now_s: float) -> list[Effect]:
+        """Ends the hold after a start: every peer knows of no unclean predecessor."""
+        self.ledger.confirm_start(now_s)
+        return self._serve_queue(now_s)
+
+    def report(self, now_s: float, max_exceptions: int = 64) -> NodeReport:
+        """Returns what this node tells its peers."""
+        running = {}
+        free = {}
+        for engine_id in self.ledger.engines:
+            count = self.ledger.running(engine_id)
+            if count:
+                running[engine_id] = count
+            lowest = self.ledger.lowest_free(engine_id, now_s)
+            if lowest is not None:
+                free[engine_id] = (lowest, self.ledger.free_count(engine_id, now_s))
+        return NodeReport(
+            note_serial=self.ledger.serial,
+            drained_serial=self.ledger.drained_serial(now_s),
+            all_drained_serial=self.ledger.all_drained_serial,
+            running=running,
+            free=free,
+            warm=self.warmth.own_answers(),
+            exceptions=self.exceptions.newest(max_exceptions),
+        )
+
+    def take_report(self, node_id: str, report: NodeReport, now_s: float) -> list[Effect]:
+        """Takes the newest report of a live peer."""
+        if node_id == self.node_id:
+            return []
+        self.live_peers.add(node_id)
+        self.ledger.take_serials(
+            node_id, report.note_serial, report.drained_serial, report.all_drained_serial
+        )
+        self.counts.report(node_id, report.running)
+        for engine_id, beliefs in self.peer_free.items():
+            if engine_id not in report.free:
+                beliefs.pop(node_id, None)
+        for engine_id, free in report.free.items():
+            self.peer_free.setdefault(engine_id, {})[node_id] = free
+        for engine_id, boot_id, answers in report.warm:
+            self.warmth.merge(node_id, engine_id, boot_id, answers)
+        for chat_hash, engine_id in report.exceptions:
+            self.exceptions.learn(chat_hash, engine_id)
+        self.ledger.tick(now_s)
+        return self._serve_queue(now_s)
+
+    def forget_node(self, node_id: str) -> None:
+        """Drops what a dead or withdrawn node reported."""
+        self.live_peers.discard(node_id)
+        self.counts.forget(node_id)
+        for beliefs in self.peer_free.values():
+            beliefs.pop(node_id, None)
+
+    def set_leaving(self, engine_ids: Collection[str], now_s: float) -> list[Effect]:
+        """Takes the engines whose VM is leaving."""
+        if self.note is None:
+            return []
+        self.eligibility.set_leaving(engine_ids, now_s)
+        return self._serve_queue(now_s)
+
+    def set_engine_down(self, engine_id: str, down: bool, now_s: float) -> None:
+        """Takes the result of the probes of an engine."""
+        if self.note is not None:
+            self.eligibility.set_down(engine_id, down, now_s)
+
+    def observe_boot(self, engine_id: str, boot_id: str) -> None:
+        """Takes a boot id that an engine showed to this node; a new one means a lost cache."""
+        known = self.warmth.boot_id(engine_id)
+        if self.warmth.observe_boot(engine_id, boot_id) and known:
+            self.exceptions.drop_engine(engine_id)
+
+    # Claims.
+
+    def claim(self, claim: Claim, now_s: float) -> Decision:
+        """Decides on a new claim."""
+        if self.note is None:
+            return self._refuse(claim, NotReadyError, "no release note is in force")
+        statement = self.note.statement
+        customer = statement.customers.get(claim.customer)
+        request_class = statement.classes.get(claim.request_class)
+        if customer is None or request_class is None:
+            return self._refuse(claim, RequestError, "unknown customer or request class")
+        nodes = self._live_nodes(statement)
+        if self.limits.over_streams(claim.customer, customer, nodes):
+            return self._refuse(claim, RateLimitError, "the customer is over max_streams")
+        wait_s = self.limits.take_token(claim.customer, customer, nodes, now_s)
+        if wait_s:
+            reason = "the customer is over requests_per_s"
+            return self._refuse(claim, RateLimitError, reason, wait_s)
+        claim.explain_step("admit", "within the customer's limits")
+        if claim.chat_hash:
+            cached_at = self.exceptions.get(claim.chat_hash)
+            claim.candidates = prefer_cached(claim.candidates, cached_at)
+        decision = self._try(claim, now_s)
+        if isinstance(decision, Granted):
+            self.queue.queues[claim.request_class].charge(claim.customer, customer.weight)
+        return decision if decision is not None else self._enqueue(claim, now_s)
+
+    def _live_nodes(self, statement: Statement) -> int:
+        # Before the first reports the customers' limits are divided over all nodes of the note.
+        return 1 + len(self.live_peers) if self.live_peers else len(statement.nodes)
+
+    def _refuse(
+        self,
+        claim: Claim,
+        error: type[TanagerError],
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> Refused:
+        claim.explain_step("refuse", reason)
+        self._forget_claim(claim)
+        after_s = error.retry_after_s if retry_after_s is None else retry_after_s
+        return Refused(claim, error, reason, after_s or 0.0)
+
+    def _forget_claim(self, claim: Claim) -> None:
+        if self.claims.pop(claim.claim_id, None) is not None:
+            self.waiting_for[claim.candidates[0].engine_id] -= 1
+        self._end_borrowing(claim)
+        self.queue.remove(claim.claim_id)
+
+    def _keep_claim(self, claim: Claim) -> None:
+        if claim.claim_id not in self.claims:
+            self.claims[claim.claim_id] = claim
+            self.waiting_for[claim.candidates[0].engine_id] += 1
+
+    def _enqueue(self, claim: Claim, now_s: float) -> Decision:
+        assert self.note is not None
+        statement = self.note.statement
+        customer = statement.customers.get(claim.customer)
+        request_class = statement.classes.get(claim.request_class)
+        if claim.claim_id in self.queue:
+            return Queued(claim)
+        if customer is None or request_class is None:
+            return self._refuse(claim, RequestError, "customer or class was withdrawn")
+        if claim.deadline_s <= now_s:
+            return self._refuse(claim, DeadlineError, "the deadline passed")
+        self._keep_claim(claim)
+        dropped = self.queue.push(
+            claim.request_class,
+            claim.claim_id,
+            claim.customer,
+            customer.weight,
+            claim.deadline_s,
+            request_class.max_queue,
+        )
+        if dropped == claim.claim_id:
+            return self._refuse(claim, CapacityError, "the queue of the class is full")
+        if dropped is not None:
+            # Refused at the next tick: this call answers only for the new claim.
+            self.claims[dropped].deadline_s = now_s
+        claim.explain_step("queue", "waits for a slot")
+        return Queued(claim)
+
+    def _try(self, claim: Claim, now_s: float) -> Granted | MustBorrow | Refused | None:
+        """Places a claim now; None if it has to wait."""
+        choices = self._choices(claim, now_s)
+        if not choices:
+            return self._refuse(claim, CapacityError, "no engine is in service")
+        bound = self._bound(choices[0].engine_id, now_s)
+        placement = place(choices, bound, now_s - claim.arrived_at_s)
+        claim.explain_step(
+            "place",
+            f"{placement.way.value} {placement.engine_id} below {placement.below_index},"
+            f" bound {bound}: {placement.reason}",
+        )
+        if placement.way is Way.OWN:
+            grant = self.ledger.claim(
+                placement.engine_id, placement.below_index, claim.holder, now_s
+            )
+            if grant is not None:
+                return self._granted(claim, grant, now_s)
+        if placement.way is Way.BORROW and now_s >= claim.borrow_after_s:
+            return self._borrow(claim, placement)
+        return None
+
+    def _choices(self, claim: Claim, now_s: float) -> list[Choice]:
+        assert self.note is not None
+        choices = []
+        can_borrow = now_s >= claim.borrow_after_s
+        for candidate in claim.candidates:
+            engine_id = candidate.engine_id
+            engine = self.note.statement.engines.get(engine_id)
+            if engine is None:
+                continue
+            reason = self.eligibility.why_not(engine_id, now_s)
+            if reason is not None or self.outliers.ejected(engine_id, now_s):
+                cause = reason.value if reason else "ejected"
+                claim.explain_step("rank", f"{engine_id} gets no new work: {cause}")
+                continue
+            peer_index = None
+            if can_borrow:
+                beliefs = self.peer_free.get(engine_id, {}).values()
+                peer_index = min((lowest for lowest, count in beliefs if count > 0), default=None)
+            allowance = self._allowance(engine_id, engine)
+            choices.append(
+                Choice(
+                    engine_id,
+                    candidate.rebuild_s,
+                    allowance,
+                    self.ledger.lowest_free(engine_id, now_s),
+                    peer_index,
+                    self._expected_wait_s(engine_id, allowance),
+                )
+            )
+        return choices
+
+    def allowance(self, engine_id: str) -> int:
+        """Returns the slot index below which an engine's slots may be used; 0 if unknown."""
+        engine = self.note.statement.engines.get(engine_id) if self.note else None
+        return self._allowance(engine_id, engine) if engine else 0
+
+    def _allowance(self, engine_id: str, engine: Engine) -> int:
+        assert self.note is not None
+        answers = self.note.statement.rules.warm_answers
+        return self.warmth.allowance(engine_id, engine.slots, engine.cold_slots, answers)
+
+    def _expected_wait_s(self, engine_id: str, allowance: int) -> float:
+        duration_s = self.duration_s.get(engine_id, _FIRST_DURATION_S)
+        return duration_s * (1 + self.waiting_for[engine_id]) / max(1, allowance)
+
+    def _bound(self, engine_id: str, now_s: float) -> int:
+        """Returns the skew bound for the engines that serve the same model version."""
+        assert self.note is not None
+        statement = self.note.statement
+        engine = statement.engines[engine_id]
+        running = {}
+        for other in self.pools[(engine.model, engine.version)]:
+            if self.eligible(other, now_s):
+                running[other] = self.counts.total(other) + self.ledger.running(other)
+        return index_bound(statement.rules.load_multiple, mean_running(running))
+
+    def eligible(self, engine_id: str, now_s: float) -> bool:
+        """Returns whether an engine may receive new work."""
+        if self.note is None or self.outliers.ejected(engine_id, now_s):
+            return False
+        return self.eligibility.why_not(engine_id, now_s) is None
+
+    def _granted(self, claim: Claim, grant: Grant, now_s: float) -> Granted:
+        assert self.note is not None
+        engine_id = grant.slot.engine_id
+        self.queue.served(claim.claim_id)
+        self._forget_claim(claim)
+        self.limits.started(claim.customer)
+        self.customer_of[grant.grant_id] = claim.customer
+        self.started_at_s[grant.grant_id] = now_s
+        cold = grant.slot.index < self.note.statement.engines[engine_id].cold_slots
+        claim.explain_step("grant", f"{engine_id} slot {grant.slot.index} {grant.lender or 'own'}")
+        return Granted(claim, grant, self.warmth.boot_id(engine_id), cold)
+
+    def cancel(self, claim_id: str) -> bool:
+        """Drops a claim whose caller has gone; returns whether it was known."""
+        claim = self.claims.get(claim_id)
+        if claim is None:
+            return False
+        self._forget_claim(claim)
+        return True
+
+    # Borrowing and lending.
+
+    def _borrow(self, claim: Claim, placement: Placement) -> MustBorrow:
+        beliefs = self.peer_free[placement.engine_id]
+        fitting = []
+        for node_id, (lowest, count) in beliefs.items():
+            if count > 0 and lowest < placement.below_index:
+                # Peers with many free slots first: their reports are the least likely outdated.
+                fitting.append((-count, self.random.random(), node_id))
+        claim.peers = [node_id for _count, _tie, node_id in sorted(fitting)[:BORROW_ATTEMPTS]]
+        claim.wish = (placement.engine_id, placement.below_index)
+        claim.borrowing = True
+        claim.borrows += 1
+        self._keep_claim(claim)
+        self.borrows[claim.borrow_id] = claim
+        return MustBorrow(claim, claim.borrow_id, tuple(claim.peers), (claim.wish,))
+
+    def borrow_reply(
+        self,
+        borrow_id: str,
+        lender: str,
+        loan: tuple[SlotId, int, float, float] | None,
+        sent_at_s: float,
+        now_s: float,
+    ) -> tuple[Decision | None, list[Effect]]:
+        """Takes a peer's answer: (slot, loan id, start_by after sending, max_work_s) or None.
+
+        Returns the decision on the claim, None if the claim has gone, and further effects.
+        """
+        claim = self.borrows.get(borrow_id)
+        if loan is not None:
+            slot, loan_id, start_by_s, max_work_s = loan
+            if claim is None:
+                return None, [ReturnSlot(lender, slot, loan_id)]
+            self._end_borrowing(claim)
+            grant = None
+            if self.eligible(slot.engine_id, now_s):
+                until_s = sent_at_s + start_by_s
+                grant = self.ledger.grant_borrowed(
+                    slot, lender, loan_id, until_s, max_work_s, claim.holder, now_s
+                )
+            if grant is not None:
+                return self._granted(claim, grant, now_s), []
+            return self._after_borrowing(claim, now_s), [ReturnSlot(lender, slot, loan_id)]
+        if claim is None:
+            return None, []
+        claim.explain_step("borrow", f"{lender} lends no slot of {claim.wish[0]}")
+        claim.peers = [peer for peer in claim.peers if peer != lender]
+        if claim.peers and claim.deadline_s > now_s:
+            return MustBorrow(claim, borrow_id, tuple(claim.peers), (claim.wish,)), []
+        self._end_borrowing(claim)
+        return self._after_borrowing(claim, now_s), []
+
+    def _end_borrowing(self, claim: Claim) -> None:
+        claim.borrowing = False
+        self.borrows.pop(claim.borrow_id, None)
+
+    def believe_free(
+        self, node_id: str, engine_ids: Iterable[str], free: Mapping[str, tuple[int, int]]
+    ) -> None:
+        """Takes the free slots that a lender reported with its answer."""
+        for engine_id in engine_ids:
+            beliefs = self.peer_free.setdefault(engine_id, {})
+            if engine_id in free:
+                beliefs[node_id] = free[engine_id]
+            else:
+                beliefs.pop(node_id, None)
+
+    def _after_borrowing(self, claim: Claim, now_s: float) -> Decision:
+        claim.borrow_after_s = now_s + BORROW_RETRY_S
+        decision = self._try(claim, now_s)
+        return decision if decision is not None else self._enqueue(claim, now_s)
+
+    def lend(
+        self,
+        borrower: str,
+        incarnation: int,
+        claim_id: str,
+        wishes: Iterable[tuple[str, int]],
+        now_s: float,
+    ) -> Loan | None:
+        """Lends a slot to a peer, within the warmth that this node knows of."""
+        if self.note is None or borrower not in self.note.statement.nodes:
+            return None
+        allowed = []
+        for engine_id, below_index in wishes:
+            engine = self.note.statement.engines.get(engine_id)
+            if engine is not None and self.eligible(engine_id, now_s):
+                allowed.append((engine_id, min(below_index, self._allowance(engine_id, engine))))
+        return self.ledger.lend(borrower, incarnation, claim_id, allowed, now_s)
+
+    def take_back(self, borrower: str, slot: SlotId, loan_id: int, now_s: float) -> list[Effect]:
+        """Takes a slot that a borrower returns."""
+        self.ledger.take_back(borrower, slot, loan_id)
+        return self._serve_queue(now_s)
+
+    def cancel_loan(
+        self, borrower: str, incarnation: int, claim_id: str, now_s: float
+    ) -> list[Effect]:
+        """Ends the loan of a claim whose borrower gave up before it saw the answer."""
+        self.ledger.cancel_claim(borrower, incarnation, claim_id)
+        return self._serve_queue(now_s)
+
+    # Ends of work.
+
+    def release(
+        self, slot: SlotId, grant_id: int, evidence: Evidence | None, now_s: float
+    ) -> list[Effect]:
+        """Ends a grant and takes what the router saw."""
+        if evidence is not None:
+            self._take_evidence(evidence, now_s)
+        grant = self.ledger.release(slot, grant_id)
+        if grant is None:
+            return []
+        started_s = self.started_at_s.pop(grant_id, None)
+        if started_s is not None:
+            before_s = self.duration_s.get(slot.engine_id, now_s - started_s)
+            change_s = (now_s - started_s) - before_s
+            self.duration_s[slot.engine_id] = before_s + _DURATION_WEIGHT * change_s
+        self.limits.ended(self.customer_of.pop(grant_id, ""))
+        effects: list[Effect] = []
+        if grant.lender:
+            effects.append(self._hand_on(grant, now_s))
+        return effects + self._serve_queue(now_s)
+
+    def _hand_on(self, grant: Grant, now_s: float) -> Granted | ReturnSlot:
+        """Gives a borrowed slot to the next claim that waits for its engine, or returns it."""
+        slot = grant.slot
+        back = ReturnSlot(grant.lender, slot, grant.loan_id)
+        if grant.start_by_s - now_s < MIN_START_S or not self.eligible(slot.engine_id, now_s):
+            return back
+        for claim_id in self.queue.in_order(QUEUE_TRIES):
+            claim = self.claims[claim_id]
+            if claim.borrowing or claim.candidates[0].engine_id != slot.engine_id:
+                continue
+            assert self.note is not None
+            engine = self.note.statement.engines[slot.engine_id]
+            bound = self._bound(slot.engine_id, now_s)
+            if slot.index >= min(bound, self._allowance(slot.engine_id, engine)):
+                return back
+            again = self.ledger.grant_borrowed(
+                slot,
+                grant.lender,
+                grant.loan_id,
+                grant.start_by_s,
+                grant.max_work_s,
+                claim.holder,
+                now_s,
+            )
+            return back if again is None else self._granted(claim, again, now_s)
+        return back
+
+    def _take_evidence(self, evidence: Evidence, now_s: float) -> None:
+        if self.note is None or evidence.engine_id not in self.note.statement.engines:
+            return
+        engine_id = evidence.engine_id
+        if evidence.boot_id:
+            self.observe_boot(engine_id, evidence.boot_id)
+        if evidence.failure:
+            self.warmth.suspect_restart(engine_id)
+            eligible = [e for e in self.note.statement.engines if self.eligible(e, now_s)]
+            share = self.note.statement.rules.max_ejected_share
+            self.outliers.failed(engine_id, eligible, share, now_s)
+            return
+        if not evidence.whole:
+            return
+        self.outliers.succeeded(engine_id)
+        if in_time(evidence.first_token_s, evidence.expected_first_token_s):
+            self.warmth.observe_answer(engine_id, evidence.boot_id)
+        else:
+            self.warmth.suspect_restart(engine_id)
+        if evidence.first_choice:
+            self.exceptions.served(evidence.chat_hash, engine_id, evidence.first_choice)
+
+    def adopt(self, slot: SlotId, grant_id: int, holder: str, now_s: float) -> None:
+        """Takes a slot that a router reports to hold."""
+        self.ledger.adopt(slot, grant_id, holder, now_s)
+
+    def lose_holder(self, holder: str, now_s: float) -> None:
+        """Keeps the slots of a lost router as used until its work must have ended."""
+        self.ledger.lose_holder(holder, now_s)
+
+    # Time.
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Ends what has expired and serves waiting claims; called several times a second."""
+        self.freshness.tick(now_s)
+        if self.note is None:
+            return []
+        used = set(self.customer_of)
+        self.ledger.tick(now_s)
+        for grant_id in used - {grant.grant_id for grant in self.ledger.used.values()}:
+            self.limits.ended(self.customer_of.pop(grant_id))
+            self.started_at_s.pop(grant_id, None)
+        effects: list[Effect] = []
+        for claim in [claim for claim in self.claims.values() if claim.deadline_s <= now_s]:
+            if not claim.borrowing:
+                effects.append(self._refuse(claim, DeadlineError, "the deadline passed"))
+        for queue in self.queue.queues.values():
+            queue.forget_idle()
+        return effects + self._serve_queue(now_s)
+
+    def _serve_queue(self, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if not len(self.queue):
+            return effects
+        for claim_id in list(self.queue.in_order(QUEUE_TRIES)):
+            claim = self.claims[claim_id]
+            if claim.borrowing or claim.deadline_s <= now_s:
+                continue
+            decision = self._try(claim, now_s)
+            if decision is not None:
+                effects.append(decision)
+        return effects
+
+    def check(self) -> None:
+        """Raises LedgerError if an invariant is broken."""
+        self.ledger.check()
+        running = Counter(self.customer_of.values())
+        for name, use in self.limits.customers.items():
+            if use.running != running[name]:
+                raise LedgerError(f"customer {name}: wrong count of running requests")
+        for claim_id in self.queue.class_of:
+            if claim_id not in self.claims:
+                raise LedgerError(f"claim {claim_id} waits but is not known")
