--- /dev/null
+++ b/src/tanagerworks/audit/trail.py
@@ -0,0 +1,187 @@
+"""Hash-chained audit trail of one node, kept in a bounded ring and exported through logging."""
+
+import hashlib
+import json
+import logging
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+_LOGGER = logging.getLogger("tanagerworks.audit")
+
+# Bounds the memory of a record: texts may come from refused notes or from callers.
+MAX_TEXT_CHARS = 512
+
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class EventKind(Enum):
+    """What an audit record is about."""
+
+    NODE_STARTED = "node_started"
+    NODE_STOPPED = "node_stopped"
+    NOTE_ACCEPTED = "note_accepted"
+    NOTE_REFUSED = "note_refused"
+    ZONE_CHANGED = "zone_changed"
+    VM_CHANGED = "vm_changed"
+    ORDER_SENT = "order_sent"
+    ORDER_REFUSED = "order_refused"
+    KEY_ROTATED = "key_rotated"
+    OPERATOR_DRAIN = "operator_drain"
+    OPERATOR_UNDRAIN = "operator_undrain"
+
+
+class AuditModel(BaseModel):
+    """Base of the trail's published models: unknown keys are errors and values are immutable."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class AuditRecord(AuditModel):
+    """One event: who changed what from one state to another, on which note.
+
+    `time_s` is UNIX time; `serial` is the serial of the note in force, 0 before the first one;
+    `previous` is the digest of the record before, for the first record that of the chain's start.
+    """
+
+    node_id: str
+    incarnation: int
+    sequence: int = Field(ge=1)
+    time_s: float
+    serial: int = Field(ge=0)
+    kind: EventKind
+    who: str
+    subject: str
+    before: str
+    after: str
+    reason: str
+    previous: Digest
+    digest: Digest
+
+
+class TrailExport(AuditModel):
+    """Consecutive records of one node, with what is needed to notice that some are missing.
+
+    Records before `first_sequence` have left the ring or were not asked for. `head_sequence` and
+    `head_digest` belong to the newest record at the time of the export; they are absent when the
+    records were collected from log lines.
+    """
+
+    node_id: str
+    incarnation: int
+    first_sequence: int = Field(ge=1)
+    head_sequence: int | None = Field(default=None, ge=0)
+    head_digest: Digest | None = None
+    records: tuple[AuditRecord, ...] = ()
+
+
+def _sha256_of(document: object) -> str:
+    canonical = json.dumps(document, sort_keys=True, separators=(",", ":")).encode()
+    return hashlib.sha256(canonical).hexdigest()
+
+
+def chain_start(node_id: str, incarnation: int) -> str:
+    """Returns the digest that the first record of a node's incarnation refers to."""
+    return _sha256_of({"node_id": node_id, "incarnation": incarnation})
+
+
+def record_digest(record: AuditRecord) -> str:
+    """Returns the SHA-256, in hex, of everything in a record except its own digest."""
+    return _sha256_of(record.model_dump(mode="json", exclude={"digest"}))
+
+
+def _bounded(text: str) -> str:
+    if len(text) <= MAX_TEXT_CHARS:
+        return text
+    return text[: MAX_TEXT_CHARS - 3] + "..."
+
+
+class AuditTrail:
+    """The newest audit records of one node; safe to use from several threads."""
+
+    def __init__(
+        self,
+        node_id: str,
+        incarnation: int,
+        *,
+        max_records: int = 2048,
+        now_s: Callable[[], float] = time.time,
+    ) -> None:
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.ring: deque[AuditRecord] = deque(maxlen=max_records)
+        self.head_sequence = 0
+        self.head_digest = chain_start(node_id, incarnation)
+        self.export_failures = 0
+        self.now_s = now_s
+        self._grown = threading.Condition()
+
+    def record(
+        self,
+        kind: EventKind,
+        *,
+        who: str,
+        subject: str,
+        serial: int,
+        before: str = "",
+        after: str = "",
+        reason: str = "",
+    ) -> AuditRecord:
+        """Appends a record, exports it through logging and returns it.
+
+        A log handler that fails is counted in `export_failures` and does not reach the caller.
+        """
+        with self._grown:
+            draft = AuditRecord(
+                node_id=self.node_id,
+                incarnation=self.incarnation,
+                sequence=self.head_sequence + 1,
+                time_s=round(self.now_s(), 6),
+                serial=serial,
+                kind=kind,
+                who=_bounded(who),
+                subject=_bounded(subject),
+                before=_bounded(before),
+                after=_bounded(after),
+                reason=_bounded(reason),
+                previous=self.head_digest,
+                digest=self.head_digest,
+            )
+            record = draft.model_copy(update={"digest": record_digest(draft)})
+            self.ring.append(record)
+            self.head_sequence = record.sequence
+            self.head_digest = record.digest
+            self._grown.notify_all()
+        try:
+            _LOGGER.info(kind.value, extra={"audit": record.model_dump(mode="json")})
+        except Exception:
+            self.export_failures += 1
+        return record
+
+    def export(self, after: int = 0, limit: int | None = None) -> TrailExport:
+        """Returns the records in the ring with a sequence above `after`, at most `limit`."""
+        with self._grown:
+            return self._export(after, limit)
+
+    def wait(self, after: int, timeout_s: float, limit: int | None = None) -> TrailExport:
+        """Like `export`, but waits up to `timeout_s` for a record above `after`."""
+        with self._grown:
+            self._grown.wait_for(lambda: self.head_sequence > after, timeout_s)
+            return self._export(after, limit)
+
+    def _export(self, after: int, limit: int | None) -> TrailExport:
+        selected = [record for record in self.ring if record.sequence > after][:limit]
+        first = selected[0].sequence if selected else self.head_sequence + 1
+        return TrailExport(
+            node_id=self.node_id,
+            incarnation=self.incarnation,
+            first_sequence=first,
+            head_sequence=self.head_sequence,
+            head_digest=self.head_digest,
+            records=tuple(selected),
+        )
