Add the administration port of the agent

Operators had no way to look into a running agent. The agent now serves HTTP and JSON at its admin_address on cheroot's own threads: status, note, explain, drain, undrain, audit, events (long poll and server-sent), schema, livez, readyz and metrics. Calls that touch state run on the agent's event loop with a time limit.

A drain makes the node not ready at once and stops grants after drain_notice_s; both actions are in the audit trail under the key's name. Accepted and refused notes, zone, VM and key changes are recorded too.

--- a/src/tanagerworks/agent/main.py
+++ b/src/tanagerworks/agent/main.py
@@ -9,20 +9,26 @@
 from grpc.aio import server as create_grpc_server
 from pydantic import ValidationError
 
+from tanagerworks.agent.admin import AdminServer
+from tanagerworks.agent.operations import AgentOperations
 from tanagerworks.agent.platform_client import PlatformClient
 from tanagerworks.agent.router_service import RouterService
 from tanagerworks.agent.state import AgentState
+from tanagerworks.audit.changes import record_note_accepted, record_note_refused
+from tanagerworks.audit.trail import AuditTrail, EventKind
+from tanagerworks.clock import boot_time_s
 from tanagerworks.errors import PlatformError
 from tanagerworks.note.model import Note
 from tanagerworks.program import EXIT_OK, run_with_settings
 from tanagerworks.rpc.tanager_pb2_grpc import add_NodeAgentServicer_to_server
 from tanagerworks.settings.agent import AgentSettings
+from tanagerworks.telemetry.metrics import create_meter
 
 _LOGGER = logging.getLogger(__name__)
 _PLATFORM_RETRY_S = 0.5
 
 
-async def _follow_platform(settings: AgentSettings, state: AgentState) -> None:
+async def _follow_platform(settings: AgentSettings, state: AgentState, trail: AuditTrail) -> None:
     client = PlatformClient(settings.platform_url, settings.platform_timeout_s)
     revision: str | None = None
     while True:
@@ -42,9 +48,16 @@
         try:
             note = Note.model_validate_json(json.dumps(yaml.safe_load(value.content)))
         except (ValidationError, yaml.YAMLError) as error:
-            _LOGGER.error("refused a release note", extra={"error": str(error)})
+            # The text of a validation error quotes the note, which may hold a key by mistake.
+            reason = type(error).__name__
+            if isinstance(error, ValidationError):
+                fault = error.errors(include_input=False, include_url=False)[0]
+                reason = f"{'.'.join(str(part) for part in fault['loc'])}: {fault['msg']}"
+            _LOGGER.error("refused a release note", extra={"error": reason})
+            record_note_refused(trail, state.note, None, reason, "platform")
             continue
         if state.note is None or note.serial > state.note.serial:
+            record_note_accepted(trail, state.note, note, "platform")
             state.accept(note)
             _LOGGER.info("release note in force", extra={"serial": note.serial})
 
@@ -55,16 +68,30 @@
     add_NodeAgentServicer_to_server(RouterService(state), router_link)
     router_link.add_insecure_port(settings.router_link_address)
     await router_link.start()
-    follower = asyncio.create_task(_follow_platform(settings, state))
-    stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
+    trail = AuditTrail(
+        settings.node_id, int(boot_time_s() * 1000), max_records=settings.admin.audit_records
+    )
+    trail.record(EventKind.NODE_STARTED, who="agent", subject=f"nodes.{state.node_id}", serial=0)
+    operations = AgentOperations(
+        state, trail, zone=settings.zone, drain_notice_s=settings.drain_notice_s
+    )
+    operations.register_metrics(create_meter("tanager-agent"))
+    admin = AdminServer(settings.admin_address, settings.admin, operations, loop)
+    admin.start()
+    follower = asyncio.create_task(_follow_platform(settings, state, trail))
+    stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await stopped.wait()
-    state.draining = True
-    state.notify()
+    operations.begin_stop()
     follower.cancel()
     await router_link.stop(settings.drain_limit_s)
+    serial = state.note.serial if state.note else 0
+    trail.record(
+        EventKind.NODE_STOPPED, who="agent", subject=f"nodes.{state.node_id}", serial=serial
+    )
+    await asyncio.to_thread(admin.stop)
 
 
 def serve(settings: AgentSettings) -> int:
--- a/src/tanagerworks/agent/router_service.py
+++ b/src/tanagerworks/agent/router_service.py
@@ -6,7 +6,7 @@
 from grpc.aio import ServicerContext
 
 from tanagerworks.agent.state import AgentState
-from tanagerworks.errors import CapacityError
+from tanagerworks.errors import CapacityError, NotReadyError
 from tanagerworks.routing.slots import SlotId
 from tanagerworks.rpc.tanager_pb2 import (
     ClaimReply,
@@ -55,6 +55,12 @@
         self, request: ClaimRequest, context: ServicerContext
     ) -> ClaimReply:
         """Grants a slot or refuses."""
+        if self.state.closed:
+            return ClaimReply(
+                refusal=NotReadyError.code,
+                reason="an operator has drained the node",
+                retry_after_s=NotReadyError.retry_after_s or 0.0,
+            )
         granted = self.state.claim([candidate.engine_id for candidate in request.candidates])
         if granted is None:
             return ClaimReply(
--- a/src/tanagerworks/agent/state.py
+++ b/src/tanagerworks/agent/state.py
@@ -15,6 +15,8 @@
         self.note: Note | None = None
         self.ledger = SlotLedger(node_id)
         self.draining = False
+        # Set while an operator keeps new work from this node.
+        self.closed = False
         self.changed = asyncio.Event()
 
     def accept(self, note: Note) -> None:
--- /dev/null
+++ b/src/tanagerworks/audit/changes.py
@@ -0,0 +1,134 @@
+"""What differs between two notes, and the audit records of a note that comes into force."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from tanagerworks.audit.trail import AuditTrail, EventKind
+from tanagerworks.note.model import Note
+
+_ABSENT = ""
+
+
+@dataclass(frozen=True, order=True)
+class Change:
+    """One value that differs; `before` or `after` is empty for an item that did not exist."""
+
+    place: str
+    before: str
+    after: str
+
+
+def _flatten(value: Any, place: str, flat: dict[str, str]) -> None:
+    if isinstance(value, Mapping) and value:
+        for key, inner in value.items():
+            _flatten(inner, f"{place}.{key}" if place else str(key), flat)
+        return
+    if isinstance(value, list):
+        flat[place] = "[" + ", ".join(str(item) for item in value) + "]"
+        return
+    flat[place] = str(value)
+
+
+def note_changes(old: Note | None, new: Note) -> list[Change]:
+    """Returns every value that differs between two statements, sorted by place.
+
+    A place is the path of section, name and field, such as ``zones.sfax-thyna.state``.
+    """
+    before: dict[str, str] = {}
+    after: dict[str, str] = {}
+    if old is not None:
+        _flatten(old.statement.model_dump(mode="json"), "", before)
+    _flatten(new.statement.model_dump(mode="json"), "", after)
+    changes = []
+    for place in sorted(before.keys() | after.keys()):
+        was, is_now = before.get(place, _ABSENT), after.get(place, _ABSENT)
+        if was != is_now:
+            changes.append(Change(place, was, is_now))
+    return changes
+
+
+def _describe_member(member: Any) -> str:
+    if member is None:
+        return _ABSENT
+    address = getattr(member, "address", None) or getattr(member, "peer_address", _ABSENT)
+    return f"{address} in {member.zone}"
+
+
+def record_note_accepted(trail: AuditTrail, old: Note | None, new: Note, source: str) -> None:
+    """Records a note that came into force, and the zones, VMs and keys that it changes.
+
+    `source` says where the note came from: the platform or a peer.
+    """
+    serial = new.serial
+    trail.record(
+        EventKind.NOTE_ACCEPTED,
+        who=source,
+        subject="release-note",
+        serial=serial,
+        before="" if old is None else f"{old.serial} {old.digest()}",
+        after=f"{new.serial} {new.digest()}",
+    )
+    was = old.statement if old is not None else None
+    now = new.statement
+    for name in sorted(now.zones.keys() | (was.zones.keys() if was else set())):
+        zone_before = was.zones.get(name) if was else None
+        zone_after = now.zones.get(name)
+        before = zone_before.state.value if zone_before else _ABSENT
+        after = zone_after.state.value if zone_after else _ABSENT
+        if before == after:
+            continue
+        trail.record(
+            EventKind.ZONE_CHANGED,
+            who=source,
+            subject=f"zones.{name}",
+            serial=serial,
+            before=before,
+            after=after,
+            reason="release note",
+        )
+    for section in ("nodes", "engines"):
+        members_before = getattr(was, section) if was else {}
+        members_after = getattr(now, section)
+        for name in sorted(members_before.keys() | members_after.keys()):
+            before = _describe_member(members_before.get(name))
+            after = _describe_member(members_after.get(name))
+            if before == after:
+                continue
+            trail.record(
+                EventKind.VM_CHANGED,
+                who=source,
+                subject=f"{section}.{name}",
+                serial=serial,
+                before=before,
+                after=after,
+                reason="release note",
+            )
+    for name, customer in sorted(now.customers.items()):
+        known = was.customers.get(name) if was else None
+        if known is None or known.key_sha256 == customer.key_sha256:
+            continue
+        trail.record(
+            EventKind.KEY_ROTATED,
+            who=source,
+            subject=f"customers.{name}",
+            serial=serial,
+            before=" ".join(digest[:8] for digest in known.key_sha256),
+            after=" ".join(digest[:8] for digest in customer.key_sha256),
+            reason="release note",
+        )
+
+
+def record_note_refused(
+    trail: AuditTrail, in_force: Note | None, serial: int | None, reason: str, source: str
+) -> None:
+    """Records a note that was refused; `serial` is its own one, None if it could not be read."""
+    trail.record(
+        EventKind.NOTE_REFUSED,
+        who=source,
+        subject="release-note",
+        serial=in_force.serial if in_force else 0,
+        before=str(in_force.serial) if in_force else "",
+        after="" if serial is None else str(serial),
+        reason=reason,
+    )
--- a/src/tanagerworks/audit/trail.py
+++ b/src/tanagerworks/audit/trail.py
@@ -119,6 +119,7 @@
         self.head_digest = chain_start(node_id, incarnation)
         self.export_failures = 0
         self.now_s = now_s
+        self.closed = False
         self._grown = threading.Condition()
 
     def record(
@@ -171,9 +172,15 @@
     def wait(self, after: int, timeout_s: float, limit: int | None = None) -> TrailExport:
         """Like `export`, but waits up to `timeout_s` for a record above `after`."""
         with self._grown:
-            self._grown.wait_for(lambda: self.head_sequence > after, timeout_s)
+            self._grown.wait_for(lambda: self.closed or self.head_sequence > after, timeout_s)
             return self._export(after, limit)
 
+    def close(self) -> None:
+        """Ends all waits, now and later; records are still taken."""
+        with self._grown:
+            self.closed = True
+            self._grown.notify_all()
+
     def _export(self, after: int, limit: int | None) -> TrailExport:
         selected = [record for record in self.ring if record.sequence > after][:limit]
         first = selected[0].sequence if selected else self.head_sequence + 1
--- a/src/tanagerworks/settings/agent.py
+++ b/src/tanagerworks/settings/agent.py
@@ -3,6 +3,7 @@
 from pydantic import Field
 
 from tanagerworks.note.model import Address, Name
+from tanagerworks.settings.admin import AdminSettings
 from tanagerworks.settings.loader import SettingsModel
 
 
@@ -14,6 +15,7 @@
     router_link_address: Address
     peer_address: Address
     admin_address: Address
+    admin: AdminSettings = AdminSettings()
     platform_url: str = Field(pattern=r"^https?://")
     seed_peers: tuple[Address, ...] = ()
     # Checks the invariants inside the program; a violation ends the process.
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,224 @@
+"""The administration port: keys, roles, documents, limits."""
+
+import datetime
+import threading
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from urllib3.exceptions import HTTPError
+
+from tanagerworks.agent.admin_models import PUBLISHED
+from tanagerworks.audit.merge import verify_chain
+from tanagerworks.audit.trail import EventKind, TrailExport
+from tanagerworks.note.model import Note
+from tests.admin_builders import ACT_KEY, READ_KEY, running_admin
+from tests.builders import note_document
+
+
+@pytest.fixture(name="admin", scope="module")
+def one_admin():
+    with running_admin() as admin:
+        yield admin
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "method", "status", "code"),
+    [
+        ("/admin/v1/status", "wrong", "GET", 401, "invalid_api_key"),
+        ("/admin/v1/status", "", "GET", 401, "invalid_api_key"),
+        ("/admin/v1/none", "wrong", "GET", 401, "invalid_api_key"),
+        ("/admin/v1/none", READ_KEY, "GET", 404, "not_found"),
+        ("/admin/v1/drain", READ_KEY, "POST", 403, "permission_denied"),
+        ("/admin/v1/undrain", READ_KEY, "POST", 403, "permission_denied"),
+        ("/admin/v1/drain", ACT_KEY, "GET", 405, "method_not_allowed"),
+        ("/admin/v1/explain", READ_KEY, "GET", 400, "bad_request"),
+        ("/admin/v1/audit?after=-1", READ_KEY, "GET", 400, "bad_request"),
+        ("/admin/v1/events?wait_s=inf", READ_KEY, "GET", 400, "bad_request"),
+    ],
+)
+def test_refusals_have_stable_codes(admin, path, key, method, status, code):
+    """Guards against a call without the right key, and against refusals without a code."""
+    answer = admin.call(path, key=key, method=method)
+    assert answer.status == status
+    error = PUBLISHED["error"].model_validate_json(answer.data).error
+    assert (error.code, error.outcome) == (code, "not_run")
+    assert admin.state.closed is False
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["status", "note", "explain?customer=club-carthage&model=wax&chat_key=c", "audit", "events"],
+)
+def test_documents_fit_their_published_schema(admin, path):
+    """Guards against a document that differs from the schema that programs rely on."""
+    answer = admin.call(f"/admin/v1/{path}")
+    assert answer.status == 200
+    PUBLISHED[f"GET /admin/v1/{path.partition('?')[0]}"].model_validate_json(answer.data)
+    _status, schema = admin.get("/admin/v1/schema")
+    assert set(schema["documents"]) == set(PUBLISHED)
+
+
+def test_drain_stops_new_work_and_names_the_key():
+    """Guards against a drained node that stays in rotation, and an action without a name."""
+    with running_admin() as admin:
+        assert admin.get("/readyz")[0] == 200
+        status, report = admin.act("/admin/v1/drain", reason="kernel update")
+        assert (status, report["changed"], report["drained_by"]) == (200, True, "amina")
+        assert admin.act("/admin/v1/drain")[1]["changed"] is False
+        ready, health = admin.get("/readyz")
+        assert (ready, health["reason"]) == (503, "drained by amina")
+        assert admin.state.closed is True
+        _status, explained = admin.get(
+            "/admin/v1/explain?customer=club-carthage&model=wax&chat_key=c"
+        )
+        assert explained["engine_id"] is None
+        assert explained["stages"][-1]["reason"] == "drained by amina"
+        assert admin.act("/admin/v1/undrain")[1]["changed"] is True
+        assert admin.state.closed is False
+        assert admin.get("/readyz")[0] == 200
+        export = TrailExport.model_validate_json(admin.call("/admin/v1/audit").data)
+    assert verify_chain(export) == []
+    actions = [record for record in export.records if record.who == "amina"]
+    assert [record.kind for record in actions] == [
+        EventKind.OPERATOR_DRAIN,
+        EventKind.OPERATOR_UNDRAIN,
+    ]
+    assert actions[0].reason == "kernel update"
+
+
+def test_undrain_does_not_revive_a_stopping_agent():
+    """Guards against an agent that takes callers again during its shutdown."""
+    with running_admin() as admin:
+        admin.act("/admin/v1/drain")
+        admin.loop.call_soon_threadsafe(admin.operations.begin_stop)
+        status, document = admin.act("/admin/v1/undrain")
+        assert (status, document["error"]["code"]) == (409, "conflict")
+        assert admin.get("/readyz")[0] == 503
+
+
+def test_explain_names_the_stage_that_refuses(admin):
+    """Guards against an operator who cannot see why a customer is refused."""
+    path = "/admin/v1/explain?customer=club-carthage&model={}&chat_key=c"
+    _status, found = admin.get(path.format("wax"))
+    assert (found["engine_id"], found["ranking"]) == ("m1", ["m1"])
+    _status, refused = admin.get(path.format("tallow"))
+    assert refused["engine_id"] is None
+    assert refused["stages"][-1] == {
+        "stage": "model",
+        "passed": False,
+        "reason": "no model named 'tallow'",
+    }
+
+
+def test_accepted_note_records_zone_and_key_changes():
+    """Guards against a zone or key change that leaves no trace."""
+    document = note_document(serial=2, zones={"sfax-medina": {"state": "out"}})
+    document["statement"]["customers"]["club-carthage"]["key_sha256"] = ["0" * 64]
+    with running_admin() as admin:
+        admin.accept(Note.model_validate(document))
+        records = admin.trail.export().records
+    last = {record.kind: record for record in records if record.serial == 2}
+    assert last[EventKind.NOTE_ACCEPTED].after.startswith("2 ")
+    assert (last[EventKind.ZONE_CHANGED].before, last[EventKind.ZONE_CHANGED].after) == (
+        "in",
+        "out",
+    )
+    assert last[EventKind.KEY_ROTATED].subject == "customers.club-carthage"
+
+
+def test_followers_get_new_events_and_are_bounded():
+    """Guards against events that come late or twice, and waits that use up all threads."""
+    with running_admin(max_followers=1) as admin:
+        head = admin.trail.head_sequence
+        stream = admin.call(
+            f"/admin/v1/events?after={head}",
+            headers={"Accept": "text/event-stream"},
+            preload_content=False,
+        )
+        assert stream.readline() == b": tanagerworks\n"
+        assert admin.get("/admin/v1/events")[1]["error"]["code"] == "too_many_followers"
+        assert admin.get("/admin/v1/status")[0] == 200
+        admin.act("/admin/v1/drain")
+        lines = [stream.readline() for _ in range(4)]
+        assert lines[1] == f"id: 3:{head + 1}\n".encode()
+        assert lines[2] == b"event: operator_drain\n"
+        stream.close()
+    with running_admin() as admin:
+        path = f"/admin/v1/events?after={admin.trail.head_sequence}&wait_s=5"
+        answers = []
+        waiter = threading.Thread(target=lambda: answers.append(admin.get(path)))
+        waiter.start()
+        admin.act("/admin/v1/drain")
+        waiter.join()
+        assert [record["kind"] for record in answers[0][1]["records"]] == ["operator_drain"]
+        # A position of an earlier process of the node starts the trail anew.
+        _status, document = admin.get("/admin/v1/events?after=999&incarnation=2")
+        assert document["records"][0]["sequence"] == 1
+
+
+def test_large_body_is_refused(admin):
+    """Guards against memory that a caller can fill."""
+    answer = admin.call("/admin/v1/drain", key=ACT_KEY, method="POST", body=b" " * 70_000)
+    assert answer.status == 413
+    assert admin.operations.drained_by is None
+
+
+def test_keys_do_not_show(admin):
+    """Guards against administration keys in documents, metrics or the trail."""
+    for path in ("/admin/v1/status", "/admin/v1/audit", "/admin/v1/schema", "/metrics"):
+        data = admin.call(path, key=ACT_KEY).data.decode()
+        assert ACT_KEY not in data
+        assert admin.settings.keys["amina"].sha256[0] not in data
+
+
+def test_busy_loop_is_an_unknown_outcome():
+    """Guards against a caller that hangs on a stuck loop or takes its action for not executed."""
+    with running_admin(call_timeout_s=0.05) as admin:
+        released = threading.Event()
+        admin.loop.call_soon_threadsafe(released.wait)
+        try:
+            status, document = admin.act("/admin/v1/drain")
+            assert admin.get("/livez")[0] == 503
+        finally:
+            released.set()
+        assert (status, document["error"]["code"]) == (503, "agent_busy")
+        assert document["error"]["outcome"] == "unknown"
+
+
+@pytest.mark.filterwarnings("ignore:Unverified HTTPS request")
+def test_port_speaks_tls_with_certificate_files(tmp_path):
+    """Guards against keys that cross the network in the clear."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "n1")])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .sign(key, hashes.SHA256())
+    )
+    (tmp_path / "cert.pem").write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    (tmp_path / "key.pem").write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    files = {
+        "certificate_file": str(tmp_path / "cert.pem"),
+        "private_key_file": str(tmp_path / "key.pem"),
+    }
+    with running_admin(**files) as admin:
+        assert admin.get("/admin/v1/status", scheme="https")[0] == 200
+        # cheroot answers 400 to plain HTTP on a TLS port, or closes the connection.
+        try:
+            assert admin.call("/admin/v1/status").status == 400
+        except HTTPError:
+            pass
