--- a/src/tanagerworks/routing/slots.py
+++ b/src/tanagerworks/routing/slots.py
@@ -302,6 +302,11 @@
             return 0
         return len(account.free)
 
+    def owned_count(self, engine_id: str) -> int:
+        """Returns the number of an engine's slots that the node owns."""
+        account = self.engines.get(engine_id)
+        return len(account.owned) if account else 0
+
     def running(self, engine_id: str) -> int:
         """Returns the number of this node's requests at an engine, on own and borrowed slots."""
         account = self.engines.get(engine_id)
