--- a/src/tanagerworks/standin/order_service.py
+++ b/src/tanagerworks/standin/order_service.py
@@ -1,11 +1,15 @@
-"""Stand-in for an order service: bookings and debits, counted by request."""
+"""Stand-in for an order service: bookings and debits that must not be repeated."""
 
-import threading
+import asyncio
+import random
 from collections import Counter
+from typing import Any
+
+from pydantic import Field
 
 from tanagerworks.settings.loader import SettingsModel
-from tanagerworks.standin.server import serve_routes
-from tanagerworks.wsgi import Environ, Response, json_response, read_body
+from tanagerworks.standin.server import Exchange, Request, run_forever, serve_routes
+from tanagerworks.wsgi import Response, json_response
 
 
 class OrderServiceSettings(SettingsModel):
@@ -13,7 +17,24 @@
 
     address: str
     server_id: str
-    threads: int = 32
+    # Replays the stored answer for an Idempotency-Key that it knows.
+    deduplicates: bool = False
+    work_s: float = 0.002
+    seed: int = 1
+
+
+class OrderServiceFaults(SettingsModel):
+    """Failures that can be switched while the service runs; shares are between 0 and 1."""
+
+    refuse_share: float = Field(default=0.0, ge=0, le=1)
+    # Breaks the connection before the order is executed, or after it.
+    break_before_share: float = Field(default=0.0, ge=0, le=1)
+    break_after_share: float = Field(default=0.0, ge=0, le=1)
+    # Executes the order at once but answers late.
+    late_answer_share: float = Field(default=0.0, ge=0, le=1)
+    # Executes the order late, even if the caller is gone by then.
+    late_execution_share: float = Field(default=0.0, ge=0, le=1)
+    late_s: float = 2.0
 
 
 class OrderServiceStandin:
@@ -21,29 +42,91 @@
 
     def __init__(self, settings: OrderServiceSettings) -> None:
         self.settings = settings
-        self.lock = threading.Lock()
+        self.chance = random.Random(f"{settings.seed}-{settings.server_id}")
+        self.faults = OrderServiceFaults()
         # Executions by the caller's own number of the booking or debit.
         self.executions: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.by_key: dict[str, dict[str, Any]] = {}
+        self.tasks: set[asyncio.Task[dict[str, Any]]] = set()
+        self.requests = 0
+
+    async def run(self) -> None:
+        """Does nothing."""
+        await run_forever()
 
-    def handle(self, environ: Environ) -> Response:
+    async def handle(self, request: Request, exchange: Exchange) -> Response | None:
         """Answers one request."""
-        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
-        if path == "/control/executions":
-            with self.lock:
-                return json_response({"executions": dict(self.executions)})
+        method, path = request.method, request.path
+        if path.startswith("/control/"):
+            return self._control(request)
         if method == "POST" and path in ("/bookings", "/debits"):
-            read_body(environ)
-            number = str(environ.get("HTTP_X_ORDER_NUMBER") or environ.get("HTTP_X_REQUEST_ID"))
-            with self.lock:
-                self.executions[number] += 1
-            return json_response({"order": number, "server": self.settings.server_id}, 201)
-        if method == "GET" and path.startswith(("/stock/", "/orders/")):
+            return await self._order(request, exchange)
+        if method == "GET" and path.startswith("/orders/"):
+            number = path.rpartition("/")[2]
+            return json_response({"order": number, "executed": self.executions[number] > 0})
+        if method == "GET" and path.startswith("/stock/"):
             return json_response({"item": path.rpartition("/")[2], "quantity": 7})
         return json_response({"error": {"code": "not_found"}}, 404)
 
+    async def _order(self, request: Request, exchange: Exchange) -> Response | None:
+        number = request.headers.get("x-order-number") or request.headers.get("x-request-id", "")
+        key = request.headers.get("idempotency-key", "")
+        self.requests += 1
+        if self._happens(self.faults.refuse_share):
+            self.refused[number] += 1
+            return json_response({"error": {"code": "refused", "message": "not run"}}, 503)
+        if self._happens(self.faults.break_before_share):
+            exchange.abort()
+            return None
+        delay_s = self.settings.work_s
+        if self._happens(self.faults.late_execution_share):
+            delay_s += self.faults.late_s
+        # A task of its own: a server does not notice in time that its caller has gone.
+        task = asyncio.create_task(self._execute(number, key, delay_s))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        answer = await asyncio.shield(task)
+        if self._happens(self.faults.break_after_share):
+            exchange.abort()
+            return None
+        if self._happens(self.faults.late_answer_share):
+            await asyncio.sleep(self.faults.late_s)
+        return json_response(answer, 201)
+
+    async def _execute(self, number: str, key: str, delay_s: float) -> dict[str, Any]:
+        await asyncio.sleep(delay_s)
+        if self.settings.deduplicates and key in self.by_key:
+            return self.by_key[key]
+        self.executions[number] += 1
+        answer = {"order": number, "server": self.settings.server_id}
+        if self.settings.deduplicates and key:
+            self.by_key[key] = answer
+        return answer
+
+    def _happens(self, share: float) -> bool:
+        return share > 0 and self.chance.random() < share
+
+    def _control(self, request: Request) -> Response:
+        method, path = request.method, request.path
+        if (method, path) == ("GET", "/control/executions"):
+            return json_response(
+                {
+                    "executions": dict(self.executions),
+                    "refused": dict(self.refused),
+                    "requests": self.requests,
+                }
+            )
+        if path == "/control/faults":
+            if method == "POST":
+                changed = {**self.faults.model_dump(), **request.json()}
+                self.faults = OrderServiceFaults.model_validate(changed)
+            elif method == "DELETE":
+                self.faults = OrderServiceFaults()
+            return json_response(self.faults.model_dump())
+        return json_response({"error": {"code": "not_found"}}, 404)
+
 
 def serve_order_service(settings: OrderServiceSettings) -> int:
     """Serves until a signal; returns the exit status."""
-    return serve_routes(
-        settings.address, OrderServiceStandin(settings).handle, threads=settings.threads
-    )
+    return serve_routes(settings.address, lambda: OrderServiceStandin(settings))
--- a/src/tanagerworks/standin/platform.py
+++ b/src/tanagerworks/standin/platform.py
@@ -1,50 +1,88 @@
-"""Stand-in for the platform: configuration service and VM list."""
+"""Stand-in for the platform: configuration service, VM list and weight store."""
 
+import asyncio
 import hashlib
-import threading
 import time
-from urllib.parse import parse_qs
+from collections import deque
+from enum import Enum
+
+from pydantic import Field
+from xxhash import xxh3_64_intdigest
 
 from tanagerworks.settings.loader import SettingsModel
-from tanagerworks.standin.server import serve_routes
-from tanagerworks.wsgi import Environ, Response, json_response, read_body
+from tanagerworks.standin.server import Exchange, Request, run_forever, serve_routes
+from tanagerworks.wsgi import Response, json_response
+
+_MAX_VALUE_BYTES = 1_000_000
+_READER_HEADER = "x-reader"
+_WEIGHT_PIECE_BYTES = 65_536
 
 
 class PlatformSettings(SettingsModel):
     """Settings of the platform stand-in."""
 
     address: str
-    threads: int = 64
     max_watch_s: float = 30.0
+    # Over all readers; a watch counts as one call, however long it waits.
+    calls_per_s: float = 2000.0
+    # A reader sees a change of the VM list after half to all of this time.
+    vm_lag_s: float = 1.0
+    weight_bytes: int = 4_000_000
+    weight_bytes_per_s: float = 20_000_000.0
+    weight_downloads: int = 4
 
 
-class PlatformState:
-    """Values with revisions, and the list of VMs."""
+class ReaderMode(Enum):
+    """How the platform treats a reader."""
 
-    def __init__(self) -> None:
-        self.values: dict[str, bytes] = {}
-        self.vms: dict[str, str] = {}
-        self.changed = threading.Condition()
-
-    def publish(self, key: str, value: bytes) -> str:
-        """Stores a value and wakes its watchers; returns the revision."""
-        with self.changed:
-            self.values[key] = value
-            self.changed.notify_all()
-        return revision_of(value)
-
-    def read(self, key: str, after: str | None, wait_s: float) -> bytes | None:
-        """Returns the value once its revision differs from `after`, or None after `wait_s`."""
-        end = time.monotonic() + wait_s
-        with self.changed:
-            while True:
-                value = self.values.get(key)
-                if value is not None and revision_of(value) != after:
-                    return value
-                remaining = end - time.monotonic()
-                if remaining <= 0:
-                    return None
-                self.changed.wait(remaining)
+    OK = "ok"
+    DOWN = "down"
+    SLOW = "slow"
+    STALE = "stale"
+
+
+class ReaderRule(SettingsModel):
+    """A mode for some readers: by the name they send, by client port, or for all of them."""
+
+    mode: ReaderMode
+    readers: tuple[str, ...] = ()
+    # First and last port, both included.
+    ports: tuple[int, int] | None = None
+    delay_s: float = Field(default=1.0, ge=0)
+
+    def matches(self, reader: str, port: int) -> bool:
+        """Returns whether the rule is for this reader."""
+        if not self.readers and self.ports is None:
+            return True
+        in_range = self.ports is not None and self.ports[0] <= port <= self.ports[1]
+        return reader in self.readers or in_range
+
+
+class CallRate:
+    """Token bucket over all readers, holding at most one second of calls."""
+
+    def __init__(self, calls_per_s: float, now_s: float) -> None:
+        self.calls_per_s = calls_per_s
+        self.tokens = calls_per_s
+        self.filled_s = now_s
+
+    def take(self, now_s: float) -> bool:
+        """Returns whether one more call is within the rate."""
+        gained = (now_s - self.filled_s) * self.calls_per_s
+        self.tokens = min(self.calls_per_s, self.tokens + gained)
+        self.filled_s = now_s
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Snapshot:
+    """Values and VM list as they were at one time."""
+
+    def __init__(self, values: dict[str, bytes], vms: dict[str, str]) -> None:
+        self.values = values
+        self.vms = vms
 
 
 def revision_of(value: bytes) -> str:
@@ -57,33 +95,156 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self.settings = settings
-        self.state = PlatformState()
-
-    def handle(self, environ: Environ) -> Response:
+        self.values: dict[str, bytes] = {}
+        self.vm_history: deque[tuple[float, dict[str, str]]] = deque([(0.0, {})], maxlen=1000)
+        self.changed = asyncio.Event()
+        self.rate = CallRate(settings.calls_per_s, time.monotonic())
+        # The newest rule that matches a reader holds; a stale one keeps what it froze.
+        self.rules: list[tuple[ReaderRule, Snapshot]] = []
+        self.calls = 0
+        self.calls_over_rate = 0
+        self.calls_by_reader: dict[str, int] = {}
+        self.downloads = 0
+
+    async def run(self) -> None:
+        """Does nothing."""
+        await run_forever()
+
+    async def handle(self, request: Request, exchange: Exchange) -> Response | None:
         """Answers one request."""
-        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
-        if path.startswith("/v1/values/") and method == "GET":
-            return self._read(environ, path.removeprefix("/v1/values/"))
-        if path.startswith("/control/values/") and method == "PUT":
+        if request.path.startswith("/control/"):
+            return self._control(request)
+        if request.method != "GET":
+            return json_response({"error": {"code": "not_found"}}, 404)
+        reader = request.headers.get(_READER_HEADER, "")
+        self.calls += 1
+        self.calls_by_reader[reader] = self.calls_by_reader.get(reader, 0) + 1
+        if not self.rate.take(time.monotonic()):
+            self.calls_over_rate += 1
+            return json_response({"error": {"code": "rate_limit"}}, 429, [("Retry-After", "1")])
+        rule, _frozen = self._rule(reader, request.client_port)
+        if rule.mode is ReaderMode.SLOW:
+            await asyncio.sleep(rule.delay_s)
+        if rule.mode is ReaderMode.DOWN:
+            exchange.abort()
+            return None
+        if request.path.startswith("/v1/values/"):
+            return await self._read(request, exchange, reader)
+        if request.path == "/v1/vms":
+            return json_response({"vms": self._vms(reader, request.client_port)})
+        if request.path.startswith("/v1/weights/"):
+            return await self._weights(exchange)
+        return json_response({"error": {"code": "not_found"}}, 404)
+
+    def _rule(self, reader: str, port: int) -> tuple[ReaderRule, Snapshot]:
+        for rule, frozen in reversed(self.rules):
+            if rule.matches(reader, port):
+                return rule, frozen
+        return ReaderRule(mode=ReaderMode.OK), Snapshot(self.values, self.vm_history[-1][1])
+
+    async def _read(self, request: Request, exchange: Exchange, reader: str) -> Response | None:
+        key = request.path.removeprefix("/v1/values/")
+        after = request.query.get("after")
+        wait_s = min(float(request.query.get("wait_s", "0")), self.settings.max_watch_s)
+        end_s = time.monotonic() + wait_s
+        while True:
+            changed = self.changed
+            rule, frozen = self._rule(reader, request.client_port)
+            if rule.mode is ReaderMode.DOWN:
+                exchange.abort()
+                return None
+            values = frozen.values if rule.mode is ReaderMode.STALE else self.values
+            value = values.get(key)
+            if value is not None and revision_of(value) != after:
+                headers = [("ETag", revision_of(value)), ("Content-Length", str(len(value)))]
+                return Response(200, headers, [value])
+            remaining_s = end_s - time.monotonic()
+            if remaining_s <= 0:
+                status = 404 if value is None else 304
+                return Response(status, [("Content-Length", "0")])
+            try:
+                await asyncio.wait_for(changed.wait(), remaining_s)
+            except TimeoutError:
+                continue
+
+    def _vms(self, reader: str, port: int) -> dict[str, str]:
+        rule, frozen = self._rule(reader, port)
+        if rule.mode is ReaderMode.STALE:
+            return frozen.vms
+        # Each reader has a lag of its own, so that readers differ for a while after a change.
+        share = 0.5 + 0.5 * (xxh3_64_intdigest((reader or str(port)).encode()) % 1000) / 1000
+        visible_s = time.monotonic() - self.settings.vm_lag_s * share
+        seen: dict[str, str] = {}
+        for at_s, vms in self.vm_history:
+            if at_s <= visible_s:
+                seen = vms
+        return seen
+
+    async def _weights(self, exchange: Exchange) -> Response | None:
+        if self.downloads >= self.settings.weight_downloads:
+            return json_response({"error": {"code": "rate_limit"}}, 429, [("Retry-After", "1")])
+        self.downloads += 1
+        try:
+            left = self.settings.weight_bytes
+            exchange.start(200, [("Content-Length", str(left))])
+            while left > 0:
+                piece = bytes(min(left, _WEIGHT_PIECE_BYTES))
+                exchange.write(piece)
+                left -= len(piece)
+                await asyncio.sleep(len(piece) * self.downloads / self.settings.weight_bytes_per_s)
+                while exchange.paused:
+                    await asyncio.sleep(0.01)
+            exchange.end()
+        finally:
+            self.downloads -= 1
+        return None
+
+    def _wake_watches(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _control(self, request: Request) -> Response:
+        method, path = request.method, request.path
+        if method == "PUT" and path.startswith("/control/values/"):
+            if len(request.body) > _MAX_VALUE_BYTES:
+                return json_response({"error": {"code": "value_too_large"}}, 413)
             key = path.removeprefix("/control/values/")
-            return json_response({"revision": self.state.publish(key, read_body(environ))})
-        if path == "/v1/vms" and method == "GET":
-            return json_response({"vms": self.state.vms})
+            # A new mapping: frozen views keep the old one.
+            self.values = {**self.values, key: request.body}
+            self._wake_watches()
+            return json_response({"revision": revision_of(request.body)})
+        if (method, path) == ("POST", "/control/vms"):
+            vms = {**self.vm_history[-1][1], **request.json()}
+            kept = {name: state for name, state in vms.items() if state in ("live", "leaving")}
+            self.vm_history.append((time.monotonic(), kept))
+            return json_response({"vms": kept})
+        if (method, path) == ("POST", "/control/readers"):
+            rule = ReaderRule.model_validate(request.json())
+            frozen = Snapshot(self.values, self.vm_history[-1][1])
+            self.rules = [item for item in self.rules if not _replaces(rule, item[0])]
+            self.rules.append((rule, frozen))
+            self._wake_watches()
+            return json_response(rule.model_dump(mode="json"))
+        if (method, path) == ("DELETE", "/control/readers"):
+            self.rules = []
+            self._wake_watches()
+            return json_response({})
+        if (method, path) == ("GET", "/control/counters"):
+            return json_response(
+                {
+                    "calls": self.calls,
+                    "calls_over_rate": self.calls_over_rate,
+                    "calls_by_reader": self.calls_by_reader,
+                }
+            )
         return json_response({"error": {"code": "not_found"}}, 404)
 
-    def _read(self, environ: Environ, key: str) -> Response:
-        query = parse_qs(environ.get("QUERY_STRING", ""))
-        after = query.get("after", [None])[0]
-        wait_s = min(float(query.get("wait_s", ["0"])[0]), self.settings.max_watch_s)
-        value = self.state.read(key, after, wait_s)
-        if value is None:
-            return Response(304 if after else 404, [("Content-Length", "0")])
-        headers = [("ETag", revision_of(value)), ("Content-Length", str(len(value)))]
-        return Response(200, headers, [value])
+
+def _replaces(new: ReaderRule, old: ReaderRule) -> bool:
+    everyone = not new.readers and new.ports is None
+    return everyone or (new.readers, new.ports) == (old.readers, old.ports)
 
 
 def serve_platform(settings: PlatformSettings) -> int:
     """Serves until a signal; returns the exit status."""
-    return serve_routes(
-        settings.address, PlatformStandin(settings).handle, threads=settings.threads
-    )
+    return serve_routes(settings.address, lambda: PlatformStandin(settings))
