--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -4,6 +4,8 @@
 caller sees it, and the ``outcome`` of the request that failed.
 """
 
+from collections.abc import Sequence
+
 from tanagerworks.outcome import Outcome
 
 
@@ -167,6 +169,48 @@
     outcome = Outcome.NOT_RUN
 
 
+class NoteFaultError(NoteError):
+    """One fault of a release note: its place, what is wrong there, and what would be right.
+
+    `place` is a dotted path into the note; empty for the note as a whole.
+    """
+
+    def __init__(self, place: str, reason: str, remedy: str) -> None:
+        super().__init__(f"{place or '(note)'}: {reason}; {remedy}")
+        self.place = place
+        self.reason = reason
+        self.remedy = remedy
+
+
+class NoteInvalidError(NoteError):
+    """A release note with faults; `faults` holds one error for each."""
+
+    def __init__(self, faults: Sequence[NoteFaultError]) -> None:
+        super().__init__("; ".join(fault.message for fault in faults))
+        self.faults = tuple(faults)
+
+
+class SerialConflictError(NoteError):
+    """Another release note with the same serial is in force."""
+
+    code = "serial_conflict"
+    status = 409
+
+
+class StaleSerialError(NoteError):
+    """A release note with a higher serial is in force."""
+
+    code = "serial_stale"
+    status = 409
+
+
+class NoteBaseMissingError(NoteError):
+    """A delta whose base is not the note in force; the full statement is needed."""
+
+    code = "note_base_missing"
+    status = 409
+
+
 class PlatformError(TanagerError):
     """The platform's configuration service, VM list or weight store did not answer as expected."""
 
--- a/src/tanagerworks/note/model.py
+++ b/src/tanagerworks/note/model.py
@@ -6,17 +6,38 @@
 
 import hashlib
 import json
+from collections.abc import Collection, Iterable, Iterator
 from enum import Enum
+from ipaddress import IPv4Address
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+
+_MAX_PORT = 65_535
+_MAX_NAMES_SHOWN = 8
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    IPv4Address(host)
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"the port must be between 1 and {_MAX_PORT}")
+    return address
+
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
-Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Address = Annotated[
+    str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"), AfterValidator(_check_address)
+]
+# JSON readers keep integers exact up to 2**53 - 1.
+Serial = Annotated[int, Field(ge=1, le=2**53 - 1, strict=True)]
 Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
 # The platform holds values up to this size.
 MAX_NOTE_BYTES = 1_000_000
+# The canonical form spells out defaults, so it may be longer than the note as published; peers
+# send it in one gRPC message, which holds 4 MiB.
+MAX_CANONICAL_BYTES = 4_000_000
 
 
 class NoteModel(BaseModel):
@@ -175,51 +196,105 @@
 
     @model_validator(mode="after")
     def _references_exist(self) -> "Statement":
-        _check_references(self)
+        faults = list(_reference_faults(self))
+        if faults:
+            raise ReferenceFaultsError(faults)
         return self
 
 
-def _check_references(statement: Statement) -> None:
-    for kind, items in (("nodes", statement.nodes), ("engines", statement.engines)):
-        for name, item in items.items():
-            if item.zone not in statement.zones:
-                raise ValueError(f"{kind}.{name}.zone: no zone named {item.zone!r}")
+class ReferenceFaultsError(ValueError):
+    """Faults between parts of a statement, all found in one pass.
+
+    `faults` holds (place, reason, remedy). A ValueError, so that pydantic reports it.
+    """
+
+    def __init__(self, faults: list[tuple[str, str, str]]) -> None:
+        super().__init__("; ".join(f"{place}: {reason}" for place, reason, _remedy in faults))
+        self.faults = faults
+
+
+def _reference_faults(statement: Statement) -> Iterator[tuple[str, str, str]]:
+    for place, kind, name, known in _references(statement):
+        if name in known:
+            continue
+        yield place, f"no {kind} named {name!r}", _name_remedy(kind, known)
+    yield from _duplicates(
+        "peer address",
+        ((f"nodes.{name}.peer_address", node.peer_address) for name, node in _sorted(statement)),
+    )
+    yield from _duplicates(
+        "key",
+        (
+            (f"customers.{name}.key_sha256", key)
+            for name, customer in sorted(statement.customers.items())
+            for key in customer.key_sha256
+        ),
+    )
+    yield from _duplicates(
+        "model name",
+        [(f"models.{name}", name) for name in statement.models]
+        + [
+            (f"models.{name}.aliases", alias)
+            for name, model in sorted(statement.models.items())
+            for alias in model.aliases
+        ],
+    )
+
+
+def _sorted(statement: Statement) -> list[tuple[str, Node]]:
+    return sorted(statement.nodes.items())
+
+
+def _references(statement: Statement) -> Iterator[tuple[str, str, str, Collection[str]]]:
+    for name, node in statement.nodes.items():
+        yield f"nodes.{name}.zone", "zone", node.zone, statement.zones
+    for name, model in statement.models.items():
+        for adapter in model.adapters:
+            yield f"models.{name}.adapters", "adapter", adapter, statement.adapters
+    for name, adapter_item in statement.adapters.items():
+        yield f"adapters.{name}.model", "model", adapter_item.model, statement.models
     for name, engine in statement.engines.items():
-        model = statement.models.get(engine.model)
-        if model is None:
-            raise ValueError(f"engines.{name}.model: no model named {engine.model!r}")
-        if engine.version not in model.versions:
-            raise ValueError(f"engines.{name}.version: {engine.model} has no {engine.version!r}")
-    for name, adapter in statement.adapters.items():
-        if adapter.model not in statement.models:
-            raise ValueError(f"adapters.{name}.model: no model named {adapter.model!r}")
+        yield f"engines.{name}.zone", "zone", engine.zone, statement.zones
+        yield f"engines.{name}.model", "model", engine.model, statement.models
+        known_model = statement.models.get(engine.model)
+        if known_model is not None:
+            yield f"engines.{name}.version", "version", engine.version, known_model.versions
     for name, service in statement.services.items():
         for server_name, server in service.servers.items():
-            if server.zone not in statement.zones:
-                place = f"services.{name}.servers.{server_name}.zone"
-                raise ValueError(f"{place}: no zone named {server.zone!r}")
-    keys: dict[str, str] = {}
+            place = f"services.{name}.servers.{server_name}.zone"
+            yield place, "zone", server.zone, statement.zones
     for name, customer in statement.customers.items():
         for model_name in customer.models:
-            if model_name not in statement.models:
-                raise ValueError(f"customers.{name}.models: no model named {model_name!r}")
+            yield f"customers.{name}.models", "model", model_name, statement.models
         for service_name in customer.services:
-            if service_name not in statement.services:
-                raise ValueError(f"customers.{name}.services: no service named {service_name!r}")
-        if customer.request_class not in statement.classes:
-            raise ValueError(
-                f"customers.{name}.request_class: no class named {customer.request_class!r}"
-            )
-        for key in customer.key_sha256:
-            if key in keys:
-                raise ValueError(f"customers.{name}.key_sha256: also a key of {keys[key]!r}")
-            keys[key] = name
+            yield f"customers.{name}.services", "service", service_name, statement.services
+        place = f"customers.{name}.request_class"
+        yield place, "class", customer.request_class, statement.classes
+
+
+def _name_remedy(kind: str, known: Collection[str]) -> str:
+    if not known:
+        return f"add the {kind} first"
+    names = sorted(known)
+    shown = ", ".join(names[:_MAX_NAMES_SHOWN])
+    more = ", ..." if len(names) > _MAX_NAMES_SHOWN else ""
+    return f"add the {kind} or use one of: {shown}{more}"
+
+
+def _duplicates(kind: str, items: Iterable[tuple[str, str]]) -> Iterator[tuple[str, str, str]]:
+    first_places: dict[str, str] = {}
+    for place, value in items:
+        if value in first_places:
+            reason = f"{kind} {value!r} is also at {first_places[value]}"
+            yield place, reason, f"use each {kind} once"
+            continue
+        first_places[value] = place
 
 
 class Note(NoteModel):
     """A full statement under its serial: what a node has in force."""
 
-    serial: int = Field(ge=1)
+    serial: Serial
     statement: Statement
 
     def canonical(self) -> bytes:
