--- a/src/tanagerworks/agent/state.py
+++ b/src/tanagerworks/agent/state.py
@@ -114,6 +114,7 @@
         """Returns the view for a router that has the note `known_serial`."""
         view = View(node_id=self.node_id, draining=self.draining, ready=self.note is not None)
         view.incarnation = self.incarnation
+        view.sent_at_boot_s = boot_time_s()
         if self.note is None:
             return view
         now_s = self.clock()
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -93,6 +93,42 @@
     status = 422
 
 
+class BadPathError(RequestError):
+    """The path could mean another path to a backend server than to the router."""
+
+    code = "bad_path"
+
+
+class RequestTimeoutError(RequestError):
+    """The caller did not send its whole request in time."""
+
+    code = "request_timeout"
+    status = 408
+
+
+class TicketMismatchError(RequestError):
+    """The ticket is bound to another customer, service or request."""
+
+    code = "ticket_mismatch"
+    status = 409
+
+
+class TicketRunningError(TanagerError):
+    """The call under the ticket is still running; its outcome is not known yet."""
+
+    code = "ticket_running"
+    status = 409
+    retry_after_s = 1.0
+
+
+class TicketResultDroppedError(TanagerError):
+    """The call under the ticket ran, but its answer was too large to be kept."""
+
+    code = "ticket_result_dropped"
+    status = 409
+    outcome = Outcome.RAN
+
+
 class TicketUnknownError(TanagerError):
     """The process that issued the ticket is gone or the ticket expired."""
 
@@ -109,6 +145,12 @@
     retry_after_s = 1.0
 
 
+class StreamLimitError(CapacityError):
+    """The router process has as many open streams as it can serve in time."""
+
+    code = "too_many_streams"
+
+
 class RateLimitError(RequestError):
     """The customer is over its own limit."""
 
@@ -148,6 +190,24 @@
     retry_after_s = 1.0
 
 
+class BackendRefusedError(BackendError):
+    """A backend server whose refusals the release note trusts refused the request."""
+
+    code = "backend_refused"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    retry_after_s = 1.0
+
+
+class BackendRestartedError(BackendError):
+    """The engine is not the process whose warmth was known, so it may be cold."""
+
+    code = "backend_restarted"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    retry_after_s = 1.0
+
+
 class BackendProtocolError(BackendError):
     """The answer does not belong to the request or is not framed as a whole answer."""
 
--- a/src/tanagerworks/router/agent_link.py
+++ b/src/tanagerworks/router/agent_link.py
@@ -1,20 +1,23 @@
 """Link of a router to the agent on its VM."""
 
-import json
 import logging
 import threading
 import uuid
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import replace
 
 import grpc
 
 from tanagerworks.clock import boot_time_s
-from tanagerworks.errors import NotReadyError
-from tanagerworks.note.model import Note
+from tanagerworks.errors import CapacityError, DeadlineError, NotReadyError, RateLimitError
+from tanagerworks.note.model import Statement
+from tanagerworks.router.slot_book import Grant, SlotBook
+from tanagerworks.router.view import RouterView, next_view
 from tanagerworks.rpc.tanager_pb2 import (
     ClaimReply,
     ClaimRequest,
-    Ended,
+    Evidence,
+    RefreshRequest,
     ReleaseRequest,
     View,
     WatchRequest,
@@ -23,84 +26,253 @@
 
 _LOGGER = logging.getLogger(__name__)
 _RECONNECT_S = 0.2
+_REFRESH_TIMEOUT_S = 0.5
+# After a failed refresh other requests do not wait for another one within this time.
+_REFRESH_PAUSE_S = 0.2
+_RELEASE_TIMEOUT_S = 2.0
+_RELEASE_RETRY_S = 0.1
+_RELEASE_BATCH = 256
+_RELEASE_IDLE_S = 0.5
+# The agent answers a claim by its deadline; this margin covers the way back.
+_CLAIM_MARGIN_S = 0.5
 
-
-@dataclass
-class RouterView:
-    """What the router knows of the fleet, and when it learnt it."""
-
-    note: Note | None = None
-    eligible: dict[str, bool] = field(default_factory=dict)
-    draining: bool = False
-    received_at_s: float = 0.0
+_REFUSALS = {error.code: error for error in (CapacityError, DeadlineError, RateLimitError)}
 
 
 class AgentLink:
-    """Keeps the newest view of the agent and asks it for slots."""
+    """Keeps the newest view of the agent, asks it for slots and gives them back."""
 
-    def __init__(self, router_id: str, agent_address: str, forward_address: str) -> None:
+    def __init__(
+        self,
+        router_id: str,
+        agent_address: str,
+        forward_address: str,
+        *,
+        max_view_age_s: float = 2.0,
+        agent_loss_grace_s: float = 5.0,
+        now: Callable[[], float] = boot_time_s,
+    ) -> None:
         self.router_id = router_id
         self.instance_id = uuid.uuid4().hex
         self.forward_address = forward_address
-        self.channel = grpc.insecure_channel(agent_address)
+        self.max_view_age_s = max_view_age_s
+        self.agent_loss_grace_s = agent_loss_grace_s
+        self.now = now
+        # Reconnects come quickly after the agent's restart; the default backoff grows to minutes.
+        options = [
+            ("grpc.initial_reconnect_backoff_ms", 100),
+            ("grpc.min_reconnect_backoff_ms", 100),
+            ("grpc.max_reconnect_backoff_ms", 500),
+        ]
+        self.channel = grpc.insecure_channel(agent_address, options=options)
         self.stub = NodeAgentStub(self.channel)
+        self.book = SlotBook()
         self.view = RouterView()
+        self.view_lock = threading.Lock()
+        self.refresh_lock = threading.Lock()
+        self.refresh_failed_at_s = float("-inf")
+        self.lost = False
         self.stopping = threading.Event()
-        self.watcher = threading.Thread(target=self._watch, name="agent-watch", daemon=True)
+        self.threads = [
+            threading.Thread(target=self._watch, name="agent-watch", daemon=True),
+            threading.Thread(target=self._send_releases, name="agent-release", daemon=True),
+        ]
 
     def start(self) -> None:
-        """Starts to follow the agent's views."""
-        self.watcher.start()
+        """Starts to follow the agent's views and to send releases."""
+        for thread in self.threads:
+            thread.start()
 
-    def stop(self) -> None:
-        """Ends the link."""
+    def stop(self, timeout_s: float = 2.0) -> bool:
+        """Ends the link; returns whether the agent has all releases."""
+        self.book.give_up_kept()
+        released = self.book.wait_until_released(timeout_s)
         self.stopping.set()
         self.channel.close()
+        return released
+
+    @property
+    def view_age_s(self) -> float:
+        """Age of the view."""
+        return self.now() - self.view.known_at_s
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a note and a fresh view of an agent that serves."""
+        view = self.view
+        return (
+            view.index is not None
+            and view.ready
+            and not view.draining
+            and not self.lost
+            and self.now() - view.known_at_s <= self.max_view_age_s
+        )
+
+    def fresh_view(self) -> RouterView:
+        """Returns a view that is fresh enough to send a request by.
+
+        Raises:
+            NotReadyError: the agent has been lost for longer than the grace period.
+        """
+        view = self.view
+        if self.now() - view.known_at_s <= self.max_view_age_s:
+            return view
+        with self.refresh_lock:
+            if self.view_age_s <= self.max_view_age_s:
+                return self.view
+            if self.now() - self.refresh_failed_at_s > _REFRESH_PAUSE_S:
+                self._refresh()
+        view = self.view
+        limit_s = max(self.max_view_age_s, self.agent_loss_grace_s)
+        if self.now() - view.known_at_s > (limit_s if self.lost else self.max_view_age_s):
+            raise NotReadyError("the node agent does not answer")
+        return view
+
+    def _refresh(self) -> None:
+        request = RefreshRequest(router_id=self.router_id, note_serial=self._serial())
+        sent_at_s = self.now()
+        try:
+            message = self.stub.Refresh(request, timeout=_REFRESH_TIMEOUT_S)
+        except grpc.RpcError as error:
+            self.refresh_failed_at_s = self.now()
+            self._lose_agent(error)
+            return
+        # The view may be as old as the question.
+        self._take(message, sent_at_s)
+
+    def _serial(self) -> int:
+        index = self.view.index
+        return index.note.serial if index is not None else 0
 
     def _watch(self) -> None:
         while not self.stopping.is_set():
-            serial = self.view.note.serial if self.view.note else 0
             request = WatchRequest(
                 router_id=self.router_id,
                 instance_id=self.instance_id,
+                held=self.book.report(),
                 forward_address=self.forward_address,
-                note_serial=serial,
+                note_serial=self._serial(),
             )
             try:
-                for view in self.stub.Watch(request):
-                    self._take(view)
+                for message in self.stub.Watch(request):
+                    self._take(message, self.now())
             except grpc.RpcError as error:
-                if not self.stopping.is_set():
-                    _LOGGER.warning("lost the node agent", extra={"code": str(error.code())})
+                self._lose_agent(error)
+            except Exception:
+                _LOGGER.exception("cannot use a view of the node agent")
+            if self.lost and self.view_age_s > self.agent_loss_grace_s:
+                self.book.give_up_kept()
             self.stopping.wait(_RECONNECT_S)
 
-    def _take(self, view: View) -> None:
-        note = self.view.note
-        if view.note:
-            note = Note.model_validate(json.loads(view.note))
-        self.view = RouterView(
-            note=note,
-            eligible={engine.engine_id: engine.eligible for engine in view.engines},
-            draining=view.draining,
-            received_at_s=boot_time_s(),
+    def _take(self, message: View, received_at_s: float) -> None:
+        with self.view_lock:
+            view = next_view(message, self.view, received_at_s)
+            # A message that waited in a buffer must not replace a newer view.
+            if view.known_at_s < self.view.known_at_s:
+                view = replace(self.view, index=view.index)
+            self.view = view
+        if self.lost and self.now() - view.known_at_s <= self.max_view_age_s:
+            self.lost = False
+            self.book.give_up_kept()
+            _LOGGER.info("the node agent answers again")
+
+    def _lose_agent(self, error: grpc.RpcError) -> None:
+        if self.lost or self.stopping.is_set():
+            return
+        self.lost = True
+        _LOGGER.warning(
+            "lost the node agent; held slots are reused for the grace period",
+            extra={"code": str(error.code()), "grace_s": self.agent_loss_grace_s},
         )
 
-    def claim(self, request: ClaimRequest, timeout_s: float) -> ClaimReply:
-        """Asks the agent for a slot.
+    def claim(self, request: ClaimRequest, statement: Statement) -> Grant:
+        """Returns a slot for a request.
 
         Raises:
-            NotReadyError: the agent did not answer.
+            CapacityError, DeadlineError, RateLimitError: the agent refused.
+            NotReadyError: the agent did not answer and no held slot is free.
         """
         request.router_id = self.router_id
         request.instance_id = self.instance_id
-        try:
-            return self.stub.Claim(request, timeout=timeout_s)
-        except grpc.RpcError as error:
-            raise NotReadyError("the node agent does not answer") from error
+        for _attempt in range(2):
+            self.fresh_view()
+            if self.lost:
+                return self._reuse(request)
+            epoch = self.book.epoch
+            sent_at_s = self.now()
+            try:
+                reply = self.stub.Claim(request, timeout=request.deadline_s + _CLAIM_MARGIN_S)
+            except grpc.RpcError as error:
+                self.book.abandon(request.request_id)
+                if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                    raise DeadlineError("no slot was granted within the deadline") from error
+                self._lose_agent(error)
+                return self._reuse(request)
+            if reply.refusal:
+                raise _refusal(reply)
+            grant = _grant(reply, sent_at_s, statement)
+            if self.book.add(grant, epoch):
+                return grant
+        raise NotReadyError("the node agent was replaced while it granted a slot")
 
-    def release(self, ended: Ended) -> None:
-        """Tells the agent that a slot is free again."""
-        request = ReleaseRequest(
-            router_id=self.router_id, instance_id=self.instance_id, ended=[ended]
+    def _reuse(self, request: ClaimRequest) -> Grant:
+        engine_ids = [candidate.engine_id for candidate in request.candidates]
+        if self.view_age_s <= self.agent_loss_grace_s:
+            grant = self.book.reuse(engine_ids, self.now())
+            if grant is not None:
+                return grant
+        raise NotReadyError("the node agent does not answer and no held slot is free")
+
+    def release(self, grant: Grant, evidence: Evidence | None = None) -> None:
+        """Ends a grant whose request is no longer at the engine; a second call has no effect."""
+        keep = (
+            self.lost
+            and self.view_age_s <= self.agent_loss_grace_s
+            and self.now() < grant.start_by_s
         )
-        self.stub.Release.future(request)
+        self.book.end(grant, evidence, keep)
+
+    def release_after_work(self, grant: Grant, evidence: Evidence | None = None) -> None:
+        """Ends a grant after `max_work_s`, because its request may still be at the engine."""
+        self.book.end_at(grant, evidence, self.now() + grant.max_work_s)
+
+    def _send_releases(self) -> None:
+        while not self.stopping.is_set():
+            ended, abandoned = self.book.due(self.now(), _RELEASE_BATCH, _RELEASE_IDLE_S)
+            if not (ended or abandoned):
+                continue
+            request = ReleaseRequest(
+                router_id=self.router_id,
+                instance_id=self.instance_id,
+                ended=ended,
+                abandoned_requests=abandoned,
+            )
+            try:
+                self.stub.Release(request, timeout=_RELEASE_TIMEOUT_S)
+            except grpc.RpcError as error:
+                self._lose_agent(error)
+                self.stopping.wait(_RELEASE_RETRY_S)
+                continue
+            except ValueError:
+                # The channel was closed by `stop`.
+                return
+            self.book.acknowledge(ended, abandoned)
+
+
+def _grant(reply: ClaimReply, sent_at_s: float, statement: Statement) -> Grant:
+    engine = statement.engines.get(reply.slot.engine_id)
+    max_work_s = reply.max_work_s or (engine.max_work_s if engine is not None else 0.0)
+    return Grant(
+        slot=reply.slot,
+        boot_id=reply.boot_id,
+        start_by_s=sent_at_s + reply.start_by_s if reply.start_by_s else float("inf"),
+        max_work_s=max_work_s,
+        cold=reply.cold,
+    )
+
+
+def _refusal(reply: ClaimReply) -> CapacityError | DeadlineError | RateLimitError:
+    error = _REFUSALS.get(reply.refusal, CapacityError)(reply.reason or "no slot is free")
+    if reply.retry_after_s > 0:
+        error.retry_after_s = reply.retry_after_s
+    return error
--- /dev/null
+++ b/src/tanagerworks/router/answer.py
@@ -0,0 +1,264 @@
+"""Reads answers of backend servers from a connection and checks their framing.
+
+`http.client` reads the status line and the header through `AnswerReader`; the body is decoded
+here, because a stream has to be relayed in the largest pieces that are ready while the caller's
+connection is watched, which buffered readers of the library do not allow.
+"""
+
+import re
+import select
+import socket
+import time
+from http.client import HTTPMessage, HTTPResponse
+from typing import Protocol
+
+from tanagerworks.errors import BackendProtocolError
+
+_RECEIVE_BYTES = 65_536
+_MAX_CHUNK_LINE_BYTES = 1024
+_MAX_TRAILER_BYTES = 8192
+_CRLF = b"\r\n"
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
+
+
+class Socket(Protocol):
+    """The part of a socket that connections to backend servers use."""
+
+    def send(self, data: memoryview, /) -> int:
+        """Sends some of `data`; returns the number of bytes that the kernel took."""
+
+    def recv(self, size: int, /) -> bytes:
+        """Receives up to `size` bytes; empty at the end of the connection."""
+
+    def settimeout(self, timeout_s: float | None, /) -> None:
+        """Sets the longest wait of one call."""
+
+    def shutdown(self, how: int, /) -> None:
+        """Ends the connection for all threads that use it."""
+
+    def fileno(self) -> int:
+        """Returns the descriptor, negative if there is none."""
+
+    def close(self) -> None:
+        """Closes the connection."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection while the answer was awaited."""
+
+
+class CallerWatch:
+    """Waits for the backend server and notices when the caller disconnects."""
+
+    def __init__(self, caller: socket.socket | None) -> None:
+        self.caller = caller
+        self.poll: select.poll | None = None
+
+    def wait(self, backend_fd: int, timeout_s: float) -> None:
+        """Returns when the backend server sent something.
+
+        Raises:
+            CallerGoneError: the caller closed its connection.
+            TimeoutError: nothing came.
+        """
+        if self.poll is None:
+            self.poll = select.poll()
+            self.poll.register(backend_fd, select.POLLIN)
+            if self.caller is not None:
+                self.poll.register(self.caller.fileno(), select.POLLIN | select.POLLRDHUP)
+        deadline = time.monotonic() + timeout_s
+        while True:
+            events = self.poll.poll(max(0.0, deadline - time.monotonic()) * 1000)
+            if not events:
+                raise TimeoutError("no answer within the time limit")
+            ready = False
+            for fd, _mask in events:
+                if fd == backend_fd:
+                    ready = True
+                else:
+                    self._check_caller()
+            if ready:
+                return
+
+    def _check_caller(self) -> None:
+        assert self.caller is not None
+        assert self.poll is not None
+        try:
+            gone = not self.caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            gone = False
+        except OSError:
+            gone = True
+        if gone:
+            raise CallerGoneError
+        # The caller sent its next request ahead; its connection stays readable until then.
+        self.poll.unregister(self.caller.fileno())
+
+
+class AnswerReader:
+    """Receives bytes of a connection within a deadline; a file object for `http.client`."""
+
+    def __init__(self, sock: Socket) -> None:
+        self.sock = sock
+        self.buffer = b""
+        # On time.monotonic.
+        self.deadline_s = 0.0
+        self.watch: CallerWatch | None = None
+
+    def receive(self) -> bytes:
+        """Returns the bytes that are ready, waiting for some; empty at the end.
+
+        Raises:
+            OSError: the connection failed or the deadline passed.
+        """
+        remaining_s = self.deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the deadline passed")
+        if self.watch is not None:
+            self.watch.wait(self.sock.fileno(), remaining_s)
+        else:
+            self.sock.settimeout(remaining_s)
+        return self.sock.recv(_RECEIVE_BYTES)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Returns a line with its end, or `limit` bytes of a longer one."""
+        while True:
+            end = self.buffer.find(b"\n") + 1
+            if not end and 0 <= limit <= len(self.buffer):
+                end = limit
+            if end:
+                if limit >= 0:
+                    end = min(end, limit)
+                line, self.buffer = self.buffer[:end], self.buffer[end:]
+                return line
+            data = self.receive()
+            if not data:
+                line, self.buffer = self.buffer, b""
+                return line
+            self.buffer += data
+
+    def flush(self) -> None:
+        """Does nothing; `http.client` calls it."""
+
+    def close(self) -> None:
+        """Does nothing; the connection owns the socket."""
+
+
+class Answer:
+    """Status, header and body of one answer."""
+
+    def __init__(self, response: HTTPResponse, reader: AnswerReader) -> None:
+        self.status = response.status
+        self.headers: HTTPMessage = response.headers
+        self.reader = reader
+        self.chunked = bool(response.chunked)
+        self.will_close = response.will_close
+        # Bytes of the body, or of the chunk, that are still to come; None up to the end of the
+        # connection.
+        self.left: int | None = 0 if self.chunked else response.length
+        self.done = not self.chunked and self.left == 0
+        self.crlf_due = False
+        self.trailer_bytes = 0
+        response.close()
+
+    @property
+    def framed(self) -> bool:
+        """Whether the framing shows where the body ends."""
+        return self.chunked or self.left is not None
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        return self.done and not self.will_close and not self.reader.buffer
+
+    def read(self) -> bytes:
+        """Returns the next piece of the body, as large as is ready; empty at its end.
+
+        Raises:
+            BackendProtocolError: the framing is broken.
+            OSError: the connection failed or the deadline passed.
+        """
+        while not self.done:
+            piece = self._decode_chunks() if self.chunked else self._decode_plain()
+            if piece or self.done:
+                return piece
+            data = self.reader.receive()
+            if data:
+                self.reader.buffer += data
+                continue
+            if self.framed:
+                raise BackendProtocolError("the connection ended within the answer")
+            self.done = True
+        return b""
+
+    def read_whole(self, max_bytes: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            BackendProtocolError: the body is longer than `max_bytes` or its framing is broken.
+            OSError: the connection failed or the deadline passed.
+        """
+        pieces = []
+        size = 0
+        while piece := self.read():
+            size += len(piece)
+            if size > max_bytes:
+                raise BackendProtocolError("the answer is over the size limit")
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _decode_plain(self) -> bytes:
+        buffer = self.reader.buffer
+        if self.left is None:
+            self.reader.buffer = b""
+            return buffer
+        piece, self.reader.buffer = buffer[: self.left], buffer[self.left :]
+        self.left -= len(piece)
+        self.done = self.left == 0
+        return piece
+
+    def _decode_chunks(self) -> bytes:
+        buffer = self.reader.buffer
+        position = 0
+        parts = []
+        while not self.done:
+            if self.left:
+                part = buffer[position : position + self.left]
+                if not part:
+                    break
+                parts.append(part)
+                position += len(part)
+                self.left -= len(part)
+                self.crlf_due = self.left == 0
+                continue
+            if self.crlf_due:
+                if len(buffer) - position < len(_CRLF):
+                    break
+                if buffer[position : position + 2] != _CRLF:
+                    raise BackendProtocolError("a chunk of the answer has no end")
+                position += 2
+                self.crlf_due = False
+            end = buffer.find(_CRLF, position)
+            if end < 0:
+                if len(buffer) - position > _MAX_CHUNK_LINE_BYTES:
+                    raise BackendProtocolError("a chunk line of the answer is too long")
+                break
+            line = buffer[position:end]
+            position = end + 2
+            if self.trailer_bytes:
+                self._take_trailer(line)
+                continue
+            size = line.partition(b";")[0].strip()
+            if not _CHUNK_SIZE.match(size):
+                raise BackendProtocolError("a chunk size of the answer is not a number")
+            self.left = int(size, 16)
+            if self.left == 0:
+                self.trailer_bytes = 1
+        self.reader.buffer = buffer[position:]
+        return b"".join(parts)
+
+    def _take_trailer(self, line: bytes) -> None:
+        self.trailer_bytes += len(line)
+        if self.trailer_bytes > _MAX_TRAILER_BYTES:
+            raise BackendProtocolError("the trailer of the answer is too long")
+        self.done = not line
--- a/src/tanagerworks/router/app.py
+++ b/src/tanagerworks/router/app.py
@@ -1,15 +1,27 @@
 """The router's caller port as a WSGI application."""
 
 import logging
+import threading
 import uuid
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
-from tanagerworks.errors import NotFoundError, TanagerError
+from tanagerworks.errors import NotFoundError, StreamLimitError, TanagerError
 from tanagerworks.router.agent_link import AgentLink
+from tanagerworks.router.caller_server import CALLER_SOCKET
+from tanagerworks.router.metrics import RouterMetrics
 from tanagerworks.router.pipeline import Stage
+from tanagerworks.router.relay import StreamBody
 from tanagerworks.router.request import ChatRequest
+from tanagerworks.router.service_endpoint import PREFIX, ServiceEndpoint
 from tanagerworks.telemetry.metrics import METRICS_CONTENT_TYPE, render_metrics
-from tanagerworks.wsgi import Environ, Response, StartResponse, json_response, read_body
+from tanagerworks.wsgi import (
+    Environ,
+    Response,
+    StartResponse,
+    error_response,
+    json_response,
+    read_body,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -17,32 +29,74 @@
 class CallerApp:
     """Dispatches callers' requests to the stages that serve them."""
 
-    def __init__(self, link: AgentLink, stages: Sequence[Stage]) -> None:
+    def __init__(
+        self,
+        link: AgentLink,
+        stages: Sequence[Stage],
+        services: ServiceEndpoint,
+        metrics: RouterMetrics,
+        max_streams: int,
+    ) -> None:
         self.link = link
         self.stages = stages
+        self.services = services
+        self.metrics = metrics
+        self.max_streams = max_streams
         self.draining = False
+        self.lock = threading.Lock()
+        self.open_chats = 0
+        # Requests of any kind whose answer has not been written to its end.
+        self.open_requests = 0
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Serves one request."""
+        return self._serve(environ, start_response, forwarded=False)
+
+    def forward_port(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Serves one request that another router process forwarded."""
+        return self._serve(environ, start_response, forwarded=True)
+
+    def _serve(
+        self, environ: Environ, start_response: StartResponse, forwarded: bool
+    ) -> Iterable[bytes]:
         request_id = uuid.uuid4().hex
+        with self.lock:
+            self.open_requests += 1
+        code = ""
         try:
-            response = self._dispatch(environ, request_id)
+            if forwarded:
+                response = self._dispatch_forwarded(environ, request_id)
+            else:
+                response = self._dispatch(environ, request_id)
         except TanagerError as error:
+            code = error.code
             response = error_response(error, request_id)
-        except Exception:
-            _LOGGER.exception("request failed", extra={"request_id": request_id})
+        except BaseException as error:
+            code = TanagerError.code
+            # The text of an unforeseen error may quote the request, so only its type is logged.
+            _LOGGER.error(
+                "request failed",
+                extra={"request_id": request_id, "error": type(error).__name__},
+            )
             response = error_response(TanagerError("internal error"), request_id)
+        self.metrics.requests.add(1, {"status": response.status, "code": code})
         start_response(response.status_line, response.headers)
-        return response.body
+        return _CountedBody(response.body, self)
 
     def _dispatch(self, environ: Environ, request_id: str) -> Response:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         if (method, path) == ("POST", "/v1/chat/completions"):
             return self._chat(environ, request_id)
+        if environ["REQUEST_URI"].startswith(PREFIX):
+            return self.services.serve(environ, request_id)
+        if (method, path) == ("POST", "/v1/tickets"):
+            return self.services.issue(environ, request_id)
+        if (method, path) == ("GET", "/v1/models"):
+            return self._models(environ, request_id)
         if (method, path) == ("GET", "/livez"):
             return json_response({"live": True})
         if (method, path) == ("GET", "/readyz"):
-            ready = self.link.view.note is not None and not self.draining
+            ready = self.link.ready and not self.draining
             return json_response({"ready": ready}, 200 if ready else 503)
         if (method, path) == ("GET", "/metrics"):
             body = render_metrics()
@@ -50,31 +104,92 @@
             return Response(200, headers, [body])
         raise NotFoundError("no such path")
 
-    def _chat(self, environ: Environ, request_id: str) -> Response:
-        request = ChatRequest(
-            request_id=request_id,
-            authorization=environ.get("HTTP_AUTHORIZATION", ""),
-            chat_key_header=environ.get("HTTP_X_CHAT_KEY", ""),
-            body=read_body(environ),
+    def _dispatch_forwarded(self, environ: Environ, request_id: str) -> Response:
+        if environ["REQUEST_URI"].startswith(PREFIX):
+            return self.services.serve(environ, request_id, forwarded=True)
+        raise NotFoundError("no such path")
+
+    def _models(self, environ: Environ, request_id: str) -> Response:
+        index = self.link.view.require_index()
+        _, customer = index.customer_of(environ.get("HTTP_AUTHORIZATION", ""))
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": index.models[name].model}
+            for name in index.model_names(customer)
+        ]
+        return json_response(
+            {"object": "list", "data": data}, headers=[("X-Request-Id", request_id)]
         )
-        for stage in self.stages:
-            stage.run(request)
-        assert request.response is not None
-        return request.response
-
-
-def error_response(error: TanagerError, request_id: str) -> Response:
-    """Returns an error in the published shape, with its stable code and outcome."""
-    headers = [("X-Request-Id", request_id), ("X-Outcome", error.outcome.value)]
-    if error.retry_after_s is not None:
-        headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
-    document = {
-        "error": {
-            "message": error.message,
-            "type": type(error).__name__,
-            "code": error.code,
-            "param": None,
-            "outcome": error.outcome.value,
-        }
-    }
-    return json_response(document, error.status, headers)
+
+    def _chat(self, environ: Environ, request_id: str) -> Response:
+        with self.lock:
+            if self.open_chats >= self.max_streams:
+                raise StreamLimitError("the router has no room for another stream")
+            self.open_chats += 1
+        try:
+            request = ChatRequest(
+                request_id=request_id,
+                authorization=environ.get("HTTP_AUTHORIZATION", ""),
+                chat_key_header=environ.get("HTTP_X_CHAT_KEY", ""),
+                body=read_body(environ),
+                caller=environ.get(CALLER_SOCKET),
+            )
+            for stage in self.stages:
+                stage.run(request)
+        except BaseException:
+            self._end_chat()
+            raise
+        response = request.response
+        assert response is not None
+        if isinstance(response.body, StreamBody):
+            end_exchange = response.body.on_close
+
+            def end() -> None:
+                try:
+                    end_exchange()
+                finally:
+                    self._end_chat()
+
+            response.body.on_close = _Once(end)
+        else:
+            self._end_chat()
+        return response
+
+    def _end_chat(self) -> None:
+        with self.lock:
+            self.open_chats -= 1
+
+    def end_request(self) -> None:
+        """Counts a request whose answer was written or given up."""
+        with self.lock:
+            self.open_requests -= 1
+
+
+class _Once:
+    """Calls a function at its first call only."""
+
+    def __init__(self, function: Callable[[], None]) -> None:
+        self.function: Callable[[], None] | None = function
+
+    def __call__(self) -> None:
+        function, self.function = self.function, None
+        if function is not None:
+            function()
+
+
+class _CountedBody:
+    """A response body that reports its end."""
+
+    def __init__(self, body: Iterable[bytes], app: CallerApp) -> None:
+        self.body = body
+        self.end = _Once(app.end_request)
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self.body)
+
+    def close(self) -> None:
+        try:
+            close = getattr(self.body, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self.end()
--- a/src/tanagerworks/router/backend.py
+++ b/src/tanagerworks/router/backend.py
@@ -4,44 +4,202 @@
 something about a request that only the routing decisions may decide.
 """
 
+import http.client
+import socket
 import threading
+import time
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
-from urllib3.response import HTTPResponse
 
-from tanagerworks.errors import BackendConnectError, BackendProtocolError
+from tanagerworks.errors import (
+    BackendConnectError,
+    BackendError,
+    BackendProtocolError,
+    BackendTimeoutError,
+    RequestError,
+)
 from tanagerworks.outcome import Outcome
+from tanagerworks.router.answer import Answer, AnswerReader, Socket
 from tanagerworks.wsgi import parse_address
 
+Connect = Callable[[str, float], Socket]
+
+# A server that closes idle connections does so after a few seconds at the earliest. Shorter
+# reuse makes the race between its close and the next request rare.
+MAX_IDLE_S = 4.0
+
+
+def connect_tcp(address: str, timeout_s: float) -> Socket:
+    """Returns a TCP connection without Nagle's delay."""
+    sock = socket.create_connection(parse_address(address), timeout_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+class _CountedSocket:
+    """A socket that counts the bytes that the kernel took; `http.client` writes to it."""
+
+    def __init__(self, sock: Socket) -> None:
+        self.sock = sock
+        self.reader = AnswerReader(sock)
+        self.bytes_written = 0
+
+    def sendall(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            sent = self.sock.send(view)
+            self.bytes_written += sent
+            view = view[sent:]
+
+    def makefile(self, *_arguments: Any) -> AnswerReader:
+        return self.reader
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        self.sock.settimeout(timeout_s)
+
+    def close(self) -> None:
+        """Does nothing: the answer may still be read after `http.client` closes its side."""
+
+
+class _HttpConnection(HTTPConnection):
+    # The library must not open a second connection for a request on its own.
+    auto_open = 0
+
+    def __init__(self, address: str, counted: _CountedSocket) -> None:
+        host, port = parse_address(address)
+        super().__init__(host, port)
+        self.sock = counted
+
+    def send(self, data: Any) -> None:
+        if self.sock is None:
+            raise http.client.NotConnected
+        self.sock.sendall(data)
+
+
+class BackendConnection:
+    """One connection to a backend server; it carries one request at a time."""
+
+    def __init__(self, address: str, sock: Socket, opened_at_s: float) -> None:
+        self.address = address
+        self.sock = sock
+        self.counted = _CountedSocket(sock)
+        self.http = _HttpConnection(address, self.counted)
+        self.idle_since_s = opened_at_s
+        # Boot id that the engine proved on this connection, and when (CLOCK_BOOTTIME).
+        self.boot_id = ""
+        self.boot_proved_at_s = 0.0
+
+    @property
+    def reader(self) -> AnswerReader:
+        """Reader of the answers."""
+        return self.counted.reader
+
+    def silent(self) -> bool:
+        """Whether the server neither closed the idle connection nor sent anything on it."""
+        if self.reader.buffer:
+            return False
+        try:
+            self.sock.settimeout(0.0)
+            self.sock.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.sock.close()
+
+    def interrupt(self) -> None:
+        """Breaks the connection under a thread that waits for it."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def exchange(
+        self, method: str, target: str, body: bytes, headers: Mapping[str, str], deadline_s: float
+    ) -> Answer:
+        """Sends one request and returns the answer with its body still unread.
+
+        `deadline_s` (time.monotonic) holds for the whole answer. The connection is closed if it
+        fails.
+
+        Raises:
+            RequestError: the request cannot be written as HTTP; no byte was sent.
+            BackendError: the connection failed; the outcome is NOT_RUN only if the kernel took no
+                byte of the request.
+        """
+        self.counted.bytes_written = 0
+        self.reader.deadline_s = deadline_s
+        self.reader.watch = None
+        try:
+            remaining_s = deadline_s - time.monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError("the deadline passed")
+            self.sock.settimeout(remaining_s)
+            self.http.putrequest(method, target, skip_accept_encoding=True)
+            for name, value in headers.items():
+                self.http.putheader(name, value)
+            if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+                self.http.putheader("Content-Length", str(len(body)))
+            self.http.endheaders(body or None)
+            response = http.client.HTTPConnection.getresponse(self.http)
+        except (ValueError, UnicodeError) as error:
+            self.close()
+            if self.counted.bytes_written:
+                raise BackendProtocolError("the answer cannot be read") from error
+            raise RequestError("the request cannot be passed on as HTTP") from error
+        except (HTTPError, http.client.HTTPException, OSError) as error:
+            self.close()
+            raise self._failure(error) from error
+        return Answer(response, self.reader)
+
+    def _failure(self, error: Exception) -> BackendError:
+        outcome = Outcome.UNKNOWN if self.counted.bytes_written else Outcome.NOT_RUN
+        name = type(error).__name__
+        if isinstance(error, TimeoutError):
+            return BackendTimeoutError(f"no answer in time: {name}", outcome=outcome)
+        if isinstance(error, OSError):
+            return BackendError(f"the connection failed: {name}", outcome=outcome)
+        return BackendProtocolError(f"the answer cannot be read: {name}", outcome=outcome)
+
 
 class BackendConnections:
     """Idle connections by address; a connection that ended unusually never comes back."""
 
-    def __init__(self, connect_timeout_s: float, max_idle: int = 64) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        max_idle: int = 64,
+        connect: Connect = connect_tcp,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.max_idle = max_idle
+        self.connect = connect
+        self.now = now
         self.lock = threading.Lock()
-        self.idle: dict[str, list[HTTPConnection]] = defaultdict(list)
+        self.idle: dict[str, list[BackendConnection]] = defaultdict(list)
 
-    def open(self, address: str) -> HTTPConnection:
+    def open(self, address: str) -> BackendConnection:
         """Returns a new connection.
 
         Raises:
             BackendConnectError: no connection could be made; no byte was sent.
         """
-        host, port = parse_address(address)
-        connection = HTTPConnection(host, port, timeout=self.connect_timeout_s)
         try:
-            connection.connect()
-        except (HTTPError, OSError) as error:
-            connection.close()
+            sock = self.connect(address, self.connect_timeout_s)
+        except OSError as error:
             raise BackendConnectError(f"cannot connect: {type(error).__name__}") from error
-        return connection
+        return BackendConnection(address, sock, self.now())
 
-    def take(self, address: str) -> HTTPConnection:
+    def take(self, address: str) -> BackendConnection:
         """Returns an idle connection that the server has not closed, or a new one."""
         while True:
             with self.lock:
@@ -49,43 +207,25 @@
                 connection = pool.pop() if pool else None
             if connection is None:
                 return self.open(address)
-            if connection.is_connected:
+            if self.now() - connection.idle_since_s < MAX_IDLE_S and connection.silent():
                 return connection
             connection.close()
 
-    def give_back(self, address: str, connection: HTTPConnection) -> None:
-        """Keeps a connection whose last answer was read to its end."""
-        with self.lock:
-            pool = self.idle[address]
-            if len(pool) < self.max_idle:
-                pool.append(connection)
-                return
+    def give_back(self, connection: BackendConnection, answer: Answer) -> None:
+        """Keeps a connection whose answer was read to its end; closes any other."""
+        if answer.reusable:
+            connection.idle_since_s = self.now()
+            with self.lock:
+                pool = self.idle[connection.address]
+                if len(pool) < self.max_idle:
+                    pool.append(connection)
+                    return
         connection.close()
 
-
-def send_request(
-    connection: HTTPConnection,
-    method: str,
-    path: str,
-    body: bytes,
-    headers: Mapping[str, str],
-    timeout_s: float,
-) -> HTTPResponse:
-    """Sends one request and returns the answer with its body still unread.
-
-    Raises:
-        BackendProtocolError: the connection failed after bytes may have been sent.
-    """
-    connection.timeout = timeout_s
-    if connection.sock is not None:
-        connection.sock.settimeout(timeout_s)
-    try:
-        connection.request(
-            method, path, body=body, headers=headers, preload_content=False, decode_content=False
-        )
-        return connection.getresponse()
-    except (HTTPError, OSError) as error:
-        connection.close()
-        raise BackendProtocolError(
-            f"request failed: {type(error).__name__}", outcome=Outcome.UNKNOWN
-        ) from error
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self.lock:
+            connections = [item for pool in self.idle.values() for item in pool]
+            self.idle.clear()
+        for connection in connections:
+            connection.close()
--- /dev/null
+++ b/src/tanagerworks/router/caller_server.py
@@ -0,0 +1,271 @@
+"""HTTP server of the caller port: cheroot with strict parsing, time limits and a clean drain."""
+
+import io
+import logging
+import re
+import select
+import socket
+import time
+import uuid
+from typing import Any
+
+from cheroot.makefile import StreamReader
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.wsgi import Gateway_10, Server
+
+from tanagerworks.errors import (
+    NotFoundError,
+    NotReadyError,
+    PayloadTooLargeError,
+    RequestError,
+    RequestTimeoutError,
+    TanagerError,
+)
+from tanagerworks.wsgi import Environ, error_response
+
+_LOGGER = logging.getLogger(__name__)
+
+CALLER_SOCKET = "tanager.caller_socket"
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*\Z")
+_DIGITS = re.compile(rb"[0-9]{1,15}\Z")
+_HTTP_VERSION = re.compile(rb"HTTP/1\.[01]\Z")
+# A second one of these may mean one request to this server and another one to the next.
+_SINGLE_HEADERS = frozenset(
+    {
+        b"Authorization",
+        b"Content-Length",
+        b"Content-Type",
+        b"Host",
+        b"Idempotency-Key",
+        b"Transfer-Encoding",
+        b"X-Chat-Key",
+    }
+)
+_MAX_HEADERS = 128
+_POLL_INTERVAL_S = 0.1
+
+
+class StrictHeaderReader(HeaderReader):
+    """Reads a header and refuses everything that two HTTP parsers could read differently."""
+
+    def __call__(self, rfile: Any, hdict: dict[bytes, bytes] | None = None) -> dict[bytes, bytes]:
+        """Returns the header fields by title-cased name.
+
+        Raises:
+            ValueError: the header is not strictly valid.
+        """
+        headers: dict[bytes, bytes] = {} if hdict is None else hdict
+        for _ in range(_MAX_HEADERS):
+            line = rfile.readline()
+            if line == b"\r\n":
+                _check_framing(headers)
+                return headers
+            if not line.endswith(b"\r\n"):
+                raise ValueError("header lines must end in CRLF")
+            name, colon, value = line[:-2].partition(b":")
+            if not colon or not _TOKEN.match(name):
+                raise ValueError("malformed header line")
+            value = value.strip(b" \t")
+            if not _VALUE.match(value):
+                raise ValueError("malformed header value")
+            if b"_" in name:
+                # WSGI cannot tell it from the name with hyphens.
+                continue
+            name = name.title()
+            if name in headers:
+                if name in _SINGLE_HEADERS:
+                    raise ValueError("header given twice")
+                value = headers[name] + b", " + value
+            headers[name] = value
+        raise ValueError("too many header lines")
+
+
+def _check_framing(headers: dict[bytes, bytes]) -> None:
+    length, encoding = headers.get(b"Content-Length"), headers.get(b"Transfer-Encoding")
+    if length is not None and encoding is not None:
+        raise ValueError("Content-Length and Transfer-Encoding exclude each other")
+    if length is not None and not _DIGITS.match(length):
+        raise ValueError("malformed Content-Length")
+    if encoding is not None and encoding.lower() != b"chunked":
+        raise ValueError("the only transfer encoding is chunked")
+
+
+class _DeadlineIO(socket.SocketIO):
+    """Socket reads that have to end by `deadline_s` altogether, not only each for itself."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, "r")
+        self.caller = sock
+        self.deadline_s: float | None = None
+
+    def readinto(self, buffer: Any) -> int | None:
+        if self.deadline_s is not None and time.monotonic() > self.deadline_s:
+            raise TimeoutError("timed out")
+        return super().readinto(buffer)
+
+
+class _DeadlineReader(StreamReader):
+    def __init__(self, raw: _DeadlineIO, buffer_size: int) -> None:
+        # StreamReader would build a raw reader of its own.
+        io_base: Any = StreamReader.__mro__[1]
+        io_base.__init__(self, raw, buffer_size)
+        self.bytes_read = 0
+
+
+class CallerRequest(HTTPRequest):
+    """One request; whatever is refused before the application gets a typed error."""
+
+    header_reader = StrictHeaderReader()
+
+    def read_request_headers(self) -> bool:
+        """Reads the header; returns whether the request can be served."""
+        if not _HTTP_VERSION.match(self.request_protocol):
+            self.simple_response("400 Bad Request", "malformed HTTP version")
+            return False
+        if not super().read_request_headers():
+            return False
+        if self.chunked_read:
+            # The server does not read trailers, so what follows is not a new request for sure.
+            self.close_connection = True
+        if self.server.draining:
+            self.close_connection = True
+        return True
+
+    def send_headers(self) -> None:
+        """Sends the header; a draining server announces that it closes the connection."""
+        if self.server.draining:
+            self.close_connection = True
+        if getattr(self.rfile, "remaining", 0):
+            # The rest of a body that was not read must not be taken for the next request.
+            self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status: Any, msg: Any = "") -> None:
+        """Sends a typed error in place of the server's plain text."""
+        self.close_connection = True
+        code = int(str(status)[:3])
+        text = msg.decode("latin-1") if isinstance(msg, bytes) else str(msg)
+        error = _typed_error(code, text or str(status)[4:])
+        response = error_response(error, uuid.uuid4().hex)
+        lines = [f"HTTP/1.1 {response.status_line}", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in response.headers]
+        payload = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + b"".join(response.body)
+        try:
+            self.conn.wfile.write(payload)
+        except OSError:
+            return
+
+
+def _typed_error(status: int, message: str) -> TanagerError:
+    error: TanagerError
+    if status in (413, 414, 431):
+        error = PayloadTooLargeError(message)
+    elif status == 408:
+        error = RequestTimeoutError("the request did not arrive in time")
+    elif status == 404:
+        error = NotFoundError(message)
+    elif status == 503:
+        error = NotReadyError("the server has no thread for the connection")
+    elif status >= 500 and status not in (501, 505):
+        error = TanagerError("internal error")
+    else:
+        error = RequestError(message)
+        error.status = status
+    return error
+
+
+class CallerConnection(HTTPConnection):
+    """A caller's connection, whose requests have to arrive within a time limit."""
+
+    RequestHandlerClass = CallerRequest
+
+    def __init__(self, server: "CallerServer", sock: socket.socket, *arguments: Any) -> None:
+        super().__init__(server, sock, *arguments)
+        self.raw = _DeadlineIO(sock)
+        self.rfile = _DeadlineReader(self.raw, io.DEFAULT_BUFFER_SIZE)
+        self.waited = False
+
+    def communicate(self) -> bool:
+        """Serves one request; returns whether the connection stays open."""
+        self.raw.deadline_s = time.monotonic() + self.server.request_read_timeout_s
+        keep = bool(super().communicate())
+        if not keep:
+            self._drain_input()
+        return keep
+
+    def _drain_input(self) -> None:
+        """Reads what the caller still sends, so that closing does not reset the answer."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(_POLL_INTERVAL_S)
+            for _ in range(self.server.max_discarded_reads):
+                if not self.socket.recv(65_536):
+                    return
+        except OSError:
+            return
+
+
+class CallerGateway(Gateway_10):
+    """WSGI gateway that gives the application the caller's socket to watch."""
+
+    def get_environ(self) -> Any:
+        """Returns the WSGI environment."""
+        environ: Environ = super().get_environ()
+        environ[CALLER_SOCKET] = self.req.conn.socket
+        return environ
+
+
+class CallerServer(Server):
+    """Server of a port for callers or for other router processes."""
+
+    ConnectionClass = CallerConnection
+    expiration_interval = _POLL_INTERVAL_S
+    request_read_timeout_s = 20.0
+    max_discarded_reads = 8
+    # Created by `prepare`; the type stubs of the library do not name it.
+    _connections: Any
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.gateway = CallerGateway
+        self.draining = False
+
+    def process_conn(self, conn: CallerConnection) -> None:
+        """Gives a connection to a worker once it has sent something.
+
+        A connection without a request costs no thread.
+        """
+        if not conn.waited:
+            conn.waited = True
+            self._connections.put(conn)
+            return
+        super().process_conn(conn)
+
+    def prepare(self) -> None:
+        """Binds the port and starts the workers."""
+        super().prepare()
+        close_connections = self._connections.close
+
+        def close() -> None:
+            self._serve_waiting()
+            close_connections()
+
+        self._connections.close = close
+
+    def _serve_waiting(self) -> None:
+        """Lets workers serve requests that arrived while the server was being stopped."""
+        selector = self._connections._selector
+        for descriptor, conn in list(selector.connections):
+            if conn is self or not select.select([conn.socket], [], [], 0)[0]:
+                continue
+            selector.unregister(descriptor)
+            self.requests.put(conn)
+
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Logs a message of the server.
+
+        The text of a parser's error may quote the request, so only the event is logged.
+        """
+        if level >= logging.WARNING:
+            _LOGGER.log(level, "the HTTP server failed at a request", exc_info=False)
--- /dev/null
+++ b/src/tanagerworks/router/engine_client.py
@@ -0,0 +1,169 @@
+"""Requests to one model engine: last check before sending, cancellation, resumption."""
+
+import json
+import logging
+import time
+from collections.abc import Mapping
+
+from tanagerworks.errors import (
+    BackendConnectError,
+    BackendError,
+    BackendProtocolError,
+    BackendRestartedError,
+    CapacityError,
+    DeadlineError,
+    RequestError,
+)
+from tanagerworks.note.model import Engine
+from tanagerworks.outcome import Outcome
+from tanagerworks.router.agent_link import AgentLink
+from tanagerworks.router.answer import Answer
+from tanagerworks.router.backend import BackendConnection, BackendConnections
+from tanagerworks.router.slot_book import Grant
+
+_LOGGER = logging.getLogger(__name__)
+
+# Age up to which an answer on a connection proves the boot id of the engine.
+BOOT_PROOF_MAX_AGE_S = 0.5
+_CONTROL_TIMEOUT_S = 1.0
+_MAX_CONTROL_BYTES = 65_536
+_READY_ROUNDS = 3
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+
+
+class EngineClient:
+    """Talks to engines over pooled connections."""
+
+    def __init__(self, link: AgentLink, connections: BackendConnections) -> None:
+        self.link = link
+        self.connections = connections
+
+    def ready_connection(self, engine: Engine, grant: Grant) -> BackendConnection:
+        """Returns a connection over which the request may be sent at once.
+
+        The check of the view's age and of the grant's `start_by` comes last, after connecting
+        and after the proof of the boot id, because these take time.
+
+        Raises:
+            TanagerError: the request must not be sent; its outcome is NOT_RUN.
+        """
+        connection = self.connections.take(engine.address)
+        try:
+            for _round in range(_READY_ROUNDS):
+                self._prove_boot(connection, engine, grant)
+                view = self.link.fresh_view()
+                if grant.engine_id not in view.eligible:
+                    raise CapacityError("the engine was taken out of service")
+                now_s = self.link.now()
+                if now_s >= grant.start_by_s:
+                    raise DeadlineError("the borrowed slot can no longer be used")
+                fresh = now_s - view.known_at_s <= self.link.max_view_age_s or self.link.lost
+                if fresh and self._boot_proved(connection, engine, grant, now_s):
+                    return connection
+            raise CapacityError("the checks before sending took too long")
+        except BaseException:
+            connection.close()
+            raise
+
+    def _boot_proved(
+        self, connection: BackendConnection, engine: Engine, grant: Grant, now_s: float
+    ) -> bool:
+        if grant.slot.index < engine.cold_slots:
+            return True
+        return (
+            bool(grant.boot_id)
+            and connection.boot_id == grant.boot_id
+            and now_s - connection.boot_proved_at_s < BOOT_PROOF_MAX_AGE_S
+        )
+
+    def _prove_boot(self, connection: BackendConnection, engine: Engine, grant: Grant) -> None:
+        if self._boot_proved(connection, engine, grant, self.link.now()):
+            return
+        asked_at_s = self.link.now()
+        try:
+            answer = connection.exchange(
+                "GET", "/v1/boot", b"", {}, time.monotonic() + _CONTROL_TIMEOUT_S
+            )
+            body = answer.read_whole(_MAX_CONTROL_BYTES)
+            boot_id = str(json.loads(body)["boot_id"]) if answer.status == _HTTP_OK else ""
+        except (BackendError, OSError, ValueError, KeyError, TypeError) as error:
+            raise BackendConnectError("the engine does not prove its boot id") from error
+        if not answer.reusable:
+            raise BackendConnectError("the engine closes the connection after its boot id")
+        connection.boot_id, connection.boot_proved_at_s = boot_id, asked_at_s
+        if not boot_id or boot_id != grant.boot_id:
+            raise BackendRestartedError("the engine is in another life than its warmth")
+
+    def note_answer(self, connection: BackendConnection, answer: Answer) -> str:
+        """Remembers the boot id that an answer proves; returns it."""
+        boot_id = answer.headers.get("X-Engine-Boot", "")
+        connection.boot_id, connection.boot_proved_at_s = boot_id, self.link.now()
+        return boot_id
+
+    def give_back(self, connection: BackendConnection, answer: Answer) -> None:
+        """Keeps the connection of an answer whose last byte has just been read."""
+        connection.boot_proved_at_s = self.link.now()
+        self.connections.give_back(connection, answer)
+
+    def cancel(self, engine: Engine, request_id: str, started: bool) -> bool:
+        """Cancels a request; returns whether it is certain that the engine no longer has it.
+
+        `started` says that the engine had begun to answer. Only then does an unknown id mean that
+        the request has ended: otherwise the engine may not have read it yet.
+        """
+        try:
+            connection = self.connections.open(engine.address)
+        except BackendConnectError as error:
+            # Nothing listens, so the process that had the request is gone.
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        try:
+            answer = connection.exchange(
+                "DELETE",
+                f"/v1/requests/{request_id}",
+                b"",
+                {"X-Request-Id": request_id},
+                time.monotonic() + _CONTROL_TIMEOUT_S,
+            )
+            answer.read_whole(_MAX_CONTROL_BYTES)
+        except (BackendError, RequestError, OSError) as error:
+            _LOGGER.warning(
+                "cannot cancel a request at its engine",
+                extra={"request_id": request_id, "error": type(error).__name__},
+            )
+            return False
+        finally:
+            connection.close()
+        if answer.status == _HTTP_NOT_FOUND:
+            return started
+        return _HTTP_OK <= answer.status < 300
+
+    def resume(
+        self, engine: Engine, request_id: str, events: int, boot_id: str, deadline_s: float
+    ) -> tuple[BackendConnection, Answer]:
+        """Asks for the rest of a stream after `events` events, over a new connection.
+
+        Raises:
+            BackendError: the engine does not continue the stream.
+        """
+        connection = self.connections.open(engine.address)
+        headers: Mapping[str, str] = {"X-Request-Id": request_id}
+        try:
+            answer = connection.exchange(
+                "GET", f"/v1/requests/{request_id}/stream?after={events}", b"", headers, deadline_s
+            )
+            if answer.status != _HTTP_OK:
+                raise BackendError("the engine does not resume the stream", outcome=Outcome.RAN)
+            check_answer(answer, request_id)
+            if self.note_answer(connection, answer) != boot_id:
+                raise BackendProtocolError("the engine restarted", outcome=Outcome.RAN)
+        except BaseException:
+            connection.close()
+            raise
+        return connection, answer
+
+
+def check_answer(answer: Answer, request_id: str) -> None:
+    """Raises BackendProtocolError if the answer does not belong to the request."""
+    if answer.headers.get("X-Request-Id") != request_id:
+        raise BackendProtocolError("the answer belongs to another request")
--- a/src/tanagerworks/router/main.py
+++ b/src/tanagerworks/router/main.py
@@ -1,53 +1,186 @@
 """Command line and wiring of ``tanager-router``."""
 
+import logging
+import os
 import signal
 import threading
-import time
+from random import SystemRandom
 from types import FrameType
 
-from tanagerworks.program import EXIT_OK, run_with_settings
+from tanagerworks.program import EXIT_FAILED, EXIT_OK, run_with_settings
 from tanagerworks.router.agent_link import AgentLink
 from tanagerworks.router.app import CallerApp
 from tanagerworks.router.backend import BackendConnections
-from tanagerworks.router.pipeline import chat_stages
+from tanagerworks.router.caller_server import CallerServer
+from tanagerworks.router.engine_client import EngineClient
+from tanagerworks.router.metrics import RouterMetrics
+from tanagerworks.router.pipeline import Budgets, chat_stages
 from tanagerworks.router.relay import EngineRelay
+from tanagerworks.router.service_endpoint import ServiceEndpoint
+from tanagerworks.router.services import ServiceCaller
+from tanagerworks.router.ticket_desk import TicketDesk, TicketForwarder
 from tanagerworks.settings.router import RouterSettings
-from tanagerworks.wsgi import create_server
+from tanagerworks.telemetry.metrics import create_meter
+from tanagerworks.wsgi import WsgiApp, create_server
+
+_LOGGER = logging.getLogger(__name__)
 
 # Threads beyond the streams, so that refusals and health checks are answered at full load.
 _SPARE_THREADS = 32
+_FORWARD_THREADS = 32
+# Time for interrupted requests to end their answers with an error.
+_INTERRUPT_S = 2.0
+
+
+class Router:
+    """All parts of one router process."""
+
+    def __init__(self, settings: RouterSettings, metrics: RouterMetrics) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self.link = AgentLink(
+            settings.router_id,
+            settings.agent_address,
+            settings.forward_address,
+            max_view_age_s=settings.max_view_age_s,
+            agent_loss_grace_s=settings.agent_loss_grace_s,
+        )
+        self.connections = BackendConnections(settings.connect_timeout_s)
+        random = SystemRandom()
+        budgets = Budgets(self.link, metrics)
+        self.relay = EngineRelay(
+            self.link,
+            EngineClient(self.link, self.connections),
+            metrics,
+            settings.max_answer_bytes,
+        )
+        services = ServiceEndpoint(
+            self.link,
+            ServiceCaller(
+                self.connections,
+                budgets,
+                settings.zone,
+                random,
+                max_answer_bytes=settings.max_answer_bytes,
+                check_view=self._check_view,
+            ),
+            TicketDesk(
+                self.link.instance_id,
+                settings.forward_address,
+                lifetime_s=settings.ticket_lifetime_s,
+                max_calls=settings.max_ticket_calls,
+                max_bytes=settings.max_ticket_bytes,
+            ),
+            TicketForwarder(self.connections, settings.max_answer_bytes),
+        )
+        self.app = CallerApp(
+            self.link,
+            chat_stages(self.link, self.relay, budgets, random),
+            services,
+            metrics,
+            settings.max_streams,
+        )
+        self.caller_server = self._server(
+            settings.caller_address, self.app, settings.max_streams + _SPARE_THREADS
+        )
+        self.forward_server = self._server(
+            settings.forward_address, self.app.forward_port, _FORWARD_THREADS
+        )
+        metrics.observe(
+            "tanager_router_open_chats", "Chats in progress.", lambda: self.app.open_chats
+        )
+        metrics.observe(
+            "tanager_router_open_requests", "Requests in progress.", lambda: self.app.open_requests
+        )
+        metrics.observe(
+            "tanager_router_view_age_seconds",
+            "Age of the node agent's view.",
+            lambda: self.link.view_age_s,
+        )
+
+    def _check_view(self) -> None:
+        self.link.fresh_view()
+
+    def _server(self, address: str, app: WsgiApp, threads: int) -> CallerServer:
+        settings = self.settings
+        server = create_server(
+            address,
+            app,
+            threads=threads,
+            max_header_bytes=settings.max_header_bytes,
+            max_body_bytes=settings.max_body_bytes,
+            idle_timeout_s=settings.slow_caller_timeout_s,
+            # The drain limit is kept here, not by the server.
+            shutdown_timeout_s=settings.drain_limit_s + 3600.0,
+            reuse_port=True,
+            server_class=CallerServer,
+        )
+        assert isinstance(server, CallerServer)
+        server.request_read_timeout_s = settings.request_read_timeout_s
+        return server
+
+    def start(self) -> None:
+        """Starts to serve in threads of its own."""
+        for server in (self.forward_server, self.caller_server):
+            server.prepare()
+        self.link.start()
+        for server in (self.forward_server, self.caller_server):
+            threading.Thread(target=server.serve, name="http-accept", daemon=True).start()
+
+    def drain(self, hurry: threading.Event) -> int:
+        """Shuts down gracefully and returns the exit status; `hurry` ends the wait for requests.
+
+        New requests are refused by nobody until the listener closes: the load balancer needs
+        `drain_notice_s` to notice that the router is not ready.
+        """
+        self.app.draining = True
+        self.caller_server.draining = True
+        hurry.wait(self.settings.drain_notice_s)
+        stopper = threading.Thread(target=self._stop_servers, name="drain", daemon=True)
+        stopper.start()
+        interrupted = 0
+        deadline = threading.Event()
+        timer = threading.Timer(self.settings.drain_limit_s, deadline.set)
+        timer.daemon = True
+        timer.start()
+        while stopper.is_alive() and not (hurry.is_set() or deadline.is_set()):
+            stopper.join(0.05)
+        if stopper.is_alive():
+            interrupted = max(1, self.app.open_requests)
+            self.metrics.interrupted.add(interrupted)
+            _LOGGER.warning("shutdown interrupts requests", extra={"requests": interrupted})
+            self.relay.interrupt()
+            stopper.join(_INTERRUPT_S)
+        if not self.link.stop():
+            _LOGGER.warning("the node agent has not taken all released slots")
+        self.connections.close()
+        if stopper.is_alive():
+            # Worker threads that are still blocked would keep the process from ending.
+            logging.shutdown()
+            os._exit(EXIT_FAILED)
+        return EXIT_FAILED if interrupted else EXIT_OK
+
+    def _stop_servers(self) -> None:
+        self.caller_server.stop()
+        self.forward_server.draining = True
+        self.forward_server.stop()
 
 
 def serve(settings: RouterSettings) -> int:
     """Serves callers until a signal; returns the exit status."""
-    link = AgentLink(settings.router_id, settings.agent_address, settings.forward_address)
-    relay = EngineRelay(link, BackendConnections(settings.connect_timeout_s))
-    app = CallerApp(link, chat_stages(link, relay))
-    server = create_server(
-        settings.caller_address,
-        app,
-        threads=settings.max_streams + _SPARE_THREADS,
-        max_header_bytes=settings.max_header_bytes,
-        max_body_bytes=settings.max_body_bytes,
-        idle_timeout_s=settings.slow_caller_timeout_s,
-        shutdown_timeout_s=settings.drain_limit_s,
-        reuse_port=True,
-    )
-
-    def drain() -> None:
-        time.sleep(settings.drain_notice_s)
-        server.stop()
+    stopping, hurry = threading.Event(), threading.Event()
 
     def stop(_signal: int, _frame: FrameType | None) -> None:
-        app.draining = True
-        threading.Thread(target=drain, name="drain").start()
+        if stopping.is_set():
+            hurry.set()
+        stopping.set()
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    link.start()
-    server.start()
-    link.stop()
-    return EXIT_OK
+    router = Router(settings, RouterMetrics(create_meter("tanager-router")))
+    router.start()
+    stopping.wait()
+    return router.drain(hurry)
 
 
 def run() -> None:
--- a/src/tanagerworks/router/pipeline.py
+++ b/src/tanagerworks/router/pipeline.py
@@ -1,25 +1,30 @@
 """The stages that a chat request goes through, in order."""
 
-import hashlib
-import hmac
 import json
+import threading
+import time
 from collections.abc import Sequence
-from typing import Protocol
+from random import Random
+from typing import Any, Protocol
 
 from tanagerworks.errors import (
-    AuthenticationError,
+    BackendError,
     CapacityError,
-    ModelNotFoundError,
-    NotReadyError,
+    DeadlineError,
+    RateLimitError,
     RequestError,
+    TanagerError,
 )
+from tanagerworks.outcome import Outcome
 from tanagerworks.router.agent_link import AgentLink
+from tanagerworks.router.metrics import RouterMetrics
 from tanagerworks.router.relay import EngineRelay
 from tanagerworks.router.request import ChatRequest
-from tanagerworks.routing.ranking import rank_engines
+from tanagerworks.routing.ranking import chat_hash, rank_engines
+from tanagerworks.routing.retries import MAX_ATTEMPTS, RetryBudget, backoff_s, may_retry
 from tanagerworks.rpc.tanager_pb2 import Candidate, ClaimRequest
 
-_BEARER = "Bearer "
+_MAX_CHAT_KEY_CHARS = 512
 
 
 class Stage(Protocol):
@@ -37,42 +42,57 @@
 
     def run(self, request: ChatRequest) -> None:
         """Raises AuthenticationError for a key that belongs to no customer."""
-        request.note = self.link.view.note
-        if request.note is None:
-            raise NotReadyError("no release note is in force")
-        key = request.authorization.removeprefix(_BEARER)
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        for name, customer in request.note.statement.customers.items():
-            for known in customer.key_sha256:
-                if hmac.compare_digest(known, digest):
-                    request.customer_name, request.customer = name, customer
-        if request.customer is None:
-            raise AuthenticationError("the key is not valid")
+        request.view = self.link.view
+        request.index = request.view.require_index()
+        found = request.index.customer_of(request.authorization)
+        request.customer_name, request.customer = found
 
 
 class Classify:
-    """Reads the body: model, chat key."""
+    """Reads the body: model, version, chat key."""
 
     def run(self, request: ChatRequest) -> None:
         """Raises RequestError for a body that is not a chat completion request."""
-        try:
-            document = json.loads(request.body)
-        except ValueError as error:
-            raise RequestError("the body is not valid JSON") from error
-        if not isinstance(document, dict) or not isinstance(document.get("messages"), list):
-            raise RequestError("the body needs a list of messages")
-        if not isinstance(document.get("model"), str):
-            raise RequestError("the body needs a model")
+        assert request.index is not None
+        assert request.customer is not None
+        document = _read_document(request.body)
         request.document = document
-        request.model_name = document["model"]
         request.chat_key = _chat_key(request)
+        request.chat_hash = chat_hash(request.chat_key)
+        name = document["model"]
+        choice = request.index.choose_model(name, request.customer, request.chat_key)
+        request.model, request.version = choice.model, choice.version
+        if name != choice.model:
+            # Engines know a model by its name alone.
+            request.body = json.dumps({**document, "model": choice.model}).encode()
+        classes = request.index.note.statement.classes
+        request.deadline_s = time.monotonic() + classes[request.customer.request_class].deadline_s
+
+
+def _read_document(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise RequestError("the body is not valid JSON") from error
+    if not isinstance(document, dict):
+        raise RequestError("the body must be a JSON object")
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise RequestError("the body needs a list of messages")
+    if not all(isinstance(message, dict) for message in messages):
+        raise RequestError("each message must be a JSON object")
+    if not isinstance(document.get("model"), str):
+        raise RequestError("the body needs a model")
+    if not isinstance(document.get("stream"), bool | None):
+        raise RequestError("stream must be true or false")
+    return document
 
 
 def _chat_key(request: ChatRequest) -> str:
     if request.chat_key_header:
-        own = request.chat_key_header
+        own = request.chat_key_header[:_MAX_CHAT_KEY_CHARS]
     elif isinstance(request.document.get("prompt_cache_key"), str):
-        own = request.document["prompt_cache_key"]
+        own = request.document["prompt_cache_key"][:_MAX_CHAT_KEY_CHARS]
     else:
         first = request.document["messages"][:2]
         own = json.dumps([request.document.get("user"), first], sort_keys=True)
@@ -80,26 +100,27 @@
 
 
 class Rank:
-    """Ranks the eligible engines of the model for the chat."""
-
-    def __init__(self, link: AgentLink) -> None:
-        self.link = link
+    """Ranks the eligible engines of the model's version for the chat."""
 
     def run(self, request: ChatRequest) -> None:
-        """Raises ModelNotFoundError or CapacityError if no engine is eligible."""
-        assert request.note is not None
-        statement = request.note.statement
-        if request.model_name not in statement.models:
-            raise ModelNotFoundError(f"no model named {request.model_name!r}")
-        eligible = self.link.view.eligible
-        weights: dict[str, float] = {}
-        for engine_id, engine in statement.engines.items():
-            if engine.model != request.model_name or not eligible.get(engine_id):
-                continue
-            weights[engine_id] = engine.slots
+        """Raises CapacityError if no engine is eligible."""
+        assert request.index is not None
+        assert request.view is not None
+        eligible = request.view.eligible
+        engines = request.index.engines.get((request.model, request.version), {})
+        weights = {
+            engine_id: float(engine.slots)
+            for engine_id, engine in engines.items()
+            if engine_id in eligible
+        }
         request.ranked = rank_engines(request.chat_key, weights)
         if not request.ranked:
             raise CapacityError("no engine of the model is in service")
+        request.first_choice = request.ranked[0]
+        served_by = request.view.exceptions.get(request.chat_hash)
+        if served_by in weights:
+            request.ranked.remove(served_by)
+            request.ranked.insert(0, served_by)
 
 
 class Choose:
@@ -109,25 +130,33 @@
         self.link = link
 
     def run(self, request: ChatRequest) -> None:
-        """Raises CapacityError if no slot was granted."""
-        assert request.note is not None
+        """Raises CapacityError, DeadlineError, RateLimitError or NotReadyError without a slot."""
+        assert request.index is not None
         assert request.customer is not None
-        statement = request.note.statement
-        request_class = statement.classes[request.customer.request_class]
-        reply = self.link.claim(
+        statement = request.index.note.statement
+        remaining_s = request.deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise DeadlineError("the deadline passed before a slot was free")
+        candidates = []
+        for place, engine_id in enumerate(request.ranked):
+            engine = statement.engines[engine_id]
+            rebuild_s = request.prompt_tokens / engine.prefill_tokens_per_s if place else 0.0
+            candidates.append(Candidate(engine_id=engine_id, rebuild_s=rebuild_s))
+        grant = self.link.claim(
             ClaimRequest(
                 request_id=request.request_id,
                 customer=request.customer_name,
                 request_class=request.customer.request_class,
-                deadline_s=request_class.deadline_s,
-                candidates=[Candidate(engine_id=engine_id) for engine_id in request.ranked],
+                deadline_s=remaining_s,
+                candidates=candidates,
             ),
-            request_class.deadline_s,
+            statement,
         )
-        if reply.refusal:
-            raise CapacityError(reply.reason)
-        request.claim = reply
-        request.engine = statement.engines[reply.slot.engine_id]
+        granted = statement.engines.get(grant.engine_id)
+        if granted is None:
+            self.link.release(grant)
+            raise CapacityError("the granted engine is no longer in the release note")
+        request.grant, request.engine = grant, granted
 
 
 class Send:
@@ -141,6 +170,94 @@
         request.response = self.relay.open(request)
 
 
-def chat_stages(link: AgentLink, relay: EngineRelay) -> Sequence[Stage]:
+class Attempts:
+    """Chooses and sends until an engine has the request.
+
+    A chat is sent again only if it provably did not run: another copy at an engine would need a
+    slot of its own.
+    """
+
+    def __init__(
+        self, choose: Stage, send: Stage, link: AgentLink, budgets: "Budgets", random: Random
+    ) -> None:
+        self.choose = choose
+        self.send = send
+        self.link = link
+        self.budgets = budgets
+        self.random = random
+
+    def run(self, request: ChatRequest) -> None:
+        """Sets the response."""
+        failure: TanagerError | None = None
+        for attempt in range(MAX_ATTEMPTS):
+            try:
+                self.choose.run(request)
+            except (CapacityError, DeadlineError, RateLimitError):
+                if failure is not None:
+                    raise failure from None
+                raise
+            assert request.grant is not None
+            if failure is None:
+                self.budgets.record_request(request.grant.engine_id)
+            elif not self.budgets.take_retry(request.grant.engine_id):
+                self.link.release(request.grant)
+                raise failure
+            try:
+                self.send.run(request)
+                return
+            except (BackendError, CapacityError, DeadlineError) as error:
+                if not may_retry(error.outcome, repeatable=False):
+                    raise
+                failure = error
+            request.ranked = [item for item in request.ranked if item != request.grant.engine_id]
+            delay_s = backoff_s(attempt + 1, self.random)
+            if not request.ranked or time.monotonic() + delay_s >= request.deadline_s:
+                break
+            time.sleep(delay_s)
+        assert failure is not None
+        assert failure.outcome is Outcome.NOT_RUN
+        raise failure
+
+
+class Budgets:
+    """The retry budget of the process, safe to use from all threads."""
+
+    def __init__(self, link: AgentLink, metrics: RouterMetrics) -> None:
+        self.link = link
+        self.metrics = metrics
+        self.lock = threading.Lock()
+        self.budget = RetryBudget(0.1)
+        self.serial = 0
+
+    def record_request(self, backend: str) -> None:
+        """Counts a first attempt at a back end."""
+        with self.lock:
+            self._follow_note()
+            self.budget.record_request(backend)
+
+    def take_retry(self, backend: str) -> bool:
+        """Takes the right to send one retry to a back end."""
+        with self.lock:
+            taken = self.budget.take_retry(backend)
+        (self.metrics.retries if taken else self.metrics.retries_refused).add(1)
+        return taken
+
+    def _follow_note(self) -> None:
+        index = self.link.view.index
+        if index is None or index.note.serial == self.serial:
+            return
+        self.serial = index.note.serial
+        statement = index.note.statement
+        self.budget.share = statement.rules.retry_budget_share
+        backends = set(statement.engines)
+        for service in statement.services.values():
+            backends.update(server.address for server in service.servers.values())
+        self.budget.keep(backends)
+
+
+def chat_stages(
+    link: AgentLink, relay: EngineRelay, budgets: Budgets, random: Random
+) -> Sequence[Stage]:
     """Returns the stages of a chat request in order."""
-    return (Admit(link), Classify(), Rank(link), Choose(link), Send(relay))
+    attempts = Attempts(Choose(link), Send(relay), link, budgets, random)
+    return (Admit(link), Classify(), Rank(), attempts)
--- a/src/tanagerworks/router/request.py
+++ b/src/tanagerworks/router/request.py
@@ -1,10 +1,12 @@
 """The value that goes through the stages of the router."""
 
+import socket
 from dataclasses import dataclass, field
 from typing import Any
 
-from tanagerworks.note.model import Customer, Engine, Note
-from tanagerworks.rpc.tanager_pb2 import ClaimReply
+from tanagerworks.note.model import Customer, Engine
+from tanagerworks.router.slot_book import Grant
+from tanagerworks.router.view import NoteIndex, RouterView
 from tanagerworks.wsgi import Response
 
 
@@ -16,18 +18,33 @@
     authorization: str
     chat_key_header: str
     body: bytes
+    # The caller's connection, watched for its end; None if there is none to watch.
+    caller: socket.socket | None = None
     document: dict[str, Any] = field(default_factory=dict)
-    note: Note | None = None
+    view: RouterView | None = None
+    index: NoteIndex | None = None
     customer_name: str = ""
     customer: Customer | None = None
-    model_name: str = ""
     chat_key: str = ""
+    chat_hash: int = 0
+    model: str = ""
+    version: str = ""
+    # Engine ids, the chat's first choice first.
     ranked: list[str] = field(default_factory=list)
-    claim: ClaimReply | None = None
+    # The engine that ranking alone prefers.
+    first_choice: str = ""
+    # Time on time.monotonic until which the request may be started at an engine.
+    deadline_s: float = 0.0
+    grant: Grant | None = None
     engine: Engine | None = None
     response: Response | None = None
 
     @property
     def streamed(self) -> bool:
         """Whether the caller wants server-sent events."""
-        return bool(self.document.get("stream"))
+        return self.document.get("stream") is True
+
+    @property
+    def prompt_tokens(self) -> float:
+        """Rough size of the prompt; a token is about four bytes."""
+        return len(self.body) / 4
--- /dev/null
+++ b/src/tanagerworks/router/slot_book.py
@@ -0,0 +1,166 @@
+"""Slots that this router holds, from the agent's grant until the agent knows that they ended."""
+
+import heapq
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from tanagerworks.rpc.tanager_pb2 import Ended, Evidence, Slot
+
+_NO_LIMIT_S = float("inf")
+
+
+@dataclass(eq=False)
+class Grant:
+    """The right to have one request at an engine; times are on CLOCK_BOOTTIME."""
+
+    slot: Slot
+    boot_id: str = ""
+    # No request may be started after this time.
+    start_by_s: float = _NO_LIMIT_S
+    max_work_s: float = 0.0
+    # The engine may be treated as cold: no proof of its boot id is needed.
+    cold: bool = False
+    ended: bool = False
+
+    @property
+    def engine_id(self) -> str:
+        """Engine that the slot belongs to."""
+        return self.slot.engine_id
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Identity of the grant."""
+        return self.slot.engine_id, self.slot.index, self.slot.grant_id
+
+
+@dataclass(order=True)
+class _DelayedEnd:
+    at_s: float
+    number: int
+    grant: Grant = field(compare=False)
+    evidence: Evidence | None = field(compare=False)
+
+
+class SlotBook:
+    """Holds every grant exactly once: in use, kept for reuse, or waiting for its release.
+
+    Grants that ended stay here until `acknowledge`, so a release is never lost.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
+        self.in_use: dict[tuple[str, int, int], Grant] = {}
+        # Free slots that are reused while the agent is lost.
+        self.kept: list[Grant] = []
+        self.pending: list[Ended] = []
+        self.delayed: list[_DelayedEnd] = []
+        self.delays = 0
+        # Requests whose claim was given up, for the agent to free what it granted.
+        self.abandoned: list[str] = []
+        # Grows with every report of `held`, so a grant that the report missed is noticed.
+        self.epoch = 0
+
+    def report(self) -> list[Slot]:
+        """Starts a new epoch; returns all slots that the agent has to count as used."""
+        with self.lock:
+            self.epoch += 1
+            grants = [*self.in_use.values(), *self.kept]
+            return [grant.slot for grant in grants] + [ended.slot for ended in self.pending]
+
+    def add(self, grant: Grant, epoch: int) -> bool:
+        """Takes over a new grant; False if the agent may not know of it (other epoch)."""
+        with self.changed:
+            if epoch != self.epoch:
+                self.pending.append(Ended(slot=grant.slot))
+                self.changed.notify_all()
+                return False
+            self.in_use[grant.key] = grant
+            return True
+
+    def end(self, grant: Grant, evidence: Evidence | None, keep: bool = False) -> None:
+        """Ends the use of a grant; a second call has no effect.
+
+        With `keep` the slot stays here for reuse.
+        """
+        with self.changed:
+            self._end(grant, evidence, keep)
+
+    def _end(self, grant: Grant, evidence: Evidence | None, keep: bool) -> None:
+        if grant.ended:
+            return
+        grant.ended = True
+        del self.in_use[grant.key]
+        if keep:
+            self.kept.append(grant)
+            return
+        self.pending.append(Ended(slot=grant.slot, evidence=evidence))
+        self.changed.notify_all()
+
+    def end_at(self, grant: Grant, evidence: Evidence | None, at_s: float) -> None:
+        """Ends a grant later, because its request may still run at the engine until then."""
+        with self.changed:
+            if grant.ended:
+                return
+            self.delays += 1
+            heapq.heappush(self.delayed, _DelayedEnd(at_s, self.delays, grant, evidence))
+            self.changed.notify_all()
+
+    def reuse(self, engine_ids: Sequence[str], now_s: float) -> Grant | None:
+        """Returns a kept slot of the first possible engine, in use again."""
+        with self.lock:
+            for engine_id in engine_ids:
+                for grant in self.kept:
+                    if grant.engine_id == engine_id and now_s < grant.start_by_s:
+                        self.kept.remove(grant)
+                        again = Grant(
+                            grant.slot,
+                            grant.boot_id,
+                            grant.start_by_s,
+                            grant.max_work_s,
+                            grant.cold,
+                        )
+                        self.in_use[again.key] = again
+                        return again
+            return None
+
+    def give_up_kept(self) -> None:
+        """Moves the slots kept for reuse to those that wait for their release."""
+        with self.changed:
+            self.pending.extend(Ended(slot=grant.slot) for grant in self.kept)
+            self.kept.clear()
+            self.changed.notify_all()
+
+    def abandon(self, request_id: str) -> None:
+        """Notes that a claim was given up without an answer."""
+        with self.changed:
+            self.abandoned.append(request_id)
+            self.changed.notify_all()
+
+    def due(self, now_s: float, limit: int, wait_s: float) -> tuple[list[Ended], list[str]]:
+        """Returns releases and abandoned claims to send, waiting up to `wait_s` for some."""
+        with self.changed:
+            if not (self.pending or self.abandoned):
+                if self.delayed:
+                    wait_s = min(wait_s, max(0.0, self.delayed[0].at_s - now_s))
+                self.changed.wait(wait_s)
+            while self.delayed and self.delayed[0].at_s <= now_s:
+                item = heapq.heappop(self.delayed)
+                self._end(item.grant, item.evidence, keep=False)
+            return self.pending[:limit], self.abandoned[:limit]
+
+    def acknowledge(self, ended: Sequence[Ended], abandoned: Sequence[str]) -> None:
+        """Forgets what the agent has taken."""
+        with self.changed:
+            del self.pending[: len(ended)]
+            del self.abandoned[: len(abandoned)]
+            self.changed.notify_all()
+
+    def wait_until_released(self, timeout_s: float) -> bool:
+        """Waits until the agent has every release that is due; returns whether it has."""
+        with self.changed:
+            return self.changed.wait_for(
+                lambda: not (self.pending or self.abandoned or self.in_use or self.kept),
+                timeout_s,
+            )
--- /dev/null
+++ b/src/tanagerworks/routing/tickets.py
@@ -0,0 +1,204 @@
+"""Tickets: keys issued by a router process, under which a call runs at most once.
+
+A ticket is signed with a secret that the issuing process never shares, so only this process can
+tell that it is genuine, and only this process runs calls under it. What ran is kept in memory
+until the ticket expires; after that, or in any other process, the outcome is unknown and nothing
+runs. Times are seconds of the issuing process's clock.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import json
+from dataclasses import dataclass
+from enum import Enum
+
+from tanagerworks.errors import (
+    CapacityError,
+    TicketMismatchError,
+    TicketRequiredError,
+    TicketUnknownError,
+)
+
+_PREFIX = "tt1."
+_MAX_TICKET_CHARS = 1024
+_MIN_SECRET_BYTES = 32
+
+
+def is_ticket(key: str) -> bool:
+    """Whether an idempotency key has the form of a ticket."""
+    return key.startswith(_PREFIX)
+
+
+def request_digest(method: str, target: str, body: bytes) -> str:
+    """Returns the SHA-256 in hex of ``METHOD SP TARGET LF BODY``.
+
+    `target` is the path and query behind ``/services/NAME``.
+    """
+    return hashlib.sha256(f"{method} {target}\n".encode() + body).hexdigest()
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """What a ticket is bound to.
+
+    `digest` is empty if the caller did not give it; the first call then binds the ticket.
+    """
+
+    instance_id: str
+    forward_address: str
+    customer: str
+    service: str
+    nonce: str
+    expires_at_s: float
+    digest: str = ""
+
+
+def _encode(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text + "=" * (-len(text) % 4), b"-_", validate=True)
+
+
+def read_ticket(key: str) -> Ticket:
+    """Returns the content of a ticket without a check of its signature.
+
+    Raises:
+        TicketRequiredError: the key was not issued by a router.
+    """
+    if not is_ticket(key) or len(key) > _MAX_TICKET_CHARS:
+        raise TicketRequiredError("the service needs a ticket as Idempotency-Key")
+    try:
+        fields = json.loads(_decode(key.removeprefix(_PREFIX).partition(".")[0]))
+        instance_id, address, customer, service, nonce, digest = fields[:6]
+        texts = (instance_id, address, customer, service, nonce, digest)
+        if not all(isinstance(text, str) for text in texts):
+            raise ValueError
+        expires_at_s = float(fields[6])
+    except (ValueError, TypeError, KeyError, IndexError, RecursionError, binascii.Error) as error:
+        raise TicketRequiredError("the Idempotency-Key is not a ticket of a router") from error
+    return Ticket(instance_id, address, customer, service, nonce, expires_at_s, digest)
+
+
+class TicketSigner:
+    """Signs tickets with the secret of one process and checks them."""
+
+    def __init__(self, secret: bytes) -> None:
+        if len(secret) < _MIN_SECRET_BYTES:
+            raise ValueError("the secret is too short")
+        self.secret = secret
+
+    def _signature(self, payload: str) -> str:
+        return _encode(hmac.digest(self.secret, payload.encode(), "sha256"))
+
+    def sign(self, ticket: Ticket) -> str:
+        """Returns the ticket as text for the ``Idempotency-Key`` header."""
+        fields = [
+            ticket.instance_id,
+            ticket.forward_address,
+            ticket.customer,
+            ticket.service,
+            ticket.nonce,
+            ticket.digest,
+            ticket.expires_at_s,
+        ]
+        payload = _encode(json.dumps(fields, separators=(",", ":")).encode())
+        return f"{_PREFIX}{payload}.{self._signature(payload)}"
+
+    def verify(self, key: str) -> Ticket:
+        """Returns the content of a ticket that this process issued.
+
+        Raises:
+            TicketRequiredError: this process did not issue the key, so no call ran under it.
+        """
+        ticket = read_ticket(key)
+        payload, _, signature = key.removeprefix(_PREFIX).partition(".")
+        if not hmac.compare_digest(signature.encode(), self._signature(payload).encode()):
+            raise TicketRequiredError("the signature of the ticket is not valid")
+        return ticket
+
+
+class CallState(Enum):
+    """State of the call under a ticket."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    # Finished, but the answer was too large to keep.
+    FORGOTTEN = "forgotten"
+    NOT_RUN = "not_run"
+
+
+@dataclass
+class TicketCall:
+    """The call that a ticket was used for; `result` is what a repeat is answered with."""
+
+    digest: str
+    expires_at_s: float
+    state: CallState = CallState.RUNNING
+    result: object = None
+    size_bytes: int = 0
+
+
+class TicketBook:
+    """Calls under the tickets of one process, bounded in number and bytes.
+
+    The caller serialises the calls of its methods.
+    """
+
+    def __init__(self, max_calls: int, max_bytes: int) -> None:
+        self.max_calls = max_calls
+        self.max_bytes = max_bytes
+        self.calls: dict[str, TicketCall] = {}
+        self.bytes_kept = 0
+        self.next_expiry_s = 0.0
+
+    def begin(self, ticket: Ticket, digest: str, now_s: float) -> tuple[TicketCall, bool]:
+        """Returns the call under a verified ticket and whether it is new and has to run now.
+
+        Raises:
+            TicketUnknownError: the ticket expired; nothing runs.
+            TicketMismatchError: the ticket is bound to another request; nothing runs.
+            CapacityError: no more calls can be remembered; nothing runs.
+        """
+        if now_s >= ticket.expires_at_s:
+            raise TicketUnknownError("the ticket expired")
+        call = self.calls.get(ticket.nonce)
+        bound = call.digest if call is not None else ticket.digest
+        if bound and bound != digest:
+            raise TicketMismatchError("the ticket is bound to another request")
+        if call is not None:
+            return call, False
+        self._drop_expired(now_s)
+        if len(self.calls) >= self.max_calls:
+            raise CapacityError("too many calls under tickets are remembered")
+        call = TicketCall(digest, ticket.expires_at_s)
+        self.calls[ticket.nonce] = call
+        return call, True
+
+    def finish(self, nonce: str, call: TicketCall, result: object, size_bytes: int) -> None:
+        """Keeps the result of a call that ran or may have run."""
+        if self.calls.get(nonce) is not call or self.bytes_kept + size_bytes > self.max_bytes:
+            call.state = CallState.FORGOTTEN
+            return
+        call.state = CallState.FINISHED
+        call.result = result
+        call.size_bytes = size_bytes
+        self.bytes_kept += size_bytes
+
+    def forget(self, nonce: str, call: TicketCall) -> None:
+        """Frees the ticket of a call that provably did not run, so a repeat may run."""
+        call.state = CallState.NOT_RUN
+        if self.calls.get(nonce) is call:
+            del self.calls[nonce]
+
+    def _drop_expired(self, now_s: float) -> None:
+        if now_s < self.next_expiry_s:
+            return
+        expired = [nonce for nonce, call in self.calls.items() if call.expires_at_s <= now_s]
+        for nonce in expired:
+            self.bytes_kept -= self.calls.pop(nonce).size_bytes
+        # A second between sweeps keeps their cost small.
+        self.next_expiry_s = now_s + 1.0
--- a/src/tanagerworks/wsgi.py
+++ b/src/tanagerworks/wsgi.py
@@ -7,8 +7,16 @@
 from http import HTTPStatus
 from typing import Any
 
+from cheroot.errors import MaxSizeExceeded
 from cheroot.wsgi import Server
 
+from tanagerworks.errors import (
+    PayloadTooLargeError,
+    RequestError,
+    RequestTimeoutError,
+    TanagerError,
+)
+
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
@@ -50,9 +58,50 @@
     )
 
 
+def error_document(error: TanagerError) -> dict[str, object]:
+    """Returns an error in the published shape, with its stable code and outcome."""
+    return {
+        "error": {
+            "message": error.message,
+            "type": type(error).__name__,
+            "code": error.code,
+            "param": None,
+            "outcome": error.outcome.value,
+        }
+    }
+
+
+def error_response(error: TanagerError, request_id: str) -> Response:
+    """Returns the response for a failed request."""
+    headers = [("X-Request-Id", request_id), ("X-Outcome", error.outcome.value)]
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
+    return json_response(error_document(error), error.status, headers)
+
+
 def read_body(environ: Environ) -> bytes:
-    """Returns the whole request body; the server bounds its size."""
-    return environ["wsgi.input"].read() or b""
+    """Returns the whole request body; the server bounds its size.
+
+    Raises:
+        RequestError: the body is too long, malformed, incomplete or too slow.
+    """
+    source = environ["wsgi.input"]
+    try:
+        body = source.read() or b""
+    except MaxSizeExceeded as error:
+        raise PayloadTooLargeError("the body is over the size limit") from error
+    except TimeoutError as error:
+        raise RequestTimeoutError("the body did not arrive in time") from error
+    except ConnectionError as error:
+        raise RequestError("the connection ended within the body") from error
+    except OSError as error:
+        # The server raises a plain OSError for a chunk that exceeds the size limit.
+        raise PayloadTooLargeError("the body is over the size limit") from error
+    except ValueError as error:
+        raise RequestError("the chunked body is malformed") from error
+    if getattr(source, "remaining", 0):
+        raise RequestError("the connection ended within the body")
+    return body
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -71,9 +120,10 @@
     idle_timeout_s: float = 30.0,
     shutdown_timeout_s: float = 5.0,
     reuse_port: bool = False,
+    server_class: type[Server] = Server,
 ) -> Server:
     """Returns a cheroot server for `app`; call ``start`` to serve and ``stop`` to end."""
-    server = Server(
+    server = server_class(
         parse_address(address),
         app,
         numthreads=threads,
