Test the router against back ends, engines and agents that fail

Fake back ends on loopback break answers in each way that the outcomes distinguish: refused and closed connections, half answers, crossed answers, engines that restart, an agent that is lost. A valid event in front of a broken chunk is now relayed before the error is reported; the tests showed that it was dropped. The client library openai works unchanged against a router.

--- a/src/tanagerworks/router/answer.py
+++ b/src/tanagerworks/router/answer.py
@@ -235,6 +235,9 @@
                 if len(buffer) - position < len(_CRLF):
                     break
                 if buffer[position : position + 2] != _CRLF:
+                    if parts:
+                        # What was whole goes on first; the next call raises.
+                        break
                     raise BackendProtocolError("a chunk of the answer has no end")
                 position += 2
                 self.crlf_due = False
@@ -244,13 +247,16 @@
                     raise BackendProtocolError("a chunk line of the answer is too long")
                 break
             line = buffer[position:end]
-            position = end + 2
             if self.trailer_bytes:
+                position = end + 2
                 self._take_trailer(line)
                 continue
             size = line.partition(b";")[0].strip()
             if not _CHUNK_SIZE.match(size):
+                if parts:
+                    break
                 raise BackendProtocolError("a chunk size of the answer is not a number")
+            position = end + 2
             self.left = int(size, 16)
             if self.left == 0:
                 self.trailer_bytes = 1
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,9 @@
 """Builders of test data."""
 
+import json
 from typing import Any
 
+from tanagerworks.note.model import Note
 from tools.fleet import key_sha256
 
 CUSTOMER_KEY = "key-of-club-carthage"
@@ -35,3 +37,51 @@
 def note_document(serial: int = 1, **sections: Any) -> dict[str, Any]:
     """Returns a full release note."""
     return {"serial": serial, "statement": statement_document(**sections)}
+
+
+OTHER_KEY = "key-of-club-sfax"
+
+
+def router_note(
+    engines: dict[str, str] | None = None,
+    servers: dict[str, str] | None = None,
+    engine_traits: dict[str, Any] | None = None,
+    **service: Any,
+) -> Note:
+    """Returns a note with engines and servers of the service ``orders`` at given addresses."""
+    zone = "sfax-medina"
+    routes = [
+        {"method": "GET", "path_prefix": "/", "repeatable": True},
+        {"method": "GET", "path_prefix": "/draw", "repeatable": False},
+        {"method": "POST", "path_prefix": "/quotes", "repeatable": True},
+    ]
+    document = note_document(
+        zones={zone: {}, "sfax-thyna": {}},
+        services={
+            "orders": {
+                "servers": {
+                    name: {"address": address, "zone": zone}
+                    for name, address in (servers or {"d1": "127.0.0.1:9"}).items()
+                },
+                "routes": routes,
+                "timeout_s": 5.0,
+                **service,
+            }
+        },
+        customers={
+            name: {
+                "key_sha256": [key_sha256(key)],
+                "models": ["wax"],
+                "services": ["orders"],
+            }
+            for name, key in (("club-carthage", CUSTOMER_KEY), ("club-sfax", OTHER_KEY))
+        },
+    )
+    template = document["statement"]["engines"].pop("m1")
+    for name, address in (engines or {}).items():
+        document["statement"]["engines"][name] = {
+            **template,
+            "address": address,
+            **(engine_traits or {}),
+        }
+    return Note.model_validate_json(json.dumps(document))
--- /dev/null
+++ b/tests/test_agent_link.py
@@ -0,0 +1,201 @@
+"""Last check before sending, loss of the agent, and release of slots."""
+
+import json
+import logging
+import threading
+
+import pytest
+
+from tanagerworks.clock import boot_time_s
+from tanagerworks.router.slot_book import Grant, SlotBook
+from tanagerworks.rpc.tanager_pb2 import Slot
+from tests.builders import router_note
+from tests.fakes import BOOT_ID, FakeAgent, FakeBackend, RouterUnderTest, until
+from tests.test_engine_relay import FakeEngine, _error
+
+
+@pytest.fixture(name="engine")
+def fake_engine():
+    return FakeEngine()
+
+
+@pytest.fixture(name="backend")
+def engine_backend(engine):
+    with FakeBackend(engine) as backend:
+        yield backend
+
+
+@pytest.fixture(name="router")
+def router_before_engine(backend):
+    note = router_note(engines={"m1": backend.address})
+    with RouterUnderTest(note, agent_loss_grace_s=600.0) as router:
+        yield router
+
+
+def _chats(backend):
+    return len(backend.of("POST"))
+
+
+def test_old_view_is_refreshed_before_bytes_are_sent(router, backend):
+    """Guards against sending by a view that waited in a buffer while the process was paused."""
+    router.agent.view_delay_s = 60.0
+    until(lambda: router.router.link.view_age_s > 0.2)
+    view = router.router.link.view
+    router.router.link.view = type(view)(**{**vars(view), "known_at_s": view.known_at_s - 60})
+    assert _error(router.chat()) == ("not_ready", "not_run")
+    assert router.agent.refreshes
+    assert router.request("GET", "/readyz").status == 503
+    router.agent.view_delay_s = 0.0
+    assert router.chat(stream=True).status == 200
+    assert _chats(backend) == 1
+
+
+def test_engine_out_of_service_after_the_claim_gets_nothing(router, backend):
+    """Guards against new work for an engine that left while the request waited for a slot."""
+
+    def leave():
+        router.agent.out_of_service.add("m1")
+        until(lambda: "m1" not in router.router.link.view.eligible)
+
+    router.agent.before_grant = leave
+    assert _error(router.chat()) == ("no_capacity", "not_run")
+    assert not _chats(backend)
+    until(lambda: len(router.agent.released) == 1)
+
+
+def test_borrowed_slot_is_not_used_after_its_time(router, backend):
+    """Guards against work on a lent slot that its owner may have taken back."""
+    router.agent.start_by_s = 1e-9
+    assert _error(router.chat()) == ("deadline_exceeded", "not_run")
+    assert not _chats(backend)
+
+
+def test_work_above_the_cold_allowance_needs_a_proof_of_the_boot_id(router, engine, backend):
+    """Guards against full load on an engine that restarted without notice."""
+    router.agent.index = 5
+    assert router.chat(stream=True).status == 200
+    targets = [request.target for request in backend.requests]
+    assert targets == ["/v1/boot", "/v1/chat/completions"]
+    assert len({request.connection for request in backend.requests}) == 1
+    engine.boot_id = "boot-2"
+    until(lambda: router.router.link.now() - _last_proof(router) > 0.5)
+    assert _error(router.chat(stream=True)) == ("backend_restarted", "not_run")
+    assert _chats(backend) == 1
+    router.agent.boot_id = ""
+    assert _error(router.chat(stream=True)) == ("backend_restarted", "not_run")
+    router.agent.index = 1
+    assert router.chat(stream=True).status == 200
+
+
+def _last_proof(router):
+    pools = router.router.connections.idle.values()
+    return max(connection.boot_proved_at_s for pool in pools for connection in pool)
+
+
+def test_lost_agent_leaves_held_slots_for_the_grace_period(router, backend, caplog, monkeypatch):
+    """Guards against a router that stops at once, or that serves for ever, without its agent."""
+    with caplog.at_level(logging.WARNING):
+        gate, inside = threading.Event(), threading.Event()
+
+        def chat(request, conn):
+            inside.set()
+            gate.wait(10)
+            return FakeEngine().stream_whole(request, conn)
+
+        backend.handle.chat = chat
+        first = []
+        thread = threading.Thread(target=lambda: first.append(router.chat(stream=True)))
+        thread.start()
+        assert inside.wait(5)
+        router.agent.stop()
+        until(lambda: router.request("GET", "/readyz").status == 503)
+        gate.set()
+        thread.join()
+        assert first[0].status == 200
+        until(lambda: router.router.link.book.kept)
+        assert router.chat(stream=True).status == 200
+        assert [record.message for record in caplog.records].count(
+            "lost the node agent; held slots are reused for the grace period"
+        ) == 1
+        # The agent's absence exceeds the grace period on the router's clock.
+        monkeypatch.setattr(router.router.link, "now", lambda: boot_time_s() + 1000.0)
+        assert _error(router.chat(stream=True)) == ("not_ready", "not_run")
+        assert _chats(backend) == 2
+    monkeypatch.undo()
+    router.agent.held.clear()
+    router.agent.start()
+    until(lambda: router.request("GET", "/readyz").status == 200)
+    # The slot is reported as held, and then released once.
+    assert [slot.grant_id for slot in router.agent.held[0]] == [1]
+    until(lambda: router.agent.released)
+    assert [ended.slot.grant_id for ended in router.agent.released] == [1]
+
+
+def test_release_is_repeated_until_the_agent_has_it(backend):
+    """Guards against a slot that stays used for ever after a lost message."""
+    agent = FakeAgent(router_note(engines={"m1": backend.address}))
+    agent.fail_releases = 3
+    agent.start()
+    with RouterUnderTest(agent.note, agent) as router:
+        assert router.chat(stream=True).status == 200
+        until(lambda: agent.released)
+        assert [ended.slot.grant_id for ended in agent.released] == [1]
+        assert not agent.fail_releases
+
+
+@pytest.mark.parametrize(
+    ("refusal", "status"),
+    [("no_capacity", 503), ("rate_limit_exceeded", 429), ("deadline_exceeded", 503)],
+)
+def test_refusal_of_the_agent_keeps_its_code(router, refusal, status):
+    """Guards against a refusal that the caller cannot tell from another."""
+    router.agent.refusal = refusal
+    answer = router.chat()
+    assert answer.status == status
+    assert _error(answer) == (refusal, "not_run")
+    assert answer.headers["Retry-After"] == "1"
+
+
+def _grant(number):
+    return Grant(Slot(engine_id="m1", index=number, grant_id=number), BOOT_ID)
+
+
+def test_book_counts_each_slot_once():
+    """Guards against a slot that is released twice, lost, or granted behind a report."""
+    book = SlotBook()
+    first, late = _grant(1), _grant(2)
+    assert book.add(first, book.epoch)
+    epoch = book.epoch
+    assert [slot.grant_id for slot in book.report()] == [1]
+    assert not book.add(late, epoch)
+    book.end(first, None)
+    book.end(first, None)
+    book.end_at(first, None, 0.0)
+    ended, _ = book.due(1.0, 10, 0.0)
+    assert [item.slot.grant_id for item in ended] == [2, 1]
+    assert sorted(slot.grant_id for slot in book.report()) == [1, 2]
+    book.acknowledge(ended, [])
+    assert not book.report()
+
+
+def test_delayed_end_waits_for_the_longest_work():
+    """Guards against a free slot while its request may still be at the engine."""
+    book = SlotBook()
+    grant = _grant(1)
+    book.add(grant, book.epoch)
+    book.end_at(grant, None, 10.0)
+    assert book.due(9.9, 10, 0.0) == ([], [])
+    assert len(book.report()) == 1
+    assert len(book.due(10.0, 10, 0.0)[0]) == 1
+
+
+def test_note_never_reverts(router):
+    """Guards against an older note from an agent that restarted on stale data."""
+    document = router.agent.note.model_dump(mode="json")
+    newer = {**document, "serial": 3}
+    router.agent.note = type(router.agent.note).model_validate_json(json.dumps(newer))
+    until(lambda: router.router.link.view.index.note.serial == 3)
+    router.agent.note = type(router.agent.note).model_validate_json(json.dumps(document))
+    before = router.router.link.view.known_at_s
+    until(lambda: router.router.link.view.known_at_s > before + 0.2)
+    assert router.router.link.view.index.note.serial == 3
--- /dev/null
+++ b/tests/test_engine_relay.py
@@ -0,0 +1,354 @@
+"""Chats through a router in this process, against engines that fail."""
+
+import json
+import socket
+import threading
+
+import pytest
+from openai import APIError, OpenAI
+
+from tests.builders import CUSTOMER_KEY, router_note
+from tests.fakes import (
+    BOOT_ID,
+    DONE,
+    FakeBackend,
+    RouterUnderTest,
+    chunk,
+    event,
+    send,
+    start_stream,
+    until,
+)
+from tools.fleet import free_address
+
+
+class FakeEngine:
+    """An engine whose answers to each kind of request a test can replace."""
+
+    def __init__(self):
+        self.boot_id = BOOT_ID
+        self.chat = self.stream_whole
+        self.resume = self.unknown
+        self.cancel = self.unknown
+
+    def __call__(self, request, conn):
+        if request.target == "/v1/boot":
+            body = json.dumps({"boot_id": self.boot_id}).encode()
+            return send(conn, 200, body)
+        if request.method == "DELETE":
+            return self.cancel(request, conn)
+        if request.target.startswith("/v1/requests/"):
+            return self.resume(request, conn)
+        return self.chat(request, conn)
+
+    def unknown(self, request, conn):
+        return send(conn, 404, b"{}", X_Request_Id=request.headers["X-Request-Id"])
+
+    def stream_whole(self, request, conn):
+        start_stream(conn, request.headers["X-Request-Id"], self.boot_id)
+        conn.sendall(chunk(event(1)) + chunk(event(2)) + chunk(DONE) + chunk(b""))
+        return True
+
+
+def _plain(request, conn, status=200, **headers):
+    body = {
+        "id": request.headers["X-Request-Id"],
+        "object": "chat.completion",
+        "created": 1,
+        "model": "wax",
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": "fine"},
+                "finish_reason": "stop",
+            }
+        ],
+    }
+    headers = {
+        "X_Request_Id": request.headers["X-Request-Id"],
+        "X_Engine_Boot": BOOT_ID,
+        **headers,
+    }
+    return send(conn, status, json.dumps(body).encode(), **headers)
+
+
+@pytest.fixture(name="engine")
+def fake_engine():
+    return FakeEngine()
+
+
+@pytest.fixture(name="backend")
+def engine_backend(engine):
+    with FakeBackend(engine) as backend:
+        yield backend
+
+
+@pytest.fixture(name="router")
+def router_before_engine(backend):
+    with RouterUnderTest(router_note(engines={"m1": backend.address})) as router:
+        yield router
+
+
+def _error(answer):
+    return answer.json()["error"]["code"], answer.headers["X-Outcome"]
+
+
+def _released(router, count=1):
+    until(lambda: len(router.agent.released) >= count)
+    assert len(router.agent.released) == count
+    return router.agent.released[-1].evidence
+
+
+def test_stream_is_relayed_whole_and_the_connection_reused(router, backend):
+    """Guards against lost or changed bytes, a lost release and a wasted connection."""
+    for count in (1, 2):
+        answer = router.chat(stream=True)
+        assert answer.data == event(1) + event(2) + DONE
+        evidence = _released(router, count)
+        assert evidence.whole
+        assert evidence.boot_id == BOOT_ID
+    assert backend.connections == 1
+
+
+def test_client_library_works_unchanged(engine, router):
+    """Guards against an answer that an ordinary client library cannot read."""
+
+    def chat(request, conn):
+        if not json.loads(request.body).get("stream"):
+            return _plain(request, conn)
+        start_stream(conn, request.headers["X-Request-Id"])
+        for text in ("fi", "ne"):
+            piece = {
+                "id": request.headers["X-Request-Id"],
+                "object": "chat.completion.chunk",
+                "created": 1,
+                "model": "wax",
+                "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": None}],
+            }
+            conn.sendall(chunk(b"data: " + json.dumps(piece).encode() + b"\n\n"))
+        if "break" not in json.loads(request.body)["messages"][0]["content"]:
+            conn.sendall(chunk(DONE) + chunk(b""))
+            return True
+        return False
+
+    engine.chat = chat
+    client = OpenAI(
+        api_key=CUSTOMER_KEY,
+        base_url=f"http://{router.settings.caller_address}/v1",
+        max_retries=0,
+    )
+    assert [model.id for model in client.models.list()] == ["wax", "wax:v1"]
+
+    def ask(text, stream):
+        messages = [{"role": "user", "content": text}]
+        return client.chat.completions.create(model="wax", messages=messages, stream=stream)
+
+    assert ask("hello", False).choices[0].message.content == "fine"
+    assert "".join(part.choices[0].delta.content for part in ask("hello", True)) == "fine"
+    with pytest.raises(APIError):
+        list(ask("break", True))
+
+
+def test_broken_stream_is_resumed_after_the_last_whole_event(engine, router, backend):
+    """Guards against a lost, doubled or torn event after a break in the middle of one."""
+
+    def chat(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"])
+        conn.sendall(chunk(event(1) + event(2)) + chunk(event(3)[:7]))
+        return False
+
+    def resume(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"])
+        conn.sendall(chunk(event(3)) + chunk(DONE) + chunk(b""))
+        return True
+
+    engine.chat, engine.resume = chat, resume
+    answer = router.chat(stream=True)
+    assert answer.data == event(1) + event(2) + event(3) + DONE
+    request_id = answer.headers["X-Request-Id"]
+    assert backend.of("GET")[0].target == f"/v1/requests/{request_id}/stream?after=2"
+    assert _released(router).whole
+
+
+@pytest.mark.parametrize(
+    "ending",
+    [b"", chunk(b""), b"zz\r\n", b"5\r\nabcdefgh"],
+    ids=["cut", "no end mark", "bad chunk size", "bad chunk end"],
+)
+def test_stream_that_cannot_be_resumed_ends_in_an_error_event(engine, router, ending):
+    """Guards against half an answer that looks like a whole one."""
+
+    def chat(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"])
+        conn.sendall(chunk(event(1)) + ending)
+        return False
+
+    engine.chat = chat
+    answer = router.chat(stream=True)
+    first, last = answer.data.split(b"\n\n", 1)
+    assert first + b"\n\n" == event(1)
+    assert last.startswith(b"event: error\ndata: ")
+    document = json.loads(last.partition(b"data: ")[2])
+    assert document["error"]["outcome"] == "ran"
+    assert not _released(router).whole
+
+
+def test_resumed_stream_of_a_restarted_engine_is_refused(engine, router):
+    """Guards against joining the answers of two lives of an engine."""
+
+    def chat(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"])
+        conn.sendall(chunk(event(1)))
+        return False
+
+    def resume(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"], "boot-2")
+        conn.sendall(chunk(event(2)) + chunk(DONE) + chunk(b""))
+        return True
+
+    engine.chat, engine.resume = chat, resume
+    assert b"event: error" in router.chat(stream=True).data
+
+
+@pytest.mark.parametrize("headers", [{"X_Request_Id": "another"}, {"X_Request_Id": ""}])
+def test_answer_to_another_request_never_reaches_the_caller(engine, router, backend, headers):
+    """Guards against crossed answers, and against reuse of such a connection."""
+    engine.chat = lambda request, conn: _plain(request, conn, **headers)
+    assert _error(router.chat()) == ("backend_protocol", "unknown")
+    engine.chat = _plain
+    assert router.chat().status == 200
+    connections = [request.connection for request in backend.of("POST")]
+    assert connections[0] != connections[1]
+
+
+def test_plain_answer_is_checked_before_the_caller_sees_a_status(engine, router):
+    """Guards against a good status in front of half an answer."""
+
+    def chat(request, conn):
+        conn.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\nX-Request-Id: "
+            + request.headers["X-Request-Id"].encode()
+            + b"\r\n\r\n{"
+        )
+        return False
+
+    engine.chat = chat
+    assert _error(router.chat()) == ("backend_protocol", "ran")
+
+
+def test_no_byte_sent_moves_to_another_engine(backend):
+    """Guards against a failure although nothing was sent and another engine could serve."""
+    note = router_note(engines={"m1": backend.address, "m2": free_address()})
+    with RouterUnderTest(note) as router:
+        for number in range(8):
+            assert router.chat(stream=True, user=str(number)).data.endswith(DONE)
+        claimed = {request.candidates[0].engine_id for request in router.agent.claims}
+        assert claimed == {"m1", "m2"}
+        until(lambda: len(router.agent.released) == len(router.agent.claims))
+
+
+def test_unknown_outcome_is_not_sent_again_and_holds_its_slot(engine, backend):
+    """Guards against two copies of a request at engines, and against a slot freed too early."""
+    engine.chat = lambda request, conn: False
+    with RouterUnderTest(router_note(engines={"m1": backend.address})) as router:
+        router.agent.max_work_s = 0.5
+        assert _error(router.chat()) == ("backend_failed", "unknown")
+        assert len(backend.of("POST")) == 1
+        # The engine does not know the request, but it might still read it.
+        assert len(backend.of("DELETE")) == 1
+        assert not router.agent.released
+        assert _released(router).failure == "backend_failed"
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_caller_that_leaves_cancels_its_request(engine, router, backend, stream):
+    """Guards against work for a caller that is gone, also before the first token."""
+    release = threading.Event()
+
+    def chat(request, conn):
+        if stream:
+            start_stream(conn, request.headers["X-Request-Id"])
+        else:
+            head = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Request-Id: {}\r\n\r\n"
+            conn.sendall(head.format(request.headers["X-Request-Id"]).encode())
+        release.wait(10)
+        return False
+
+    engine.chat = chat
+    engine.cancel = lambda request, conn: send(conn, 200, b"{}")
+    host, port = router.settings.caller_address.split(":")
+    body = json.dumps({"model": "wax", "messages": [{"role": "user"}], "stream": stream})
+    head = f"Authorization: Bearer {CUSTOMER_KEY}\r\nContent-Length: {len(body)}"
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(f"POST /v1/chat/completions HTTP/1.1\r\n{head}\r\n\r\n{body}".encode())
+        until(lambda: backend.of("POST"))
+    until(lambda: backend.of("DELETE"))
+    request_id = backend.of("POST")[0].headers["X-Request-Id"]
+    assert backend.of("DELETE")[0].target == f"/v1/requests/{request_id}"
+    assert not _released(router).whole
+    release.set()
+
+
+def test_work_is_cancelled_at_its_longest_time(engine, router, backend):
+    """Guards against a request that stays at an engine longer than its slot may be held."""
+    release = threading.Event()
+
+    def chat(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"])
+        conn.sendall(chunk(event(1)))
+        release.wait(10)
+        return False
+
+    engine.chat = chat
+    router.agent.max_work_s = 0.3
+    answer = router.chat(stream=True)
+    assert b'"code": "backend_timeout"' in answer.data
+    assert len(backend.of("DELETE")) == 1
+    release.set()
+
+
+def test_streams_beyond_the_limit_are_refused(engine, backend):
+    """Guards against streams that starve each other in one process."""
+    release = threading.Event()
+
+    def chat(request, conn):
+        start_stream(conn, request.headers["X-Request-Id"])
+        conn.sendall(chunk(event(1)))
+        release.wait(10)
+        conn.sendall(chunk(DONE) + chunk(b""))
+        return True
+
+    engine.chat = chat
+    note = router_note(engines={"m1": backend.address})
+    with RouterUnderTest(note, max_streams=1) as router:
+        first = router.chat(stream=True, preload=False)
+        assert _error(router.chat()) == ("too_many_streams", "not_run")
+        assert router.request("GET", "/livez").status == 200
+        release.set()
+        assert first.read() == event(1) + DONE
+        assert router.chat(stream=True).status == 200
+
+
+def test_versions_aliases_and_unknown_fields(backend):
+    """Guards against a chat that changes its version, and against fields that get lost."""
+    note = router_note(engines={"m1": backend.address})
+    document = note.model_dump(mode="json")
+    statement = document["statement"]
+    statement["models"] = {
+        "wax": {"versions": {"v1": 0.5, "v2": 0.5, "v3": 0.0}, "aliases": ["best"]}
+    }
+    statement["engines"]["m2"] = {**statement["engines"]["m1"], "version": "v2"}
+    with RouterUnderTest(type(note).model_validate_json(json.dumps(document))) as router:
+
+        def engine_of(**fields):
+            assert router.chat(stream=True, **fields).status == 200
+            return router.agent.claims[-1].candidates[0].engine_id
+
+        chosen = [engine_of(user=str(number)) for number in range(12)]
+        assert set(chosen) == {"m1", "m2"}
+        assert chosen == [engine_of(user=str(number), model="best") for number in range(12)]
+        assert engine_of(model="wax:v2", logit_bias={"7": 1}) == "m2"
+        sent = json.loads(backend.of("POST")[-1].body)
+        assert (sent["model"], sent["logit_bias"]) == ("wax", {"7": 1})
+        assert _error(router.chat(model="wax:v3")) == ("no_capacity", "not_run")
+        assert _error(router.chat(model="wax:v9")) == ("model_not_found", "not_run")
