Let a new watch free a slot whose grant came too late

A claim that the agent granted after the router gave up left the slot used until the router ended. The router now renews its watch, which reports the slots that it knows; the agent then frees the others after the longest work. Claims carry the chat's hash.

--- a/src/tanagerworks/router/agent_link.py
+++ b/src/tanagerworks/router/agent_link.py
@@ -9,7 +9,13 @@
 import grpc
 
 from tanagerworks.clock import boot_time_s
-from tanagerworks.errors import CapacityError, DeadlineError, NotReadyError, RateLimitError
+from tanagerworks.errors import (
+    CapacityError,
+    DeadlineError,
+    NotReadyError,
+    RateLimitError,
+    RequestError,
+)
 from tanagerworks.note.model import Statement
 from tanagerworks.router.slot_book import Grant, SlotBook
 from tanagerworks.router.view import RouterView, next_view
@@ -36,7 +42,9 @@
 # The agent answers a claim by its deadline; this margin covers the way back.
 _CLAIM_MARGIN_S = 0.5
 
-_REFUSALS = {error.code: error for error in (CapacityError, DeadlineError, RateLimitError)}
+_REFUSALS = {
+    error.code: error for error in (CapacityError, DeadlineError, NotReadyError, RateLimitError)
+}
 
 
 class AgentLink:
@@ -72,6 +80,7 @@
         self.refresh_lock = threading.Lock()
         self.refresh_failed_at_s = float("-inf")
         self.lost = False
+        self.watch_call: grpc.Call | None = None
         self.stopping = threading.Event()
         self.threads = [
             threading.Thread(target=self._watch, name="agent-watch", daemon=True),
@@ -154,16 +163,23 @@
                 note_serial=self._serial(),
             )
             try:
-                for message in self.stub.Watch(request):
+                self.watch_call = self.stub.Watch(request)
+                for message in self.watch_call:
                     self._take(message, self.now())
             except grpc.RpcError as error:
-                self._lose_agent(error)
+                if error.code() is not grpc.StatusCode.CANCELLED:
+                    self._lose_agent(error)
             except Exception:
                 _LOGGER.exception("cannot use a view of the node agent")
             if self.lost and self.view_age_s > self.agent_loss_grace_s:
                 self.book.give_up_kept()
             self.stopping.wait(_RECONNECT_S)
 
+    def _renew_watch(self) -> None:
+        call = self.watch_call
+        if call is not None:
+            call.cancel()
+
     def _take(self, message: View, received_at_s: float) -> None:
         with self.view_lock:
             view = next_view(message, self.view, received_at_s)
@@ -190,7 +206,7 @@
 
         Raises:
             CapacityError, DeadlineError, RateLimitError: the agent refused.
-            NotReadyError: the agent did not answer and no held slot is free.
+            NotReadyError: the agent takes no work, or does not answer and no held slot is free.
         """
         request.router_id = self.router_id
         request.instance_id = self.instance_id
@@ -203,8 +219,10 @@
             try:
                 reply = self.stub.Claim(request, timeout=request.deadline_s + _CLAIM_MARGIN_S)
             except grpc.RpcError as error:
-                self.book.abandon(request.request_id)
                 if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                    # The agent may have granted a slot in an answer that came too late. A new
+                    # watch reports the slots that this router knows, so the agent frees it.
+                    self._renew_watch()
                     raise DeadlineError("no slot was granted within the deadline") from error
                 self._lose_agent(error)
                 return self._reuse(request)
@@ -238,14 +256,13 @@
 
     def _send_releases(self) -> None:
         while not self.stopping.is_set():
-            ended, abandoned = self.book.due(self.now(), _RELEASE_BATCH, _RELEASE_IDLE_S)
-            if not (ended or abandoned):
+            ended = self.book.due(self.now(), _RELEASE_BATCH, _RELEASE_IDLE_S)
+            if not ended:
                 continue
             request = ReleaseRequest(
                 router_id=self.router_id,
                 instance_id=self.instance_id,
                 ended=ended,
-                abandoned_requests=abandoned,
             )
             try:
                 self.stub.Release(request, timeout=_RELEASE_TIMEOUT_S)
@@ -256,7 +273,7 @@
             except ValueError:
                 # The channel was closed by `stop`.
                 return
-            self.book.acknowledge(ended, abandoned)
+            self.book.acknowledge(ended)
 
 
 def _grant(reply: ClaimReply, sent_at_s: float, statement: Statement) -> Grant:
@@ -271,8 +288,10 @@
     )
 
 
-def _refusal(reply: ClaimReply) -> CapacityError | DeadlineError | RateLimitError:
-    error = _REFUSALS.get(reply.refusal, CapacityError)(reply.reason or "no slot is free")
+def _refusal(reply: ClaimReply) -> RequestError:
+    error: RequestError = _REFUSALS.get(reply.refusal, CapacityError)(
+        reply.reason or "no slot is free"
+    )
     if reply.retry_after_s > 0:
         error.retry_after_s = reply.retry_after_s
     return error
--- a/src/tanagerworks/router/pipeline.py
+++ b/src/tanagerworks/router/pipeline.py
@@ -11,7 +11,6 @@
     BackendError,
     CapacityError,
     DeadlineError,
-    RateLimitError,
     RequestError,
     TanagerError,
 )
@@ -149,6 +148,7 @@
                 request_class=request.customer.request_class,
                 deadline_s=remaining_s,
                 candidates=candidates,
+                chat_hash=request.chat_hash,
             ),
             statement,
         )
@@ -192,7 +192,7 @@
         for attempt in range(MAX_ATTEMPTS):
             try:
                 self.choose.run(request)
-            except (CapacityError, DeadlineError, RateLimitError):
+            except RequestError:
                 if failure is not None:
                     raise failure from None
                 raise
--- a/src/tanagerworks/router/slot_book.py
+++ b/src/tanagerworks/router/slot_book.py
@@ -57,8 +57,6 @@
         self.pending: list[Ended] = []
         self.delayed: list[_DelayedEnd] = []
         self.delays = 0
-        # Requests whose claim was given up, for the agent to free what it granted.
-        self.abandoned: list[str] = []
         # Grows with every report of `held`, so a grant that the report missed is noticed.
         self.epoch = 0
 
@@ -132,35 +130,28 @@
             self.kept.clear()
             self.changed.notify_all()
 
-    def abandon(self, request_id: str) -> None:
-        """Notes that a claim was given up without an answer."""
+    def due(self, now_s: float, limit: int, wait_s: float) -> list[Ended]:
+        """Returns releases to send, waiting up to `wait_s` for some."""
         with self.changed:
-            self.abandoned.append(request_id)
-            self.changed.notify_all()
-
-    def due(self, now_s: float, limit: int, wait_s: float) -> tuple[list[Ended], list[str]]:
-        """Returns releases and abandoned claims to send, waiting up to `wait_s` for some."""
-        with self.changed:
-            if not (self.pending or self.abandoned):
+            if not self.pending:
                 if self.delayed:
                     wait_s = min(wait_s, max(0.0, self.delayed[0].at_s - now_s))
                 self.changed.wait(wait_s)
             while self.delayed and self.delayed[0].at_s <= now_s:
                 item = heapq.heappop(self.delayed)
                 self._end(item.grant, item.evidence, keep=False)
-            return self.pending[:limit], self.abandoned[:limit]
+            return self.pending[:limit]
 
-    def acknowledge(self, ended: Sequence[Ended], abandoned: Sequence[str]) -> None:
+    def acknowledge(self, ended: Sequence[Ended]) -> None:
         """Forgets what the agent has taken."""
         with self.changed:
             del self.pending[: len(ended)]
-            del self.abandoned[: len(abandoned)]
             self.changed.notify_all()
 
     def wait_until_released(self, timeout_s: float) -> bool:
         """Waits until the agent has every release that is due; returns whether it has."""
         with self.changed:
             return self.changed.wait_for(
-                lambda: not (self.pending or self.abandoned or self.in_use or self.kept),
+                lambda: not (self.pending or self.in_use or self.kept),
                 timeout_s,
             )
--- a/tests/test_agent_link.py
+++ b/tests/test_agent_link.py
@@ -7,8 +7,9 @@
 import pytest
 
 from tanagerworks.clock import boot_time_s
+from tanagerworks.errors import DeadlineError
 from tanagerworks.router.slot_book import Grant, SlotBook
-from tanagerworks.rpc.tanager_pb2 import Slot
+from tanagerworks.rpc.tanager_pb2 import Candidate, ClaimRequest, Slot
 from tests.builders import router_note
 from tests.fakes import BOOT_ID, FakeAgent, FakeBackend, RouterUnderTest, until
 from tests.test_engine_relay import FakeEngine, _error
@@ -156,6 +157,20 @@
     assert answer.headers["Retry-After"] == "1"
 
 
+def test_slot_granted_too_late_is_reported_as_not_held(router):
+    """Guards against a slot that stays used because its grant came after the router gave up."""
+    claim = ClaimRequest(request_id="r", deadline_s=0.0, candidates=[Candidate(engine_id="m1")])
+    router.agent.before_grant = lambda: threading.Event().wait(1.0)
+    link = router.router.link
+    until(lambda: link.view.index is not None)
+    watches = len(router.agent.held)
+    with pytest.raises(DeadlineError):
+        link.claim(claim, link.view.index.note.statement)
+    until(lambda: len(router.agent.held) > watches)
+    assert router.agent.held[-1] == []
+    assert not link.lost
+
+
 def _grant(number):
     return Grant(Slot(engine_id="m1", index=number, grant_id=number), BOOT_ID)
 
@@ -171,10 +186,10 @@
     book.end(first, None)
     book.end(first, None)
     book.end_at(first, None, 0.0)
-    ended, _ = book.due(1.0, 10, 0.0)
+    ended = book.due(1.0, 10, 0.0)
     assert [item.slot.grant_id for item in ended] == [2, 1]
     assert sorted(slot.grant_id for slot in book.report()) == [1, 2]
-    book.acknowledge(ended, [])
+    book.acknowledge(ended)
     assert not book.report()
 
 
@@ -184,9 +199,9 @@
     grant = _grant(1)
     book.add(grant, book.epoch)
     book.end_at(grant, None, 10.0)
-    assert book.due(9.9, 10, 0.0) == ([], [])
+    assert not book.due(9.9, 10, 0.0)
     assert len(book.report()) == 1
-    assert len(book.due(10.0, 10, 0.0)[0]) == 1
+    assert len(book.due(10.0, 10, 0.0)) == 1
 
 
 def test_note_never_reverts(router):
