Add status, explain, drain, audit and events to tanagerctl

tanagerctl could only check a note. It now compares a note with the one in force, shows the fleet as several nodes see it, explains a routing decision, drains and undrains a node, fetches, verifies and merges audit trails, replays saved ones and follows events. The key comes from a file or the variable TANAGERCTL_KEY and no output shows it. drain takes one node per call, so that a slip does not take the fleet out of service. The agent shortens waits above max_wait_s, since a reader cannot know its setting.

--- a/src/tanagerworks/agent/admin.py
+++ b/src/tanagerworks/agent/admin.py
@@ -55,6 +55,9 @@
 # A comment in an event stream that shows a broken connection while nothing happens.
 _KEEPALIVE_S = 5.0
 
+# Longer waits are refused as a mistake; those above max_wait_s of the settings are shortened.
+_LONGEST_WAIT_S = 3600.0
+
 ResultT = TypeVar("ResultT")
 
 
@@ -283,7 +286,7 @@
         if not self.followers.acquire(blocking=False):
             raise FollowersError("too many calls wait for events; try another node")
         try:
-            wait_s = call.number("wait_s", 0, self.settings.max_wait_s)
+            wait_s = min(call.number("wait_s", 0, _LONGEST_WAIT_S), self.settings.max_wait_s)
             if "text/event-stream" in call.environ.get("HTTP_ACCEPT", ""):
                 headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")]
                 stream = _EventStream(self, self._resume_position(call))
--- a/src/tanagerworks/agent/admin_models.py
+++ b/src/tanagerworks/agent/admin_models.py
@@ -11,9 +11,9 @@
 
 
 class AdminModel(BaseModel):
-    """Base of the published documents."""
+    """Base of the published documents; readers pass over fields that a newer agent adds."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True)
 
 
 class NodeStatus(AdminModel):
@@ -119,6 +119,8 @@
 class ActionRequest(AdminModel):
     """Body of ``/drain`` and ``/undrain``."""
 
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
     reason: str = Field(default="", max_length=400)
 
 
--- /dev/null
+++ b/src/tanagerworks/ctl/command.py
@@ -0,0 +1,116 @@
+"""What the subcommands share: their description, flags and access to the nodes."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import cached_property
+
+from absl import flags
+
+from tanagerworks.ctl.client import AdminClient, read_key
+from tanagerworks.ctl.output import Printer
+from tanagerworks.errors import RequestError
+
+
+class UsageError(RequestError):
+    """The command line does not fit the subcommand."""
+
+    code = "usage"
+
+
+@dataclass
+class Invocation:
+    """One run of a subcommand: its arguments, flags and output."""
+
+    arguments: Sequence[str]
+    flag_values: flags.FlagValues
+    printer: Printer
+
+    def flag(self, name: str) -> str | None:
+        """Returns a text flag, None if it is not set."""
+        value = self.flag_values[name].value
+        return None if value is None else str(value)
+
+    def seconds(self, name: str) -> float:
+        """Returns a flag that holds seconds."""
+        return float(self.flag_values[name].value or 0.0)
+
+    @property
+    def nodes(self) -> list[str]:
+        """Administration addresses of the nodes to ask.
+
+        Raises:
+            UsageError: there are none.
+        """
+        addresses = list(dict.fromkeys(self.flag_values["nodes"].value or []))
+        if not addresses:
+            raise UsageError("--nodes=IP:PORT,... names the administration ports to ask")
+        return addresses
+
+    @cached_property
+    def client(self) -> AdminClient:
+        """Client with the operator's key."""
+        key = read_key(self.flag("key_file"))
+        return AdminClient(key, self.seconds("timeout_s"), self.flag("ca_file"))
+
+
+@dataclass(frozen=True)
+class Command:
+    """A subcommand; `arguments` names the positional arguments for the help text."""
+
+    name: str
+    arguments: str
+    summary: str
+    # Lowest and highest number of positional arguments.
+    counts: tuple[int, int]
+    run: Callable[[Invocation], int]
+
+
+MANY = 1000
+
+
+def define_flags(flag_values: flags.FlagValues) -> None:
+    """Adds the flags that the subcommands share."""
+    flags.DEFINE_list(
+        "nodes",
+        [],
+        "Administration ports of the nodes to ask, as IP:PORT,IP:PORT.",
+        flag_values=flag_values,
+    )
+    flags.DEFINE_string(
+        "key_file",
+        None,
+        "File with the administration key; otherwise the variable TANAGERCTL_KEY holds it.",
+        flag_values=flag_values,
+    )
+    flags.DEFINE_string(
+        "ca_file",
+        None,
+        "PEM file with the certificates to trust; given, all calls use TLS.",
+        flag_values=flag_values,
+    )
+    flags.DEFINE_enum(
+        "output",
+        "table",
+        ["table", "json"],
+        "Tables for people or JSON for programs.",
+        flag_values=flag_values,
+    )
+    flags.DEFINE_float(
+        "timeout_s", 5.0, "Longest wait for one answer.", lower_bound=0.1, flag_values=flag_values
+    )
+    flags.DEFINE_string(
+        "base", None, "File with the full note to compare with.", flag_values=flag_values
+    )
+    flags.DEFINE_string(
+        "reason", "", "Why the action is done; stands in the audit trail.", flag_values=flag_values
+    )
+    flags.DEFINE_integer(
+        "at_serial", None, "Last serial that replay takes.", flag_values=flag_values
+    )
+    flags.DEFINE_float(
+        "follow_s",
+        0.0,
+        "Seconds for which events follows; 0 follows until it is interrupted.",
+        lower_bound=0.0,
+        flag_values=flag_values,
+    )
--- /dev/null
+++ b/src/tanagerworks/ctl/exits.py
@@ -0,0 +1,24 @@
+"""Exit statuses of ``tanagerctl``; they are part of its published interface."""
+
+from enum import IntEnum
+
+
+class ExitStatus(IntEnum):
+    """Exit status of a subcommand; the highest one that applies is used."""
+
+    OK = 0
+    FINDING = 1
+    USAGE = 2
+    PARTIAL = 3
+    UNREACHABLE = 4
+    REFUSED = 5
+
+
+EXIT_STATUS_HELP = """Exit statuses:
+  0  done, nothing to report
+  1  finding: the note cannot be accepted, statements differ, serials differ between nodes,
+     the chat would not be served, or a trail does not verify
+  2  wrong command line, or no key
+  3  some nodes did not answer; the output is partial
+  4  no node answered
+  5  a node refused the call, such as for a key without the role"""
--- a/src/tanagerworks/ctl/main.py
+++ b/src/tanagerworks/ctl/main.py
@@ -1,45 +1,73 @@
 """Command line of ``tanagerctl``."""
 
 import sys
-from pathlib import Path
+from collections.abc import Sequence
 
-import yaml
-from pydantic import ValidationError
+from tanagerworks.ctl import actions, audit, notes, status
+from tanagerworks.ctl.client import KeyMissingError, NodeRefusedError, NodeUnreachableError
+from tanagerworks.ctl.command import Command, Invocation, UsageError, define_flags
+from tanagerworks.ctl.exits import EXIT_STATUS_HELP, ExitStatus
+from tanagerworks.ctl.output import Printer
+from tanagerworks.errors import TanagerError
+from tanagerworks.program import CommandLine
 
-from tanagerworks.note.model import Note
-from tanagerworks.program import EXIT_FAILED, EXIT_OK, EXIT_USAGE, CommandLine
+COMMANDS: Sequence[Command] = (
+    *notes.COMMANDS,
+    *status.COMMANDS,
+    *actions.COMMANDS,
+    *audit.COMMANDS,
+)
 
-_DESCRIPTION = """Operator's tool of tanagerworks.
 
-Usage: tanagerctl SUBCOMMAND ARGUMENTS
+def _description() -> str:
+    lines = [
+        "Operator's tool of tanagerworks. It prepares and shows; it writes no shared state.",
+        "",
+        "Usage: tanagerctl SUBCOMMAND [ARGUMENTS] [FLAGS]",
+        "",
+        "Subcommands:",
+    ]
+    for command in COMMANDS:
+        usage = f"{command.name} {command.arguments}".rstrip()
+        lines.append(f"  {usage:32} {command.summary}")
+    return "\n".join([*lines, "", EXIT_STATUS_HELP])
 
-Subcommands:
-  check FILE   checks a release note; exit status 1 if it cannot be accepted"""
 
-
-def check(path: str) -> int:
-    """Checks a full release note and prints every fault; returns the exit status."""
+def _dispatch(command_line: CommandLine, positional: Sequence[str]) -> int:
+    values = command_line.flag_values
+    printer = Printer(values["output"].value == "json")
+    commands = {command.name: command for command in COMMANDS}
+    if not positional or positional[0] not in commands:
+        print(_description(), file=sys.stderr)
+        return ExitStatus.USAGE
+    command = commands[positional[0]]
+    arguments = positional[1:]
+    lowest, highest = command.counts
     try:
-        note = Note.model_validate(yaml.safe_load(Path(path).read_text(encoding="utf-8")))
-    except (OSError, yaml.YAMLError) as error:
-        print(f"{path}: {error}", file=sys.stderr)
-        return EXIT_FAILED
-    except ValidationError as error:
-        for fault in error.errors(include_input=False, include_url=False):
-            place = ".".join(str(part) for part in fault["loc"])
-            print(f"{path}: {place}: {fault['msg']}", file=sys.stderr)
-        return EXIT_FAILED
-    print(f"{path}: serial {note.serial}, digest {note.digest()}")
-    return EXIT_OK
+        if not lowest <= len(arguments) <= highest:
+            raise UsageError(f"usage: tanagerctl {command.name} {command.arguments}")
+        return command.run(Invocation(arguments, values, printer))
+    except (UsageError, KeyMissingError) as error:
+        printer.error(error.message)
+        return ExitStatus.USAGE
+    except NodeUnreachableError as error:
+        printer.error(error.message)
+        return ExitStatus.UNREACHABLE
+    except NodeRefusedError as error:
+        printer.error(error.message)
+        return ExitStatus.REFUSED
+    except TanagerError as error:
+        printer.error(f"{error.code}: {error.message}")
+        return ExitStatus.FINDING
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Runs the subcommand that the command line names; returns the exit status."""
+    command_line = CommandLine("tanagerctl", _description())
+    define_flags(command_line.flag_values)
+    return int(_dispatch(command_line, command_line.parse(argv)))
 
 
 def run() -> None:
-    """Runs the subcommand that the command line names."""
-    command_line = CommandLine("tanagerctl", _DESCRIPTION)
-    positional = command_line.parse()
-    match positional:
-        case ["check", path]:
-            sys.exit(check(path))
-        case _:
-            print(_DESCRIPTION, file=sys.stderr)
-            sys.exit(EXIT_USAGE)
+    """Runs `main` and exits."""
+    sys.exit(main())
--- /dev/null
+++ b/src/tanagerworks/ctl/status.py
@@ -0,0 +1,190 @@
+"""Subcommands that show the fleet: status, explain."""
+
+from collections.abc import Iterable, Sequence
+
+from tanagerworks.agent.admin_models import (
+    CustomerStatus,
+    EngineStatus,
+    ExplainReport,
+    StatusReport,
+)
+from tanagerworks.ctl.client import gather
+from tanagerworks.ctl.command import Command, Invocation
+
+
+def _sum_known(values: Iterable[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return sum(known) if known else None
+
+
+def _highest(values: Iterable[int | None]) -> int | None:
+    return max((value for value in values if value is not None), default=None)
+
+
+def merge_engines(reports: Sequence[StatusReport]) -> list[dict[str, object]]:
+    """Returns one row per engine; slots in use and load are added up over the nodes."""
+    views: dict[str, list[EngineStatus]] = {}
+    for report in reports:
+        for engine in report.engines:
+            views.setdefault(engine.engine_id, []).append(engine)
+    rows: list[dict[str, object]] = []
+    for engine_id, seen in sorted(views.items()):
+        boots = {engine.boot_id for engine in seen if engine.boot_id is not None}
+        reuse = [engine.cache_reuse for engine in seen if engine.cache_reuse is not None]
+        rows.append(
+            {
+                "engine_id": engine_id,
+                "zone": seen[0].zone,
+                "model": seen[0].model,
+                "version": seen[0].version,
+                "eligible_at": sum(engine.eligible for engine in seen),
+                "seen_by": len(seen),
+                "slots": seen[0].slots,
+                "used_slots": sum(engine.used_slots for engine in seen),
+                "reported_running": _highest(engine.running for engine in seen),
+                "allowance": min(engine.allowance for engine in seen),
+                "warm_answers": _highest(engine.warm_answers for engine in seen),
+                "boot_id": boots.pop() if len(boots) == 1 else None,
+                "cache_reuse": sum(reuse) / len(reuse) if reuse else None,
+            }
+        )
+    return rows
+
+
+def merge_customers(reports: Sequence[StatusReport]) -> list[dict[str, object]]:
+    """Returns one row per customer; its use is added up over the nodes."""
+    views: dict[str, list[CustomerStatus]] = {}
+    for report in reports:
+        for customer in report.customers:
+            views.setdefault(customer.customer, []).append(customer)
+    return [
+        {
+            "customer": name,
+            "request_class": seen[0].request_class,
+            "streams": _sum_known(customer.streams for customer in seen),
+            "max_streams": seen[0].max_streams,
+            "recent_requests_per_s": _sum_known(
+                customer.recent_requests_per_s for customer in seen
+            ),
+            "requests_per_s": seen[0].requests_per_s,
+            "weight": seen[0].weight,
+        }
+        for name, seen in sorted(views.items())
+    ]
+
+
+def _zone_rows(reports: Sequence[StatusReport]) -> list[dict[str, object]]:
+    # The node with the highest serial tells the state that the others will reach.
+    newest = max(reports, key=lambda report: report.serial)
+    return [zone.model_dump() for zone in newest.zones]
+
+
+def status(invocation: Invocation) -> int:
+    """Prints nodes, zones, engines and customers as several nodes see them."""
+    client = invocation.client
+    gathered = gather(
+        invocation.nodes,
+        lambda address: client.get(address, "status", StatusReport),
+    )
+    printer = invocation.printer
+    printer.node_faults(gathered.faults)
+    if not gathered.answers:
+        return gathered.exit_status()
+    reports = list(gathered.answers.values())
+    agree = len({(report.serial, report.digest) for report in reports}) == 1
+    engines = merge_engines(reports)
+    customers = merge_customers(reports)
+    zones = _zone_rows(reports)
+    printer.document(
+        {
+            "serials_agree": agree,
+            "nodes": {
+                address: report.model_dump(mode="json", exclude={"engines", "customers", "zones"})
+                for address, report in gathered.answers.items()
+            },
+            "unreachable": [fault.address for fault in gathered.faults],
+            "zones": zones,
+            "engines": engines,
+            "customers": customers,
+        }
+    )
+    node_rows = [
+        (
+            report.node_id,
+            address,
+            report.zone,
+            report.serial,
+            (report.digest or "")[:12],
+            report.ready,
+            report.drained_by,
+            report.uptime_s,
+        )
+        for address, report in gathered.answers.items()
+    ]
+    header = ("node", "address", "zone", "serial", "digest", "ready", "drained by", "uptime s")
+    printer.table("nodes", header, node_rows)
+    printer.table(
+        "zones",
+        ("zone", "region", "state", "engines", "eligible"),
+        [tuple(row.values()) for row in zones],
+    )
+    engine_header = (
+        "engine",
+        "zone",
+        "model",
+        "version",
+        "eligible",
+        "seen",
+        "slots",
+        "used",
+        "reported",
+        "allowance",
+        "warm",
+        "boot",
+        "reuse",
+    )
+    printer.table("engines", engine_header, [tuple(row.values()) for row in engines])
+    customer_header = ("customer", "class", "streams", "max", "rate", "max rate", "weight")
+    printer.table("customers", customer_header, [tuple(row.values()) for row in customers])
+    if not agree:
+        printer.error("the nodes do not have the same note in force")
+    return gathered.exit_status(finding=not agree)
+
+
+def explain(invocation: Invocation) -> int:
+    """Prints the stages of the routing decision for a chat at every node asked."""
+    customer, model, chat_key = invocation.arguments
+    client = invocation.client
+    gathered = gather(
+        invocation.nodes,
+        lambda address: client.get(
+            address,
+            "explain",
+            ExplainReport,
+            {"customer": customer, "model": model, "chat_key": chat_key},
+        ),
+    )
+    printer = invocation.printer
+    printer.node_faults(gathered.faults)
+    printer.document(
+        {address: report.model_dump(mode="json") for address, report in gathered.answers.items()}
+    )
+    for address, report in gathered.answers.items():
+        rows = [(stage.stage, stage.passed, stage.reason) for stage in report.stages]
+        verdict = f"engine {report.engine_id}" if report.engine_id else "no engine"
+        title = f"{report.node_id} at {address}, serial {report.serial}: {verdict}"
+        printer.table(title, ("stage", "passed", "reason"), rows)
+    refused = any(report.engine_id is None for report in gathered.answers.values())
+    return gathered.exit_status(finding=refused)
+
+
+COMMANDS = (
+    Command("status", "", "shows nodes, zones, engines and customers", (0, 0), status),
+    Command(
+        "explain",
+        "CUSTOMER MODEL CHAT_KEY",
+        "shows every stage of the decision for a chat; nothing is sent",
+        (3, 3),
+        explain,
+    ),
+)
--- a/tests/admin_builders.py
+++ b/tests/admin_builders.py
@@ -49,6 +49,11 @@
         async def run():
             record_note_accepted(self.trail, self.state.note, note, "platform")
             self.state.accept(note)
+            # Every node has drained the slots that the note took from it, so all are usable.
+            for peer in self.state.ledger.peers:
+                self.state.ledger.take_serials(peer, note.serial, note.serial, note.serial)
+            self.state.confirm_start()
+            self.state.ledger.tick(self.state.clock())
 
         asyncio.run_coroutine_threadsafe(run(), self.loop).result()
 
