Explain and report from the node's scheduler

Explain looked at the note and the ledger alone, so it missed leaving VMs, ejected engines, limits, warmth and borrowing. It now asks the scheduler where a claim would go, through a preview that shares the placement code with real claims and claims nothing. Status shows why an engine gets no work, its allowance, boot id and warm answers, the running requests of all reporting nodes and the streams of each customer.

--- a/src/tanagerworks/agent/admin_models.py
+++ b/src/tanagerworks/agent/admin_models.py
@@ -25,6 +25,7 @@
     state: str | None = None
     incarnation: int | None = None
     serial: int | None = None
+    # As last reported by the node.
     running: int | None = None
 
 
@@ -46,13 +47,18 @@
     model: str
     version: str
     eligible: bool
+    why_not: str | None = None
     slots: int
     owned_slots: int
+    # Own slots that may be used now; 0 while the node is on hold after its start.
+    free_slots: int
     used_slots: int
     allowance: int
     boot_id: str | None = None
     warm_answers: int | None = None
+    # Requests of all nodes that report to this one.
     running: int | None = None
+    # Share of prompt tokens found in the engine's cache.
     cache_reuse: float | None = None
 
 
@@ -64,8 +70,7 @@
     max_streams: int
     requests_per_s: float
     weight: float
-    streams: int | None = None
-    recent_requests_per_s: float | None = None
+    streams: int
 
 
 class StatusReport(AdminModel):
@@ -112,6 +117,8 @@
     customer: str
     model: str
     ranking: tuple[str, ...]
+    # own, borrow or wait; None when the chat would be refused.
+    way: str | None
     engine_id: str | None
     stages: tuple[ExplainStage, ...]
 
--- /dev/null
+++ b/src/tanagerworks/agent/explain.py
@@ -0,0 +1,125 @@
+"""Explains how this node would route a chat now, stage by stage, without claiming anything."""
+
+from collections.abc import Sequence
+
+from tanagerworks.agent.admin_models import ExplainReport, ExplainStage
+from tanagerworks.note.model import Customer, Note
+from tanagerworks.routing.placement import Candidate, Way
+from tanagerworks.routing.ranking import chat_hash, rank_engines
+from tanagerworks.routing.scheduler import Claim, NodeScheduler
+from tanagerworks.routing.zones import Ineligible
+
+
+class Explanation:
+    """The stages of one routing decision, in the order in which a request meets them.
+
+    The chat is taken for one without a cached prefix to rebuild, so waiting for the first choice
+    in order to save a rebuild does not show.
+    """
+
+    def __init__(self, scheduler: NodeScheduler, note: Note, now_s: float) -> None:
+        self.scheduler = scheduler
+        self.note = note
+        self.now_s = now_s
+        self.stages: list[ExplainStage] = []
+        self.ranking: Sequence[str] = ()
+        self.way: Way | None = None
+        self.engine_id: str | None = None
+
+    def run(self, customer_name: str, model_name: str, chat_key: str) -> None:
+        """Goes through the stages until one refuses."""
+        statement = self.note.statement
+        customer = statement.customers.get(customer_name)
+        if customer is None:
+            self._stage("customer", False, f"no customer named {customer_name!r}")
+            return
+        self._stage("customer", True, f"serial {self.note.serial} names the customer")
+        if model_name not in statement.models:
+            self._stage("model", False, f"no model named {model_name!r}")
+            return
+        if model_name not in customer.models:
+            self._stage("model", False, "the customer's list of models does not name it")
+            return
+        self._stage("model", True, "the model is in force for the customer")
+        request_class = statement.classes[customer.request_class]
+        self._stage(
+            "class",
+            True,
+            f"{customer.request_class}: priority {request_class.priority}, "
+            f"deadline {request_class.deadline_s:g} s, queue {request_class.max_queue}",
+        )
+        if not self._within_limits(customer_name, customer):
+            return
+        weights = self._eligible(model_name)
+        # The router builds the same key, so that customers' chats never share one.
+        full_key = f"{customer_name}\0{chat_key}"
+        self.ranking = rank_engines(full_key, weights)
+        if not self.ranking:
+            self._stage("rank", False, "no engine of the model is in service")
+            return
+        self._stage("rank", True, f"first choice {self.ranking[0]} of {len(self.ranking)}")
+        self._place(customer_name, customer, chat_hash(full_key))
+
+    def report(self, node_id: str, customer: str, model: str) -> ExplainReport:
+        """Returns the published document."""
+        return ExplainReport(
+            node_id=node_id,
+            serial=self.note.serial,
+            customer=customer,
+            model=model,
+            ranking=tuple(self.ranking),
+            way=self.way.value if self.way else None,
+            engine_id=self.engine_id,
+            stages=tuple(self.stages),
+        )
+
+    def _stage(self, stage: str, passed: bool, reason: str) -> bool:
+        self.stages.append(ExplainStage(stage=stage, passed=passed, reason=reason))
+        return passed
+
+    def _within_limits(self, name: str, customer: Customer) -> bool:
+        limits = self.scheduler.limits
+        nodes = self.scheduler.live_nodes(self.note.statement)
+        allowed = limits.streams_allowed(customer, nodes)
+        use = limits.customers.get(name)
+        running = use.running if use else 0
+        reason = f"{running} of {allowed} streams that this node allows"
+        return self._stage("limits", running < allowed, reason)
+
+    def _eligible(self, model_name: str) -> dict[str, float]:
+        weights: dict[str, float] = {}
+        for engine_id, engine in sorted(self.note.statement.engines.items()):
+            if engine.model != model_name:
+                continue
+            why_not = self.scheduler.why_not(engine_id, self.now_s)
+            if why_not:
+                if why_not == Ineligible.ZONE.value:
+                    why_not = f"the zone is {self.note.statement.zones[engine.zone].state.value}"
+                self._stage("eligible", False, f"{engine_id} in {engine.zone}: {why_not}")
+                continue
+            weights[engine_id] = engine.slots
+            allowance = self.scheduler.allowance(engine_id)
+            warmth = f"slots below {allowance} of {engine.slots} may be used"
+            self._stage("eligible", True, f"{engine_id} in {engine.zone}: {warmth}")
+        return weights
+
+    def _place(self, name: str, customer: Customer, hashed: int) -> None:
+        request_class = self.note.statement.classes[customer.request_class]
+        claim = Claim(
+            claim_id="explain",
+            holder="explain",
+            customer=name,
+            request_class=customer.request_class,
+            deadline_s=self.now_s + request_class.deadline_s,
+            candidates=[Candidate(engine_id) for engine_id in self.ranking],
+            arrived_at_s=self.now_s,
+            chat_hash=hashed,
+            explain=True,
+        )
+        placement = self.scheduler.preview(claim, self.now_s)
+        passed = placement is not None and placement.way is not Way.WAIT
+        for step in claim.trace:
+            stage, _, reason = step.partition(": ")
+            self._stage(stage, passed, reason)
+        if placement is not None:
+            self.way, self.engine_id = placement.way, placement.engine_id
--- a/src/tanagerworks/agent/operations.py
+++ b/src/tanagerworks/agent/operations.py
@@ -17,12 +17,12 @@
     StatusReport,
     ZoneStatus,
 )
+from tanagerworks.agent.explain import Explanation
 from tanagerworks.agent.state import AgentState
 from tanagerworks.audit.trail import AuditTrail, EventKind
 from tanagerworks.clock import boot_time_s
 from tanagerworks.errors import ConflictError, NotReadyError
-from tanagerworks.note.model import Engine, Note, Zone, ZoneState
-from tanagerworks.routing.ranking import rank_engines
+from tanagerworks.note.model import Note
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -142,23 +142,15 @@
             NotReadyError: there is no note in force.
         """
         note = self._note_in_force()
-        stages: list[ExplainStage] = []
-        ranking: tuple[str, ...] = ()
-        chosen = None
-        if _explain_admission(note, customer_name, model_name, stages):
-            weights = _explain_eligibility(note, model_name, stages)
-            # The router builds the same key, so that customers' chats never share one.
-            ranking = tuple(rank_engines(f"{customer_name}\0{chat_key}", weights))
-            chosen = self._explain_slots(note, ranking, stages)
-        return ExplainReport(
-            node_id=self.state.node_id,
-            serial=note.serial,
-            customer=customer_name,
-            model=model_name,
-            ranking=ranking,
-            engine_id=chosen,
-            stages=tuple(stages),
-        )
+        explanation = Explanation(self.state.scheduler, note, self.state.clock())
+        health = self.health()
+        if health.ok:
+            explanation.run(customer_name, model_name, chat_key)
+        else:
+            explanation.stages.append(
+                ExplainStage(stage="node", passed=False, reason=health.reason)
+            )
+        return explanation.report(self.state.node_id, customer_name, model_name)
 
     def register_metrics(self, meter: Meter) -> None:
         """Publishes the node's condition as gauges."""
@@ -208,22 +200,40 @@
         )
 
     def _nodes(self, note: Note) -> tuple[NodeStatus, ...]:
-        return tuple(
-            NodeStatus(node_id=node_id, zone=node.zone, peer_address=node.peer_address)
-            for node_id, node in sorted(note.statement.nodes.items())
-        )
+        scheduler = self.state.scheduler
+        reports = []
+        for node_id, node in sorted(note.statement.nodes.items()):
+            if node_id == self.state.node_id:
+                state = "self"
+                running: int | None = len(scheduler.ledger.used)
+            else:
+                live = node_id in scheduler.live_peers
+                state = "live" if live else "unknown"
+                counts = scheduler.counts.by_node.get(node_id)
+                running = sum(counts.values()) if counts is not None else None
+            reports.append(
+                NodeStatus(
+                    node_id=node_id,
+                    zone=node.zone,
+                    peer_address=node.peer_address,
+                    state=state,
+                    running=running,
+                )
+            )
+        return tuple(reports)
 
     def _zones(self, note: Note) -> tuple[ZoneStatus, ...]:
+        scheduler, now_s = self.state.scheduler, self.state.clock()
         reports = []
         for name, zone in sorted(note.statement.zones.items()):
-            engines = sum(1 for engine in note.statement.engines.values() if engine.zone == name)
+            engines = [e for e, engine in note.statement.engines.items() if engine.zone == name]
             reports.append(
                 ZoneStatus(
                     zone=name,
                     region=zone.region,
                     state=zone.state.value,
-                    engines=engines,
-                    eligible_engines=engines if zone.state is ZoneState.IN else 0,
+                    engines=len(engines),
+                    eligible_engines=sum(scheduler.eligible(e, now_s) for e in engines),
                 )
             )
         return tuple(reports)
@@ -232,6 +242,7 @@
         scheduler, now_s = self.state.scheduler, self.state.clock()
         reports = []
         for engine_id, engine in sorted(note.statement.engines.items()):
+            own = scheduler.ledger.running(engine_id)
             reports.append(
                 EngineStatus(
                     engine_id=engine_id,
@@ -239,84 +250,32 @@
                     model=engine.model,
                     version=engine.version,
                     eligible=scheduler.eligible(engine_id, now_s),
+                    why_not=scheduler.why_not(engine_id, now_s),
                     slots=engine.slots,
                     owned_slots=scheduler.ledger.owned_count(engine_id),
-                    used_slots=scheduler.ledger.running(engine_id),
+                    free_slots=scheduler.ledger.free_count(engine_id, now_s),
+                    used_slots=own,
                     allowance=scheduler.allowance(engine_id),
+                    boot_id=scheduler.warmth.boot_id(engine_id) or None,
+                    warm_answers=scheduler.warmth.answer_count(engine_id),
+                    running=own + scheduler.counts.total(engine_id),
                 )
             )
         return tuple(reports)
 
     def _customers(self, note: Note) -> tuple[CustomerStatus, ...]:
-        return tuple(
-            CustomerStatus(
-                customer=name,
-                request_class=customer.request_class,
-                max_streams=customer.max_streams,
-                requests_per_s=customer.requests_per_s,
-                weight=customer.weight,
+        limits = self.state.scheduler.limits
+        reports = []
+        for name, customer in sorted(note.statement.customers.items()):
+            use = limits.customers.get(name)
+            reports.append(
+                CustomerStatus(
+                    customer=name,
+                    request_class=customer.request_class,
+                    max_streams=customer.max_streams,
+                    requests_per_s=customer.requests_per_s,
+                    weight=customer.weight,
+                    streams=use.running if use else 0,
+                )
             )
-            for name, customer in sorted(note.statement.customers.items())
-        )
-
-    def _explain_slots(
-        self, note: Note, ranking: tuple[str, ...], stages: list[ExplainStage]
-    ) -> str | None:
-        health = self.health()
-        if not health.ok:
-            stages.append(ExplainStage(stage="node", passed=False, reason=health.reason))
-            return None
-        ledger = self.state.ledger
-        for place, engine_id in enumerate(ranking, start=1):
-            owned = ledger.owned_count(engine_id)
-            free = ledger.free_count(engine_id, self.state.clock())
-            reason = f"rank {place}: {engine_id} has {free} of {owned} own slots free"
-            stages.append(ExplainStage(stage="slots", passed=free > 0, reason=reason))
-            if free:
-                return engine_id
-        return None
-
-
-def _explain_admission(
-    note: Note, customer_name: str, model_name: str, stages: list[ExplainStage]
-) -> bool:
-    def stage(name: str, passed: bool, reason: str) -> bool:
-        stages.append(ExplainStage(stage=name, passed=passed, reason=reason))
-        return passed
-
-    customer = note.statement.customers.get(customer_name)
-    if customer is None:
-        return stage("customer", False, f"no customer named {customer_name!r}")
-    stage("customer", True, f"serial {note.serial} names the customer")
-    if model_name not in note.statement.models:
-        return stage("model", False, f"no model named {model_name!r}")
-    if customer.models and model_name not in customer.models:
-        return stage("model", False, "the customer's list of models does not name it")
-    stage("model", True, "the model is in force for the customer")
-    request_class = note.statement.classes[customer.request_class]
-    reason = (
-        f"{customer.request_class}: priority {request_class.priority}, "
-        f"deadline {request_class.deadline_s:g} s, queue {request_class.max_queue}"
-    )
-    return stage("class", True, reason)
-
-
-def _explain_eligibility(
-    note: Note, model_name: str, stages: list[ExplainStage]
-) -> dict[str, float]:
-    weights: dict[str, float] = {}
-    for engine_id, engine in sorted(note.statement.engines.items()):
-        passed, reason = _engine_fits(engine, note.statement.zones[engine.zone], model_name)
-        text = f"{engine_id}: {reason}"
-        stages.append(ExplainStage(stage="eligible", passed=passed, reason=text))
-        if passed:
-            weights[engine_id] = engine.slots
-    return weights
-
-
-def _engine_fits(engine: Engine, zone: Zone, model_name: str) -> tuple[bool, str]:
-    if engine.model != model_name:
-        return False, f"serves {engine.model}"
-    if zone.state is not ZoneState.IN:
-        return False, f"zone {engine.zone} is {zone.state.value}"
-    return True, f"zone {engine.zone} is in, weight {engine.slots}"
+        return tuple(reports)
--- a/src/tanagerworks/ctl/status.py
+++ b/src/tanagerworks/ctl/status.py
@@ -12,11 +12,6 @@
 from tanagerworks.ctl.command import Command, Invocation
 
 
-def _sum_known(values: Iterable[float | None]) -> float | None:
-    known = [value for value in values if value is not None]
-    return sum(known) if known else None
-
-
 def _highest(values: Iterable[int | None]) -> int | None:
     return max((value for value in values if value is not None), default=None)
 
@@ -61,11 +56,8 @@
         {
             "customer": name,
             "request_class": seen[0].request_class,
-            "streams": _sum_known(customer.streams for customer in seen),
+            "streams": sum(customer.streams for customer in seen),
             "max_streams": seen[0].max_streams,
-            "recent_requests_per_s": _sum_known(
-                customer.recent_requests_per_s for customer in seen
-            ),
             "requests_per_s": seen[0].requests_per_s,
             "weight": seen[0].weight,
         }
@@ -144,7 +136,7 @@
         "reuse",
     )
     printer.table("engines", engine_header, [tuple(row.values()) for row in engines])
-    customer_header = ("customer", "class", "streams", "max", "rate", "max rate", "weight")
+    customer_header = ("customer", "class", "streams", "max", "max rate", "weight")
     printer.table("customers", customer_header, [tuple(row.values()) for row in customers])
     if not agree:
         printer.error("the nodes do not have the same note in force")
@@ -171,11 +163,11 @@
     )
     for address, report in gathered.answers.items():
         rows = [(stage.stage, stage.passed, stage.reason) for stage in report.stages]
-        verdict = f"engine {report.engine_id}" if report.engine_id else "no engine"
+        verdict = f"{report.way} {report.engine_id}" if report.way else "refused"
         title = f"{report.node_id} at {address}, serial {report.serial}: {verdict}"
         printer.table(title, ("stage", "passed", "reason"), rows)
-    refused = any(report.engine_id is None for report in gathered.answers.values())
-    return gathered.exit_status(finding=refused)
+    unserved = any(report.way in (None, "wait") for report in gathered.answers.values())
+    return gathered.exit_status(finding=unserved)
 
 
 COMMANDS = (
--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -281,7 +281,7 @@
         request_class = statement.classes.get(claim.request_class)
         if customer is None or request_class is None:
             return self._refuse(claim, RequestError, "unknown customer or request class")
-        nodes = self._live_nodes(statement)
+        nodes = self.live_nodes(statement)
         if self.limits.over_streams(claim.customer, customer, nodes):
             return self._refuse(claim, RateLimitError, "the customer is over max_streams")
         wait_s = self.limits.take_token(claim.customer, customer, nodes, now_s)
@@ -297,7 +297,8 @@
             self.queue.queues[claim.request_class].charge(claim.customer, customer.weight)
         return decision if decision is not None else self._enqueue(claim, now_s)
 
-    def _live_nodes(self, statement: Statement) -> int:
+    def live_nodes(self, statement: Statement) -> int:
+        """Returns the number of nodes over which the customers' limits are divided."""
         # Before the first reports the customers' limits are divided over all nodes of the note.
         return 1 + len(self.live_peers) if self.live_peers else len(statement.nodes)
 
@@ -354,16 +355,9 @@
 
     def _try(self, claim: Claim, now_s: float) -> Granted | MustBorrow | Refused | None:
         """Places a claim now; None if it has to wait."""
-        choices = self._choices(claim, now_s)
-        if not choices:
+        placement = self._place(claim, now_s)
+        if placement is None:
             return self._refuse(claim, CapacityError, "no engine is in service")
-        bound = self._bound(choices[0].engine_id, now_s)
-        placement = place(choices, bound, now_s - claim.arrived_at_s)
-        claim.explain_step(
-            "place",
-            f"{placement.way.value} {placement.engine_id} below {placement.below_index},"
-            f" bound {bound}: {placement.reason}",
-        )
         if placement.way is Way.OWN:
             grant = self.ledger.claim(
                 placement.engine_id, placement.below_index, claim.holder, now_s
@@ -374,6 +368,28 @@
             return self._borrow(claim, placement)
         return None
 
+    def _place(self, claim: Claim, now_s: float) -> Placement | None:
+        choices = self._choices(claim, now_s)
+        if not choices:
+            return None
+        bound = self._bound(choices[0].engine_id, now_s)
+        placement = place(choices, bound, now_s - claim.arrived_at_s)
+        claim.explain_step(
+            "place",
+            f"{placement.way.value} {placement.engine_id} below {placement.below_index},"
+            f" bound {bound}: {placement.reason}",
+        )
+        return placement
+
+    def preview(self, claim: Claim, now_s: float) -> Placement | None:
+        """Returns where a claim would go now, None without an eligible engine.
+
+        Nothing is claimed; the stages are in the claim's trace.
+        """
+        cached_at = self.exceptions.engines.get(claim.chat_hash)
+        claim.candidates = prefer_cached(claim.candidates, cached_at)
+        return self._place(claim, now_s)
+
     def _choices(self, claim: Claim, now_s: float) -> list[Choice]:
         assert self.note is not None
         choices = []
@@ -383,9 +399,8 @@
             engine = self.note.statement.engines.get(engine_id)
             if engine is None:
                 continue
-            reason = self.eligibility.why_not(engine_id, now_s)
-            if reason is not None or self.outliers.ejected(engine_id, now_s):
-                cause = reason.value if reason else "ejected"
+            cause = self.why_not(engine_id, now_s)
+            if cause is not None:
                 claim.explain_step("rank", f"{engine_id} gets no new work: {cause}")
                 continue
             peer_index = None
@@ -432,9 +447,16 @@
 
     def eligible(self, engine_id: str, now_s: float) -> bool:
         """Returns whether an engine may receive new work."""
-        if self.note is None or self.outliers.ejected(engine_id, now_s):
-            return False
-        return self.eligibility.why_not(engine_id, now_s) is None
+        return self.why_not(engine_id, now_s) is None
+
+    def why_not(self, engine_id: str, now_s: float) -> str | None:
+        """Returns why an engine may not receive new work; None if it may."""
+        if self.note is None:
+            return "no release note is in force"
+        reason = self.eligibility.why_not(engine_id, now_s)
+        if reason is not None:
+            return reason.value
+        return "ejected" if self.outliers.ejected(engine_id, now_s) else None
 
     def _granted(self, claim: Claim, grant: Grant, now_s: float) -> Granted:
         assert self.note is not None
--- a/src/tanagerworks/routing/warmth.py
+++ b/src/tanagerworks/routing/warmth.py
@@ -98,6 +98,11 @@
                 own.append((engine_id, known.boot_id, known.answers.get(self.node_id, 0)))
         return own
 
+    def answer_count(self, engine_id: str) -> int:
+        """Returns the complete answers of the current boot id that all nodes have reported."""
+        known = self.engines.get(engine_id)
+        return sum(known.answers.values()) if known else 0
+
     def allowance(self, engine_id: str, slots: int, cold_slots: int, warm_answers: int) -> int:
         """Returns the slot index below which slots may be used.
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -114,6 +114,26 @@
     }
 
 
+def test_explain_claims_nothing_and_tells_why_engines_are_out():
+    """Guards against an explanation that uses up slots, or hides the state of an engine."""
+    engines = note_document()["statement"]["engines"]
+    engines["m2"] = {**engines["m1"], "address": "127.0.0.1:8002", "zone": "sfax-thyna"}
+    zones = {"sfax-medina": {}, "sfax-thyna": {"state": "draining"}}
+    path = "/admin/v1/explain?customer=club-carthage&model=wax&chat_key=c"
+    with running_admin(note=note_document(engines=engines, zones=zones)) as admin:
+        for _ in range(20):
+            _status, report = admin.get(path)
+        assert (report["way"], report["engine_id"]) == ("own", "m1")
+        assert not admin.state.ledger.used
+        reasons = [stage["reason"] for stage in report["stages"] if not stage["passed"]]
+        assert reasons == ["m2 in sfax-thyna: the zone is draining"]
+        now_s = admin.state.clock()
+        for _ in range(2):
+            admin.loop.call_soon_threadsafe(admin.state.ledger.claim, "m1", 8, "router", now_s)
+        # Both slots that a cold engine may use are taken.
+        assert admin.get(path)[1]["way"] == "wait"
+
+
 def test_accepted_note_records_zone_and_key_changes():
     """Guards against a zone or key change that leaves no trace."""
     document = note_document(serial=2, zones={"sfax-medina": {"state": "out"}})
