--- a/src/tanagerworks/ctl/notes.py
+++ b/src/tanagerworks/ctl/notes.py
@@ -1,82 +1,59 @@
-"""Subcommands on release notes: check, diff."""
+"""Subcommands on release notes: check, diff, render."""
 
 import json
 from dataclasses import asdict
 from pathlib import Path
 
 import yaml
-from pydantic import ValidationError
 
 from tanagerworks.agent.admin_models import NoteReport
 from tanagerworks.audit.changes import note_changes
 from tanagerworks.ctl.client import NodeRefusedError, NodeUnreachableError, gather
-from tanagerworks.ctl.command import Command, Invocation
+from tanagerworks.ctl.command import Command, Invocation, UsageError
 from tanagerworks.ctl.exits import ExitStatus
-from tanagerworks.errors import NoteError
-from tanagerworks.note.model import MAX_NOTE_BYTES, Note
+from tanagerworks.errors import NoteError, NoteInvalidError
+from tanagerworks.note.delta import Delta
+from tanagerworks.note.model import Note
+from tanagerworks.note.parsing import parse_note
+from tanagerworks.note.serial import NoteInForce
 
 
-class NoteFaultsError(NoteError):
-    """A note file that cannot be accepted; `faults` holds a place and a reason for each fault."""
-
-    def __init__(self, path: str, faults: list[tuple[str, str]]) -> None:
-        super().__init__(f"{path}: {len(faults)} faults")
-        self.path = path
-        self.faults = faults
-
-
-def read_full_note(path: str) -> Note:
-    """Returns the full note in a YAML file.
+def read_note(path: str) -> Note | Delta:
+    """Returns the full note or delta in a file.
 
     Raises:
-        NoteFaultsError: the file cannot be read or the note cannot be accepted.
+        UsageError: the file cannot be read.
+        NoteInvalidError: the content is no note.
     """
     try:
         content = Path(path).read_bytes()
-        document = yaml.safe_load(content)
     except OSError as error:
-        raise NoteFaultsError(path, [("", f"cannot be read: {error.strerror}")]) from error
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
-        raise NoteFaultsError(path, [("", f"is not valid YAML: {error}")]) from error
-    if len(content) > MAX_NOTE_BYTES:
-        raise NoteFaultsError(path, [("", f"is over {MAX_NOTE_BYTES} bytes")])
-    try:
-        return Note.model_validate_json(json.dumps(document))
-    except (TypeError, ValueError) as error:
-        if not isinstance(error, ValidationError):
-            raise NoteFaultsError(path, [("", f"has no JSON form: {error}")]) from error
-        faults = []
-        for fault in error.errors(include_input=False, include_url=False):
-            faults.append((".".join(str(part) for part in fault["loc"]), fault["msg"]))
-        raise NoteFaultsError(path, faults) from error
-
-
-def _print_faults(invocation: Invocation, error: NoteFaultsError) -> int:
-    rows = [{"place": place, "reason": reason} for place, reason in error.faults]
-    invocation.printer.document({"file": error.path, "accepted": False, "faults": rows})
-    for place, reason in error.faults:
-        invocation.printer.error(f"{error.path}: {place or '(document)'}: {reason}")
-    return ExitStatus.FINDING
+        raise UsageError(f"{path}: cannot be read: {error.strerror}") from error
+    return parse_note(content)
 
 
-def check(invocation: Invocation) -> int:
-    """Checks a note and prints every fault."""
-    try:
-        note = read_full_note(invocation.arguments[0])
-    except NoteFaultsError as error:
-        return _print_faults(invocation, error)
-    path = invocation.arguments[0]
+def _print_refusal(invocation: Invocation, path: str, error: NoteError) -> int:
+    faults = error.faults if isinstance(error, NoteInvalidError) else ()
+    rows = [
+        {"place": fault.place, "reason": fault.reason, "remedy": fault.remedy} for fault in faults
+    ]
     invocation.printer.document(
-        {"file": path, "accepted": True, "serial": note.serial, "digest": note.digest()}
+        {
+            "file": path,
+            "accepted": False,
+            "code": error.code,
+            "message": error.message,
+            "faults": rows,
+        }
     )
-    invocation.printer.text(f"{path}: serial {note.serial}, digest {note.digest()}")
-    return ExitStatus.OK
+    for fault in faults:
+        invocation.printer.error(f"{path}: {error.code}: {fault.message}")
+    if not faults:
+        invocation.printer.error(f"{path}: {error.code}: {error.message}")
+    return ExitStatus.FINDING
 
 
-def _base_note(invocation: Invocation) -> Note:
-    base = invocation.flag("base")
-    if base is not None:
-        return read_full_note(base)
+def _note_in_force(invocation: Invocation) -> Note:
     client = invocation.client
     gathered = gather(
         invocation.nodes,
@@ -92,13 +69,63 @@
     return Note.model_validate_json(json.dumps(document))
 
 
-def diff(invocation: Invocation) -> int:
-    """Prints what a note changes in the note in force, or in the one in --base."""
+def _base_note(invocation: Invocation) -> Note | None:
+    base = invocation.flag("base")
+    if base is not None:
+        note = read_note(base)
+        if isinstance(note, Delta):
+            raise UsageError(f"{base}: --base takes a full note")
+        return note
+    if invocation.flag_values["nodes"].value:
+        return _note_in_force(invocation)
+    return None
+
+
+def _required_base(invocation: Invocation) -> Note:
+    base = _base_note(invocation)
+    if base is None:
+        raise UsageError("give --base=FILE, or --nodes for the note in force")
+    return base
+
+
+def check(invocation: Invocation) -> int:
+    """Checks a note as the nodes do and prints every fault.
+
+    With a base, the serial and the effect of a delta are checked, too.
+    """
+    path = invocation.arguments[0]
     try:
-        note = read_full_note(invocation.arguments[0])
+        offered = read_note(path)
         base = _base_note(invocation)
-    except NoteFaultsError as error:
-        return _print_faults(invocation, error)
+        result = offered if isinstance(offered, Note) else None
+        if base is not None:
+            in_force = NoteInForce()
+            in_force.offer(base)
+            in_force.offer(offered)
+            result = in_force.note
+    except NoteError as error:
+        return _print_refusal(invocation, path, error)
+    digest = result.digest() if result else None
+    invocation.printer.document(
+        {"file": path, "accepted": True, "serial": offered.serial, "digest": digest}
+    )
+    if digest is not None:
+        invocation.printer.text(f"{path}: serial {offered.serial}, digest {digest}")
+        return ExitStatus.OK
+    invocation.printer.text(f"{path}: serial {offered.serial}, a delta; only its form is checked")
+    invocation.printer.error("give --base=FILE or --nodes to check what the delta leads to")
+    return ExitStatus.OK
+
+
+def diff(invocation: Invocation) -> int:
+    """Prints what a note changes in the one in --base or in the one in force."""
+    path = invocation.arguments[0]
+    try:
+        offered = read_note(path)
+        base = _required_base(invocation)
+        note = offered if isinstance(offered, Note) else _apply(base, offered)
+    except NoteError as error:
+        return _print_refusal(invocation, path, error)
     changes = note_changes(base, note)
     invocation.printer.document(
         {
@@ -113,7 +140,44 @@
     return ExitStatus.FINDING if changes else ExitStatus.OK
 
 
+def render(invocation: Invocation) -> int:
+    """Prints the full note that a delta makes of its base, ready to be published."""
+    path = invocation.arguments[0]
+    try:
+        offered = read_note(path)
+        note = offered
+        if isinstance(offered, Delta):
+            note = _apply(_required_base(invocation), offered)
+    except NoteError as error:
+        return _print_refusal(invocation, path, error)
+    document = note.model_dump(mode="json")
+    invocation.printer.document(document)
+    invocation.printer.text(yaml.safe_dump(document, sort_keys=False).rstrip())
+    return ExitStatus.OK
+
+
+def _apply(base: Note, delta: Delta) -> Note:
+    in_force = NoteInForce()
+    in_force.offer(base)
+    if not in_force.offer(delta) or in_force.note is None:
+        raise UsageError(f"the base has serial {base.serial} already")
+    return in_force.note
+
+
 COMMANDS = (
-    Command("check", "FILE", "checks a release note and prints every fault", (1, 1), check),
+    Command(
+        "check",
+        "FILE",
+        "checks a full note or a delta, against --base or --nodes if given",
+        (1, 1),
+        check,
+    ),
     Command("diff", "FILE", "compares a note with --base or the one in force", (1, 1), diff),
+    Command(
+        "render",
+        "FILE",
+        "prints the full note that a delta makes of --base or the one in force",
+        (1, 1),
+        render,
+    ),
 )
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -62,7 +62,34 @@
     assert status == ExitStatus.FINDING
     places = {fault["place"] for fault in json.loads(out)["faults"]}
     assert places == {"serial", "statement.engines.m1.slots"}
-    assert ctl("check", str(tmp_path / "none.yaml"))[0] == ExitStatus.FINDING
+    assert ctl("check", str(tmp_path / "none.yaml"))[0] == ExitStatus.USAGE
+
+
+def test_delta_is_checked_and_rendered_on_its_base(ctl, tmp_path):
+    """Guards against a full statement that differs from what the delta leads to on the nodes."""
+    base = _write(tmp_path / "full.yaml", note_document(serial=7))
+    change = {"zones": {"sfax-medina": {"state": "out"}}}
+    delta = _write(tmp_path / "delta.yaml", {"serial": 8, "base": 7, "changed": change})
+    assert ctl("check", delta)[0] == ExitStatus.OK
+    status, out, _errors = ctl("check", delta, f"--base={base}", "--output=json")
+    assert status == ExitStatus.OK
+    digest = json.loads(out)["digest"]
+    status, out, _errors = ctl("render", delta, f"--base={base}")
+    assert status == ExitStatus.OK
+    rendered = tmp_path / "rendered.yaml"
+    rendered.write_text(out)
+    status, out, _errors = ctl("check", str(rendered), "--output=json")
+    assert (status, json.loads(out)["digest"]) == (ExitStatus.OK, digest)
+    assert ctl("diff", str(rendered), f"--base={rendered}")[0] == ExitStatus.OK
+    status, out, _errors = ctl("check", delta, f"--base={rendered}", "--output=json")
+    assert status == ExitStatus.OK
+    stale = _write(tmp_path / "stale.yaml", {"serial": 6, "base": 5})
+    status, out, _errors = ctl("check", stale, f"--base={base}", "--output=json")
+    assert (status, json.loads(out)["code"]) == (ExitStatus.FINDING, "serial_stale")
+    other = _write(tmp_path / "other.yaml", {"serial": 9, "base": 8})
+    status, out, _errors = ctl("render", other, f"--base={base}", "--output=json")
+    assert (status, json.loads(out)["code"]) == (ExitStatus.FINDING, "note_base_missing")
+    assert ctl("render", delta)[0] == ExitStatus.USAGE
 
 
 def test_diff_with_the_note_in_force(ctl, pair, tmp_path):
