--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,78 @@
+"""The example files, as far as models can check them."""
+
+from pathlib import Path
+
+import pytest
+
+from tanagerworks.note.delta import Delta
+from tanagerworks.note.model import Note
+from tanagerworks.note.parsing import parse_note
+from tanagerworks.note.serial import NoteInForce
+from tanagerworks.settings.agent import AgentSettings
+from tanagerworks.settings.loader import load_settings
+from tanagerworks.settings.router import RouterSettings
+from tanagerworks.standin.engine import EngineSettings
+from tanagerworks.standin.order_service import OrderServiceSettings
+from tanagerworks.standin.platform import PlatformSettings
+from tools.fleet import key_sha256
+
+_EXAMPLES = Path(__file__).parents[1] / "examples"
+# Nodes, engines, order or booking servers, customers, zones.
+_SIZES = {"regie": (6, 5, 3, 10, 3), "commission": (9, 10, 3, 10, 3)}
+
+
+def _full(name) -> Note:
+    return parse_note((_EXAMPLES / name / "release-note-full.yaml").read_bytes())
+
+
+@pytest.mark.parametrize("name", _SIZES)
+def test_notes_are_accepted_in_turn(name):
+    """Guards against examples that the fleet refuses or that do not show the deployment."""
+    in_force = NoteInForce()
+    assert in_force.offer(_full(name))
+    statement = in_force.note.statement
+    (service,) = statement.services.values()
+    sizes = (statement.nodes, statement.engines, service.servers, statement.customers)
+    assert (*map(len, sizes), len(statement.zones)) == _SIZES[name]
+    assert {customer.request_class for customer in statement.customers.values()} == {
+        "quick",
+        "counter",
+        "patient",
+    }
+    assert all(route.repeatable == (route.method == "GET") for route in service.routes)
+    for customer, item in statement.customers.items():
+        assert item.key_sha256 == (key_sha256(f"example-{customer}"),)
+    delta = parse_note((_EXAMPLES / name / "release-note-delta.yaml").read_bytes())
+    assert isinstance(delta, Delta)
+    assert in_force.offer(delta)
+
+
+@pytest.mark.parametrize("name", _SIZES)
+def test_settings_fit_the_note(name):
+    """Guards against settings that a program refuses or that contradict the note."""
+    directory = _EXAMPLES / name / "settings"
+    statement = _full(name).statement
+    agent = load_settings(directory / "agent.yaml", AgentSettings)
+    node = statement.nodes[agent.node_id]
+    assert (node.zone, node.peer_address) == (agent.zone, agent.peer_address)
+    peers = {other.peer_address for other in statement.nodes.values()}
+    assert set(agent.seed_peers) == peers - {agent.peer_address}
+    router = load_settings(directory / "router.yaml", RouterSettings)
+    assert (router.zone, router.agent_address) == (agent.zone, agent.router_link_address)
+    longest_s = max(engine.max_work_s for engine in statement.engines.values())
+    assert agent.drain_limit_s > longest_s
+    assert router.drain_limit_s > longest_s
+    standin = load_settings(directory / "standin-engine.yaml", EngineSettings)
+    engine = statement.engines[standin.engine_id]
+    assert (standin.address, standin.model, standin.slots, standin.cold_slots) == (
+        engine.address,
+        engine.model,
+        engine.slots,
+        engine.cold_slots,
+    )
+    (service,) = statement.services.values()
+    desk = load_settings(directory / "standin-order-service.yaml", OrderServiceSettings)
+    assert service.servers[desk.server_id].address == desk.address
+    assert desk.deduplicates == service.deduplicates_by_key
+    platform = load_settings(directory / "standin-platform.yaml", PlatformSettings)
+    assert agent.platform_url == f"http://{platform.address}"
