Keep release calls to the agent until they are done

gRPC cancels a call whose future is garbage collected, so most releases never reached the agent and their slots stayed in use.

--- a/src/tanagerworks/router/agent_link.py
+++ b/src/tanagerworks/router/agent_link.py
@@ -45,6 +45,7 @@
         self.channel = grpc.insecure_channel(agent_address)
         self.stub = NodeAgentStub(self.channel)
         self.view = RouterView()
+        self.releases: set[grpc.Future] = set()
         self.stopping = threading.Event()
         self.watcher = threading.Thread(target=self._watch, name="agent-watch", daemon=True)
 
@@ -103,4 +104,7 @@
         request = ReleaseRequest(
             router_id=self.router_id, instance_id=self.instance_id, ended=[ended]
         )
-        self.stub.Release.future(request)
+        call = self.stub.Release.future(request)
+        # gRPC cancels a call whose future is collected, and the slot would stay in use.
+        self.releases.add(call)
+        call.add_done_callback(self.releases.discard)
