Add the load tool, the demo and the verdict on a run

Callers lead chats that pause and return, send orders with tickets and repeat them, read slowly, surge and leave; every answer is compared with the expected one. The demo runs 6 nodes, 5 engines and 3 order services, takes a zone out and back, makes an engine cold, stops one node and kills another, and judges the run by what callers, engines and services counted. Orders and tickets are still refused because the router does not serve them yet.

--- /dev/null
+++ b/src/tanagerworks/load/caller.py
@@ -0,0 +1,99 @@
+"""What all callers share: the choice of a node, attempts and the end of the run."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from tanagerworks.load.report import Failure, Report, Seen
+from tanagerworks.load.settings import LoadSettings
+
+# A node that refused a connection is not tried first for this time.
+_DOWN_S = 1.0
+_RETRIED_STATUSES = frozenset({429, 502, 503})
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """The end of one call at one node; `again` says whether another node may do better."""
+
+    seen: Seen
+    code: str = ""
+    again: bool = False
+    # Body of a whole answer that later checks need.
+    document: Any = None
+
+
+NOT_CONNECTED = Attempt(Seen.NOT_RUN, "connection_refused", again=True)
+
+
+class Balancer:
+    """Spreads calls over the nodes as a load balancer in front of them does."""
+
+    def __init__(self, nodes: Sequence[str], chance: random.Random) -> None:
+        self.nodes = nodes
+        self.chance = chance
+        self.down_until_s: dict[str, float] = {}
+
+    def choose(self, tried: Sequence[str] = ()) -> str:
+        """Returns a node, preferably one that was neither tried nor found down."""
+        now_s = time.monotonic()
+        up = [node for node in self.nodes if self.down_until_s.get(node, 0.0) <= now_s]
+        fresh = [node for node in up if node not in tried]
+        return self.chance.choice(fresh or up or self.nodes)
+
+    def mark_down(self, node: str) -> None:
+        """Avoids a node for a while."""
+        self.down_until_s[node] = time.monotonic() + _DOWN_S
+
+
+class Run:
+    """State that the callers of one run share."""
+
+    def __init__(self, settings: LoadSettings) -> None:
+        self.settings = settings
+        self.report = Report()
+        self.chance = random.Random(settings.seed)
+        self.balancer = Balancer(settings.nodes, random.Random(settings.seed + 1))
+        self.stopped = asyncio.Event()
+
+    async def pause(self, seconds: float) -> None:
+        """Waits, at most until the end of the run."""
+        if seconds <= 0:
+            return
+        try:
+            await asyncio.wait_for(self.stopped.wait(), seconds)
+        except TimeoutError:
+            return
+
+    async def pause_before_retry(self) -> None:
+        """Waits between two attempts of one request, even after the end of the run."""
+        await asyncio.sleep(self.settings.retry_pause_s * self.chance.uniform(0.5, 1.5))
+
+    def record_failure(self, started_s: float, node: str, kind: str, attempt: Attempt) -> None:
+        """Keeps an attempt with an unknown outcome, or a request that got no whole answer."""
+        self.report.failures.append(
+            Failure(
+                started_s=started_s,
+                ended_s=time.monotonic(),
+                node=node,
+                kind=kind,
+                seen=attempt.seen.value,
+                code=attempt.code,
+            )
+        )
+
+
+def refusal(status: int, headers: dict[str, str], body: bytes) -> Attempt:
+    """Returns what an answer with an error status says."""
+    code = f"http_{status}"
+    try:
+        code = str(json.loads(body)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        pass
+    if headers.get("x-outcome") == "not_run":
+        return Attempt(Seen.NOT_RUN, code, again=status in _RETRIED_STATUSES)
+    return Attempt(Seen.UNKNOWN, code)
--- /dev/null
+++ b/src/tanagerworks/load/http_client.py
@@ -0,0 +1,116 @@
+"""Asynchronous HTTP/1.1 client of the load tool, on h11 and one connection for each call."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import h11
+
+from tanagerworks.wsgi import parse_address
+
+_READ_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 2.0
+
+
+class CallNotSentError(Exception):
+    """No connection could be made, so no byte of the request was sent."""
+
+
+class CallBrokenError(Exception):
+    """The connection failed after bytes of the request were sent."""
+
+
+class Call:
+    """One request over its own connection, and the answer as it arrives."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(h11.CLIENT)
+        self.status = 0
+        self.headers: dict[str, str] = {}
+
+    @classmethod
+    async def connect(cls, address: str) -> "Call":
+        """Opens a connection.
+
+        Raises:
+            CallNotSentError: nothing accepts connections at the address.
+        """
+        host, port = parse_address(address)
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError) as error:
+            raise CallNotSentError(str(error)) from error
+        return cls(reader, writer)
+
+    async def send(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes = b""
+    ) -> None:
+        """Sends the request and waits for the status and headers of the answer.
+
+        Raises:
+            CallBrokenError: the connection ended before the answer began.
+        """
+        all_headers = {
+            "Host": "fleet",
+            "Content-Length": str(len(body)),
+            "Content-Type": "application/json",
+            **headers,
+        }
+        request = h11.Request(method=method, target=path, headers=list(all_headers.items()))
+        data = (self.http.send(request) or b"") + (self.http.send(h11.Data(data=body)) or b"")
+        self.writer.write(data + (self.http.send(h11.EndOfMessage()) or b""))
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise CallBrokenError("no answer")
+        self.status = event.status_code
+        self.headers = {
+            name.decode("ascii"): value.decode("latin-1") for name, value in event.headers
+        }
+
+    async def read(self) -> bytes:
+        """Returns the next bytes of the body; empty at its end.
+
+        Raises:
+            CallBrokenError: the connection ended before the body.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        return b""
+
+    async def read_all(self) -> bytes:
+        """Returns the rest of the body."""
+        pieces = []
+        while piece := await self.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    async def _next_event(self) -> Any:
+        try:
+            while (event := self.http.next_event()) is h11.NEED_DATA:
+                self.http.receive_data(await self.reader.read(_READ_BYTES))
+        except (OSError, h11.ProtocolError) as error:
+            raise CallBrokenError(f"{type(error).__name__}: {error}") from error
+        if isinstance(event, h11.ConnectionClosed):
+            raise CallBrokenError("connection closed")
+        return event
+
+    def close(self) -> None:
+        """Ends the connection at once."""
+        self.writer.close()
+
+
+async def fetch_json(address: str, path: str, headers: Mapping[str, str]) -> Any:
+    """Returns the JSON document at a path."""
+    call = await Call.connect(address)
+    try:
+        await call.send("GET", path, headers)
+        return json.loads(await call.read_all())
+    finally:
+        call.close()
--- a/src/tanagerworks/load/main.py
+++ b/src/tanagerworks/load/main.py
@@ -1,75 +1,91 @@
 """Command line of ``tanager-load``."""
 
+import asyncio
 import json
+import signal
 import sys
 import time
-from dataclasses import dataclass
+from collections.abc import Coroutine
+from pathlib import Path
 
 from absl import flags
-from hdrh.histogram import HdrHistogram
-from urllib3 import PoolManager
-from urllib3.exceptions import HTTPError
 
-from tanagerworks.program import EXIT_FAILED, EXIT_OK, EXIT_USAGE, CommandLine
+from tanagerworks.load.caller import Run
+from tanagerworks.load.chats import ChatCaller
+from tanagerworks.load.orders import OrderCaller
+from tanagerworks.load.report import Report, compare_reports
+from tanagerworks.load.settings import ChatLoad, LoadSettings
+from tanagerworks.program import EXIT_OK, EXIT_USAGE, CommandLine
 
-_DESCRIPTION = """Load and experiment tool: sends chat requests and prints one JSON object.
+_DESCRIPTION = """Load and experiment tool: leads chats and sends orders, checks every answer.
 
-Usage: tanager-load --url=URL --key=KEY --model=NAME [--requests=N]"""
+Usage:
+  tanager-load --settings=FILE [--report=FILE.json]
+  tanager-load --compare A.json B.json"""
 
-_MAX_MICROSECONDS = 600_000_000
 
+async def run_load(settings: LoadSettings) -> Report:
+    """Runs all callers to the end of the run and returns what they saw."""
+    run = Run(settings)
+    loop = asyncio.get_running_loop()
+    for stop_signal in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(stop_signal, run.stopped.set)
+    started_s = time.monotonic()
+    end_s = started_s + settings.seconds
+    callers: list[Coroutine[None, None, None]] = []
+    for chat in settings.chats:
+        for number in range(chat.callers):
+            callers.append(_ramped(run, ChatCaller(run, chat, number).lead_chats(end_s)))
+        if chat.surge is not None:
+            callers.append(_surge(run, chat, started_s))
+    for order in settings.orders:
+        for number in range(order.callers):
+            callers.append(_ramped(run, OrderCaller(run, order, number).send_orders(end_s)))
+    await asyncio.gather(*callers)
+    run.report.seconds = time.monotonic() - started_s
+    return run.report
 
-@dataclass
-class ChatResult:
-    """What a caller got for one request."""
 
-    whole: bool
-    seconds: float
+async def _ramped(run: Run, caller: Coroutine[None, None, None]) -> None:
+    await run.pause(run.chance.uniform(0, run.settings.ramp_s))
+    await caller
 
 
-def send_chat(pool: PoolManager, url: str, key: str, model: str, text: str) -> ChatResult:
-    """Sends one streamed chat request and reads the answer to its end."""
-    body = {"model": model, "stream": True, "messages": [{"role": "user", "content": text}]}
-    started = time.monotonic()
-    try:
-        answer = pool.request(
-            "POST",
-            f"{url}/v1/chat/completions",
-            body=json.dumps(body).encode(),
-            headers={"Authorization": f"Bearer {key}", "Content-Type": "application/json"},
-            retries=False,
-        )
-    except HTTPError:
-        return ChatResult(False, time.monotonic() - started)
-    whole = answer.status == 200 and answer.data.endswith(b"data: [DONE]\n\n")
-    return ChatResult(whole, time.monotonic() - started)
+async def _surge(run: Run, chat: ChatLoad, started_s: float) -> None:
+    assert chat.surge is not None
+    await run.pause(started_s + chat.surge.start_s - time.monotonic())
+    end_s = started_s + chat.surge.start_s + chat.surge.seconds
+    callers = [
+        ChatCaller(run, chat, number, surging=True).lead_chats(end_s)
+        for number in range(chat.callers * (chat.surge.factor - 1))
+    ]
+    await asyncio.gather(*callers)
+
+
+def _print_summary(report: Report) -> None:
+    document = report.document()
+    for latency in document["latencies"].values():
+        del latency["histogram"]
+    summary = {name: document[name] for name in ("counts", "failed_attempts", "latencies")}
+    print(json.dumps({**summary, "seconds": document["seconds"]}))
 
 
 def run() -> None:
-    """Runs the load that the command line describes."""
+    """Runs the load that the settings describe, or compares two reports."""
     command_line = CommandLine("tanager-load", _DESCRIPTION)
+    command_line.define_settings()
     values = command_line.flag_values
-    flags.DEFINE_string("url", None, "Address of a router.", flag_values=values)
-    flags.DEFINE_string("key", None, "Bearer key of a customer.", flag_values=values)
-    flags.DEFINE_string("model", None, "Model to ask.", flag_values=values)
-    flags.DEFINE_integer("requests", 10, "Number of requests.", 1, flag_values=values)
-    command_line.parse()
-    url, key, model = values["url"].value, values["key"].value, values["model"].value
-    if not (url and key and model):
-        print("tanager-load: --url, --key and --model are required", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    requests = int(values["requests"].value or 0)
-    histogram = HdrHistogram(1, _MAX_MICROSECONDS, 3)
-    pool = PoolManager()
-    whole_answers = 0
-    for number in range(requests):
-        result = send_chat(pool, url, key, model, f"question {number}")
-        whole_answers += result.whole
-        histogram.record_value(max(1, int(result.seconds * 1e6)))
-    report = {
-        "requests": requests,
-        "whole_answers": whole_answers,
-        "p95_ms": histogram.get_value_at_percentile(95) / 1000,
-    }
-    print(json.dumps(report))
-    sys.exit(EXIT_OK if whole_answers == requests else EXIT_FAILED)
+    flags.DEFINE_string("report", None, "Path for the JSON report.", flag_values=values)
+    flags.DEFINE_boolean("compare", False, "Compares two JSON reports.", flag_values=values)
+    positional = command_line.parse()
+    if values["compare"].value:
+        if len(positional) != 2:
+            print("tanager-load: --compare needs two reports", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        print(compare_reports((Path(positional[0]), Path(positional[1]))))
+        sys.exit(EXIT_OK)
+    report = asyncio.run(run_load(command_line.load(LoadSettings)))
+    if values["report"].value:
+        Path(values["report"].value).write_text(json.dumps(report.document()), encoding="utf-8")
+    _print_summary(report)
+    sys.exit(EXIT_OK)
--- /dev/null
+++ b/src/tanagerworks/load/report.py
@@ -0,0 +1,166 @@
+"""What callers saw, as one JSON document; reports of several processes can be merged."""
+
+import json
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, field
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+_MAX_MICROSECONDS = 600_000_000
+_DIGITS = 3
+_PERCENTILES = (50.0, 95.0, 99.0, 100.0)
+
+
+class Seen(Enum):
+    """How a request ended for its caller."""
+
+    WHOLE = "whole_answers"
+    NOT_RUN = "refused_not_run"
+    UNKNOWN = "unknown_outcome"
+    WRONG = "wrong_answers"
+    # The caller itself went away.
+    DISCONNECTED = "disconnected"
+
+
+@dataclass(frozen=True)
+class Failure:
+    """An attempt with an unknown outcome, or a request that was not run or answered wrongly.
+
+    Times are of CLOCK_MONOTONIC.
+    """
+
+    started_s: float
+    ended_s: float
+    node: str
+    kind: str
+    seen: str
+    code: str
+
+
+@dataclass
+class OrderRecord:
+    """What the caller of one booking or debit knows of it."""
+
+    ticket: bool
+    seen: str
+    calls: int
+
+
+@dataclass
+class Report:
+    """Counts, latency histograms and failures of one run."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    by_customer: dict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    # Failed attempts, whether or not a later attempt succeeded, by code.
+    failed_attempts: Counter[str] = field(default_factory=Counter)
+    failures: list[Failure] = field(default_factory=list)
+    orders: dict[str, OrderRecord] = field(default_factory=dict)
+    histograms: dict[str, HdrHistogram] = field(default_factory=dict)
+    # Ends by second of CLOCK_MONOTONIC and kind of end.
+    timeline: dict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    seconds: float = 0.0
+
+    def record_time(self, name: str, seconds: float) -> None:
+        """Adds a duration to a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = HdrHistogram(1, _MAX_MICROSECONDS, _DIGITS)
+        histogram.record_value(min(_MAX_MICROSECONDS, max(1, round(seconds * 1e6))))
+
+    def record_end(self, customer: str, kind: str, seen: Seen) -> None:
+        """Counts a request that ended."""
+        if seen is not Seen.DISCONNECTED:
+            self.counts["requests"] += 1
+        self.counts[seen.value] += 1
+        self.counts[f"kind_{kind}"] += 1
+        self.by_customer[customer][seen.value] += 1
+        self.timeline[int(time.monotonic())][seen.value] += 1
+
+    def percentile_ms(self, name: str, percentile: float) -> float:
+        """Returns a percentile of a histogram in milliseconds, 0 if it is empty."""
+        histogram = self.histograms.get(name)
+        if histogram is None or histogram.total_count == 0:
+            return 0.0
+        return float(histogram.get_value_at_percentile(percentile)) / 1000
+
+    def document(self) -> dict[str, Any]:
+        """Returns the report as JSON values."""
+        latencies = {}
+        for name, histogram in sorted(self.histograms.items()):
+            numbers = {f"p{value:g}_ms": self.percentile_ms(name, value) for value in _PERCENTILES}
+            encoded = histogram.encode().decode("ascii")
+            count = histogram.total_count
+            latencies[name] = {"count": count, **numbers, "histogram": encoded}
+        return {
+            "counts": {**{seen.value: 0 for seen in Seen}, "requests": 0, **self.counts},
+            "by_customer": {name: dict(counts) for name, counts in self.by_customer.items()},
+            "failed_attempts": dict(self.failed_attempts),
+            "failures": [asdict(failure) for failure in self.failures],
+            "orders": {number: asdict(order) for number, order in self.orders.items()},
+            "latencies": latencies,
+            "timeline": {str(second): dict(ends) for second, ends in self.timeline.items()},
+            "seconds": self.seconds,
+        }
+
+
+def report_from(document: dict[str, Any]) -> Report:
+    """Returns the report that a document describes."""
+    report = Report(
+        counts=Counter(document["counts"]),
+        failed_attempts=Counter(document["failed_attempts"]),
+        failures=[Failure(**item) for item in document["failures"]],
+        orders={number: OrderRecord(**item) for number, item in document["orders"].items()},
+        seconds=document["seconds"],
+    )
+    for name, counts in document["by_customer"].items():
+        report.by_customer[name] = Counter(counts)
+    for second, ends in document["timeline"].items():
+        report.timeline[int(second)] = Counter(ends)
+    for name, item in document["latencies"].items():
+        report.histograms[name] = HdrHistogram.decode(item["histogram"])
+    return report
+
+
+def merge_reports(documents: Iterable[dict[str, Any]]) -> Report:
+    """Returns one report for several load processes that ran side by side."""
+    merged = Report()
+    for report in map(report_from, documents):
+        merged.counts.update(report.counts)
+        merged.failed_attempts.update(report.failed_attempts)
+        merged.failures.extend(report.failures)
+        merged.orders.update(report.orders)
+        merged.seconds = max(merged.seconds, report.seconds)
+        for name, counts in report.by_customer.items():
+            merged.by_customer[name].update(counts)
+        for second, ends in report.timeline.items():
+            merged.timeline[second].update(ends)
+        for name, histogram in report.histograms.items():
+            if name in merged.histograms:
+                merged.histograms[name].add(histogram)
+            else:
+                merged.histograms[name] = histogram
+    return merged
+
+
+def compare_reports(paths: tuple[Path, Path]) -> str:
+    """Returns the figures of two reports side by side."""
+    first, second = (json.loads(path.read_text(encoding="utf-8")) for path in paths)
+    rows: list[tuple[str, float, float]] = []
+    for name in sorted({*first["counts"], *second["counts"]}):
+        rows.append((name, first["counts"].get(name, 0), second["counts"].get(name, 0)))
+    for name in sorted({*first["latencies"], *second["latencies"]}):
+        for percentile in _PERCENTILES:
+            key = f"p{percentile:g}_ms"
+            pair = [report["latencies"].get(name, {}).get(key, 0.0) for report in (first, second)]
+            rows.append((f"{name} {key}", pair[0], pair[1]))
+    titles = [path.stem[-16:] for path in paths]
+    lines = [f"{'':32}{titles[0]:>18}{titles[1]:>18}{'difference':>14}"]
+    for name, before, after in rows:
+        lines.append(f"{name:32}{before:>18.6g}{after:>18.6g}{after - before:>+14.6g}")
+    return "\n".join(lines)
--- a/src/tanagerworks/standin/engine.py
+++ b/src/tanagerworks/standin/engine.py
@@ -358,6 +358,9 @@
             if work.next_event < len(work.tokens):
                 work.timer = loop.call_later(1.0 / self.settings.tokens_per_s, self._emit, work)
                 return
+        if work.break_at is not None:
+            self._break(work)
+            return
         self._end_stream(work, exchange)
 
     def _end_stream(self, work: Work, exchange: Exchange) -> None:
--- a/src/tanagerworks/standin/order_service.py
+++ b/src/tanagerworks/standin/order_service.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections import Counter
+import time
+from collections import Counter, deque
 from typing import Any
 
 from pydantic import Field
@@ -11,6 +12,8 @@
 from tanagerworks.standin.server import Exchange, Request, run_forever, serve_routes
 from tanagerworks.wsgi import Response, json_response
 
+_MAX_TIMES = 1000
+
 
 class OrderServiceSettings(SettingsModel):
     """Settings of the order service stand-in."""
@@ -50,6 +53,9 @@
         self.by_key: dict[str, dict[str, Any]] = {}
         self.tasks: set[asyncio.Task[dict[str, Any]]] = set()
         self.requests = 0
+        self.out_since_s: float | None = None
+        # Seconds after the service was switched out, one for each new request.
+        self.new_work_out_s: deque[float] = deque(maxlen=_MAX_TIMES)
 
     async def run(self) -> None:
         """Does nothing."""
@@ -60,6 +66,8 @@
         method, path = request.method, request.path
         if path.startswith("/control/"):
             return self._control(request)
+        if self.out_since_s is not None:
+            self.new_work_out_s.append(time.monotonic() - self.out_since_s)
         if method == "POST" and path in ("/bookings", "/debits"):
             return await self._order(request, exchange)
         if method == "GET" and path.startswith("/orders/"):
@@ -115,8 +123,13 @@
                     "executions": dict(self.executions),
                     "refused": dict(self.refused),
                     "requests": self.requests,
+                    "new_work_out_s": list(self.new_work_out_s),
                 }
             )
+        if (method, path) == ("POST", "/control/zone"):
+            state = request.json()["state"]
+            self.out_since_s = time.monotonic() if state != "in" else None
+            return json_response({"state": state})
         if path == "/control/faults":
             if method == "POST":
                 changed = {**self.faults.model_dump(), **request.json()}
--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,198 @@
+"""The deployment of the Régie Municipale des Cires de Sfax on loopback.
+
+The demo, the soak and the measurements start it, smaller or larger, from stand-ins and nodes.
+"""
+
+import copy
+from dataclasses import dataclass, field
+from typing import Any
+
+from tools.fleet import Fleet, NodeAddresses, free_address, key_sha256, new_node
+
+ZONES = ("sfax-medina", "sfax-thyna", "sfax-sakiet")
+MODEL = "wax"
+SERVICE = "orders"
+CUSTOMERS = (
+    "club-carthage",
+    "club-thyna",
+    "cafe-bab-diwan",
+    "cafe-la-medina",
+    "ecole-hedi-chaker",
+    "ecole-ibn-khaldoun",
+    "lycee-taparura",
+    "ligue-du-sud",
+    "atelier-kerkennah",
+    "regie-centrale",
+)
+
+
+def customer_key(customer: str) -> str:
+    """Returns the bearer key of a customer."""
+    return f"key-of-{customer}"
+
+
+@dataclass
+class Sizes:
+    """Numbers of processes and traits of the engines."""
+
+    nodes: int = 6
+    routers_per_node: int = 1
+    engines: int = 5
+    order_services: int = 3
+    slots: int = 16
+    cold_slots: int = 2
+    max_work_s: float = 10.0
+    engine: dict[str, Any] = field(default_factory=dict)
+    rules: dict[str, Any] = field(default_factory=dict)
+    agent: dict[str, Any] = field(default_factory=dict)
+    max_streams_per_customer: int = 64
+
+
+@dataclass
+class Backend:
+    """An engine or order service stand-in."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class Deployment:
+    """Stand-ins and nodes of one deployment, and the release note in force."""
+
+    def __init__(self, fleet: Fleet, sizes: Sizes) -> None:
+        self.fleet = fleet
+        self.sizes = sizes
+        self.nodes = [
+            new_node(f"n{number + 1}", ZONES[number % len(ZONES)], sizes.routers_per_node)
+            for number in range(sizes.nodes)
+        ]
+        self.engines = _backends("m", sizes.engines)
+        self.order_services = _backends("s", sizes.order_services)
+        self.serial = 1
+        self.statement = self._statement()
+
+    def _statement(self) -> dict[str, Any]:
+        sizes = self.sizes
+        engine = {
+            "model": MODEL,
+            "version": "v1",
+            "slots": sizes.slots,
+            "cold_slots": sizes.cold_slots,
+            "max_work_s": sizes.max_work_s,
+        }
+        servers = {
+            server.name: {"address": server.address, "zone": server.zone}
+            for server in self.order_services
+        }
+        statement: dict[str, Any] = {
+            "nodes": {
+                node.node_id: {"zone": node.zone, "peer_address": node.peer} for node in self.nodes
+            },
+            "zones": {zone: {} for zone in ZONES},
+            "models": {MODEL: {"versions": {"v1": 1.0}}},
+            "customers": {
+                customer: {
+                    "key_sha256": [key_sha256(customer_key(customer))],
+                    "models": [MODEL],
+                    "services": [SERVICE] if servers else [],
+                    "max_streams": sizes.max_streams_per_customer,
+                }
+                for customer in CUSTOMERS
+            },
+            "engines": {
+                item.name: {**engine, "address": item.address, "zone": item.zone}
+                for item in self.engines
+            },
+            "rules": sizes.rules,
+        }
+        if servers:
+            routes = [
+                {"method": "GET", "path_prefix": "/", "repeatable": True},
+                {"method": "POST", "path_prefix": "/", "repeatable": False},
+            ]
+            statement["services"] = {SERVICE: {"servers": servers, "routes": routes}}
+        return statement
+
+    def start(self) -> None:
+        """Starts all processes and waits until the nodes are ready."""
+        self.start_standins()
+        for node in self.nodes:
+            self.start_node(node)
+        for node in self.nodes:
+            self.fleet.wait_for_node(node)
+
+    def start_standins(self) -> None:
+        """Starts the stand-ins and publishes the first release note."""
+        sizes = self.sizes
+        self.fleet.start_platform()
+        for engine in self.engines:
+            self.fleet.start_engine(
+                engine.name,
+                engine.address,
+                slots=sizes.slots,
+                cold_slots=sizes.cold_slots,
+                model=MODEL,
+                **sizes.engine,
+            )
+        for service in self.order_services:
+            self.fleet.start_order_service(service.name, service.address)
+        for engine in self.engines:
+            self.fleet.wait_for(engine.name, f"http://{engine.address}/v1/boot")
+        for service in self.order_services:
+            self.fleet.wait_for(service.name, f"http://{service.address}/control/executions")
+        vms = {item.name: "live" for item in [*self.engines, *self.order_services]}
+        self.fleet.control(self.fleet.platform_address, "vms", vms)
+        self.publish_full()
+
+    def start_node(self, node: NodeAddresses) -> None:
+        """Starts the processes of a node."""
+        peers = [other.peer for other in self.nodes]
+        self.fleet.start_node(node, peers, **self.sizes.agent)
+
+    def publish_full(self) -> None:
+        """Publishes the full statement under the serial in force."""
+        self.fleet.publish({"serial": self.serial, "statement": self.statement})
+
+    def publish_change(self, changed: dict[str, Any]) -> None:
+        """Publishes a change of items as a delta and as a full statement."""
+        self.serial += 1
+        self.statement = copy.deepcopy(self.statement)
+        for section, items in changed.items():
+            for name, item in items.items():
+                self.statement[section][name] = item
+        delta = {"serial": self.serial, "base": self.serial - 1, "changed": changed}
+        self.publish_full()
+        self.fleet.publish(delta, key="release-note")
+
+    def set_zone(self, zone: str, state: str) -> None:
+        """Publishes the state of a zone and lets its servers count new work while it is out."""
+        self.publish_change({"zones": {zone: {"state": state}}})
+        for item in [*self.engines, *self.order_services]:
+            if item.zone == zone:
+                self.fleet.control(item.address, "zone", {"state": state})
+
+    def caller_addresses(self) -> list[str]:
+        """Returns the addresses of all routers, by node."""
+        return [address for node in self.nodes for address in node.callers]
+
+    def engine_counters(self) -> dict[str, dict[str, Any]]:
+        """Returns what each engine counted."""
+        return {
+            engine.name: self.fleet.get_json(f"http://{engine.address}/control/counters")
+            for engine in self.engines
+        }
+
+    def service_counters(self) -> dict[str, dict[str, Any]]:
+        """Returns what each order service counted."""
+        return {
+            service.name: self.fleet.get_json(f"http://{service.address}/control/executions")
+            for service in self.order_services
+        }
+
+
+def _backends(prefix: str, count: int) -> list[Backend]:
+    return [
+        Backend(f"{prefix}{number + 1}", ZONES[number % len(ZONES)], free_address())
+        for number in range(count)
+    ]
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterable
 from contextlib import AbstractContextManager
@@ -21,6 +22,8 @@
 _START_TIMEOUT_S = 30.0
 _POLL_S = 0.05
 _STOP_TIMEOUT_S = 10.0
+# All processes together; those that still run are then killed.
+_EXIT_TIMEOUT_S = 5.0
 
 
 class FleetError(Exception):
@@ -52,12 +55,16 @@
     process: subprocess.Popen[bytes]
     log_path: Path
 
-    def stop(self) -> int:
-        """Asks for a graceful shutdown and returns the exit status."""
+    def terminate(self) -> None:
+        """Asks for a graceful shutdown."""
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
+
+    def stop(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Asks for a graceful shutdown and returns the exit status."""
+        self.terminate()
         try:
-            return self.process.wait(_STOP_TIMEOUT_S)
+            return self.process.wait(max(0.0, timeout_s))
         except subprocess.TimeoutExpired:
             self.process.kill()
             return self.process.wait()
@@ -95,13 +102,23 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Ends all processes, newest first."""
+        """Ends all processes, newest first; those that do not end in time are killed."""
+        # A second Ctrl-C must not leave processes behind.
+        previous = None
+        if threading.current_thread() is threading.main_thread():
+            previous = signal.signal(signal.SIGINT, signal.SIG_IGN)
         running = list(reversed(self.processes.values()))
         for item in running:
+            # A stopped process does not see the signal to end.
             if item.process.poll() is None:
-                item.process.send_signal(signal.SIGTERM)
+                item.process.send_signal(signal.SIGCONT)
+            item.terminate()
+        end_s = time.monotonic() + (_EXIT_TIMEOUT_S if error is None else 0.5)
         for item in running:
-            item.stop()
+            item.stop(end_s - time.monotonic())
+        self.pool.clear()
+        if previous is not None:
+            signal.signal(signal.SIGINT, previous)
 
     def start(self, name: str, module: str, arguments: Iterable[str], settings: Any) -> None:
         """Starts ``python -m module`` with `settings` written to a YAML file."""
@@ -114,6 +131,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                # Ctrl-C reaches only the launcher, which ends the processes in order.
+                process_group=0,
             )
         self.processes[name] = FleetProcess(name, process, log_path)
 
@@ -198,6 +217,61 @@
                 },
             )
 
+    def node_processes(self, node: NodeAddresses) -> list[FleetProcess]:
+        """Returns the agent and the routers of a node."""
+        names = [f"{node.node_id}-agent"]
+        names += [f"{node.node_id}-router-{number}" for number in range(len(node.callers))]
+        return [self.processes[name] for name in names]
+
+    def stop_node(self, node: NodeAddresses, timeout_s: float) -> list[int]:
+        """Stops a node as its VM does, all processes at once; returns the exit statuses."""
+        items = self.node_processes(node)
+        for item in items:
+            item.terminate()
+        end_s = time.monotonic() + timeout_s
+        return [item.stop(end_s - time.monotonic()) for item in items]
+
+    def kill_node(self, node: NodeAddresses) -> None:
+        """Ends all processes of a node without notice."""
+        for item in self.node_processes(node):
+            item.process.kill()
+        for item in self.node_processes(node):
+            item.process.wait()
+
+    def start_load(self, name: str, settings: dict[str, Any]) -> Path:
+        """Starts a load process and returns the path at which it leaves its report."""
+        report_path = self.directory / f"{name}.report.json"
+        self.start(
+            name, "tanagerworks.load", [f"--report={report_path}"], {"name": name, **settings}
+        )
+        return report_path
+
+    def finish_load(self, name: str, timeout_s: float) -> None:
+        """Waits until a load process has written its report.
+
+        Raises:
+            FleetError: the process failed.
+        """
+        item = self.processes[name]
+        try:
+            status = item.process.wait(timeout_s)
+        except subprocess.TimeoutExpired as error:
+            raise FleetError(f"{name} did not end in {timeout_s:.0f} s") from error
+        if status != 0:
+            raise FleetError(f"{name} failed: {item.log_path.read_text()[-2000:]}")
+
+    def control(self, address: str, path: str, document: Any, method: str = "POST") -> Any:
+        """Sends a control command to a stand-in and returns its answer."""
+        answer = self.pool.request(
+            method,
+            f"http://{address}/control/{path}",
+            body=json.dumps(document).encode(),
+            timeout=5.0,
+        )
+        if answer.status != 200:
+            raise FleetError(f"{address} refused /control/{path}: {answer.status}")
+        return json.loads(answer.data)
+
     def wait_for_node(self, node: NodeAddresses) -> None:
         """Waits until all routers of a node are ready."""
         for number, caller in enumerate(node.callers):
