--- a/src/tanagerworks/load/caller.py
+++ b/src/tanagerworks/load/caller.py
@@ -59,6 +59,8 @@
         self.chance = random.Random(settings.seed)
         self.balancer = Balancer(settings.nodes, random.Random(settings.seed + 1))
         self.stopped = asyncio.Event()
+        # No request is tried again after this time, so that a run ends soon after its last call.
+        self.last_retry_s = time.monotonic() + settings.seconds + settings.grace_s
 
     async def pause(self, seconds: float) -> None:
         """Waits, at most until the end of the run."""
@@ -69,6 +71,10 @@
         except TimeoutError:
             return
 
+    def may_retry(self, attempts: int) -> bool:
+        """Returns whether a request may be tried once more."""
+        return attempts < self.settings.attempts and time.monotonic() < self.last_retry_s
+
     async def pause_before_retry(self) -> None:
         """Waits between two attempts of one request, even after the end of the run."""
         await asyncio.sleep(self.settings.retry_pause_s * self.chance.uniform(0.5, 1.5))
--- a/src/tanagerworks/load/chats.py
+++ b/src/tanagerworks/load/chats.py
@@ -100,7 +100,7 @@
             node = self.run.balancer.choose(tried)
             tried.append(node)
             attempt = await self._attempt(node, body, chat_key, AnswerCheck(check_text), streamed)
-            if not attempt.again or len(tried) >= self.run.settings.attempts:
+            if not attempt.again or not self.run.may_retry(len(tried)):
                 break
             self.run.report.failed_attempts[attempt.code] += 1
             await self.run.pause_before_retry()
--- a/src/tanagerworks/load/orders.py
+++ b/src/tanagerworks/load/orders.py
@@ -107,7 +107,7 @@
                 again = repeatable and unknowns <= _UNKNOWN_REPEATS
             else:
                 again = attempt.again
-            if not again or len(tried) >= self.run.settings.attempts:
+            if not again or not self.run.may_retry(len(tried)):
                 break
             self.run.report.failed_attempts[attempt.code] += 1
             await self.run.pause_before_retry()
--- a/src/tanagerworks/load/settings.py
+++ b/src/tanagerworks/load/settings.py
@@ -59,6 +59,8 @@
     # Attempts of a request that was not run, each at another node.
     attempts: int = Field(default=6, ge=1)
     retry_pause_s: float = Field(default=0.3, ge=0)
+    # Requests that began in time are tried again at most this long after the end.
+    grace_s: float = Field(default=3.0, ge=0)
     answer_timeout_s: float = Field(default=30.0, gt=0)
     # Prepended to order numbers and chat keys, so that several load processes do not collide.
     name: str = "load"
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -89,7 +89,7 @@
         "seed": _SEED,
         "chats": chats,
         "orders": orders,
-        "answer_timeout_s": 15.0,
+        "answer_timeout_s": 12.0,
     }
 
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -104,6 +104,12 @@
                 item.name: {**engine, "address": item.address, "zone": item.zone}
                 for item in self.engines
             },
+            # Callers of a short run do not wait as long as those of the default classes.
+            "classes": {
+                "quick": {"priority": 0, "deadline_s": 4.0},
+                "counter": {"priority": 1, "deadline_s": 6.0, "max_queue": 128},
+                "patient": {"priority": 2, "deadline_s": 8.0, "max_queue": 256},
+            },
             "rules": sizes.rules,
         }
         if servers:
