Ask for tickets by service; confirm the cancellation of a request that has ended

A router names the service a ticket is for. An engine that knows a request answers its cancellation with 200 even if it has just ended, so that the router need not hold the slot.

--- a/src/tanagerworks/load/orders.py
+++ b/src/tanagerworks/load/orders.py
@@ -55,7 +55,8 @@
         with_ticket = self.chance.random() < self.load.ticket_share
         started_s = time.monotonic()
         if with_ticket:
-            issued, node, _calls = await self._repeat("POST", "/v1/tickets", {}, b"{}", True)
+            wish = json.dumps({"service": self.load.service}).encode()
+            issued, node, _calls = await self._repeat("POST", "/v1/tickets", {}, wish, True)
             if issued.seen is not Seen.WHOLE:
                 # Nothing but a ticket was asked for, so the order itself did not run.
                 self.run.report.orders[order] = OrderRecord(True, Seen.NOT_RUN.value, 0)
--- a/src/tanagerworks/standin/engine.py
+++ b/src/tanagerworks/standin/engine.py
@@ -473,7 +473,8 @@
             assert work.exchange is not None
             work.exchange.abort()
             self.resumable.pop(request_id, None)
-        return self._json({"cancelled": len(found)}, 200 if found else 404)
+        known = request_id in self.counts.requests_by_id
+        return self._json({"cancelled": len(found)}, 200 if known else 404)
 
     def _cache_events(self, after: int) -> Response:
         visible_s = time.monotonic() - self.settings.cache_event_lag_s
