--- a/src/tanagerworks/standin/engine.py
+++ b/src/tanagerworks/standin/engine.py
@@ -358,6 +358,9 @@
             if work.next_event < len(work.tokens):
                 work.timer = loop.call_later(1.0 / self.settings.tokens_per_s, self._emit, work)
                 return
+        if work.break_at is not None:
+            self._break(work)
+            return
         self._end_stream(work, exchange)
 
     def _end_stream(self, work: Work, exchange: Exchange) -> None:
@@ -470,7 +473,8 @@
             assert work.exchange is not None
             work.exchange.abort()
             self.resumable.pop(request_id, None)
-        return self._json({"cancelled": len(found)}, 200 if found else 404)
+        known = request_id in self.counts.requests_by_id
+        return self._json({"cancelled": len(found)}, 200 if known else 404)
 
     def _cache_events(self, after: int) -> Response:
         visible_s = time.monotonic() - self.settings.cache_event_lag_s
