--- /dev/null
+++ b/src/tanagerworks/agent/entry_bounds.py
@@ -0,0 +1,83 @@
+"""Keeps a node's entry short, whatever the number of engines."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from tanagerworks.note.model import Engine
+from tanagerworks.rpc.tanager_pb2 import NodeEntry
+
+# One count per engine is a byte each; beyond this many engines totals by pool are sent.
+_MAX_ENGINE_COUNTS = 64
+# An item of warmth takes about 45 bytes.
+_MAX_WARM = 6
+
+
+class EntryBounds:
+    """Chooses what an entry holds when not everything fits.
+
+    Warmth counts only grow and are merged by maximum, so it does no harm to leave some out. The
+    engines that are still warming up go first, then those whose count moved last.
+    """
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, str], int] = {}
+        self.moved_at: dict[tuple[str, str], int] = {}
+        self.turn = 0
+
+    def shorten(
+        self, entry: NodeEntry, engines: Mapping[str, Engine], allowance: Callable[[str], int]
+    ) -> None:
+        """Bounds the counts and the warmth in `entry`."""
+        if len(engines) > _MAX_ENGINE_COUNTS:
+            entry.running_by_pool[:] = _pool_totals(entry.running_by_engine, engines)
+            del entry.running_by_engine[:]
+        if len(entry.warm) <= _MAX_WARM:
+            return
+        self.turn += 1
+        keys = [(item.engine_id, item.boot_id) for item in entry.warm]
+        for key, item in zip(keys, entry.warm, strict=True):
+            if self.counts.get(key) != item.answers:
+                self.counts[key] = item.answers
+                self.moved_at[key] = self.turn
+        current = set(keys)
+        for mapping in (self.counts, self.moved_at):
+            for key in mapping.keys() - current:
+                del mapping[key]
+
+        def order(key: tuple[str, str]) -> tuple[bool, int, tuple[str, str]]:
+            engine = engines.get(key[0])
+            warm = engine is None or allowance(key[0]) >= engine.slots
+            return warm, -self.moved_at[key], key
+
+        chosen = set(sorted(keys, key=order)[:_MAX_WARM])
+        kept = [item for key, item in zip(keys, entry.warm, strict=True) if key in chosen]
+        del entry.warm[:]
+        entry.warm.extend(kept)
+
+
+def expand_counts(entry: NodeEntry, engines: Mapping[str, Engine]) -> None:
+    """Spreads totals by pool evenly over the pool's engines, so that their mean is right."""
+    pools = _pools(engines)
+    if not entry.running_by_pool or len(entry.running_by_pool) != len(pools):
+        return
+    counts = [0] * len(engines)
+    for total, members in zip(entry.running_by_pool, pools, strict=True):
+        share, rest = divmod(total, len(members))
+        for position, index in enumerate(members):
+            counts[index] = share + (position < rest)
+    entry.running_by_engine[:] = counts
+
+
+def _pools(engines: Mapping[str, Engine]) -> list[list[int]]:
+    pools: dict[tuple[str, str], list[int]] = {}
+    for index, engine_id in enumerate(sorted(engines)):
+        engine = engines[engine_id]
+        pools.setdefault((engine.model, engine.version), []).append(index)
+    return [pools[key] for key in sorted(pools)]
+
+
+def _pool_totals(counts: Iterable[int], engines: Mapping[str, Engine]) -> list[int]:
+    by_index = list(counts)
+    return [
+        sum(by_index[index] for index in members if index < len(by_index))
+        for members in _pools(engines)
+    ]
--- /dev/null
+++ b/src/tanagerworks/agent/gossip.py
@@ -0,0 +1,161 @@
+"""Builds and takes the messages of the exchange between agents."""
+
+from collections.abc import Callable, Iterable
+
+from tanagerworks.membership.entries import LIVELY, Entry
+from tanagerworks.membership.pulses import roster_hash
+from tanagerworks.membership.table import NodeTable
+from tanagerworks.note.model import Note
+from tanagerworks.rpc.tanager_pb2 import ExchangeReply, ExchangeRequest, NodeEntry
+
+
+class Gossip:
+    """The node table in terms of the wire; used on the event loop only.
+
+    `fill_entry` writes the scheduler's part of the own entry, `take_entry` reads that of a living
+    peer, and `forget_node` is called when a node is dead or has stopped.
+    """
+
+    def __init__(
+        self,
+        table: NodeTable,
+        clock: Callable[[], float],
+        *,
+        max_entry_bytes: int,
+        fill_entry: Callable[[NodeEntry], None],
+        take_entry: Callable[[NodeEntry], None],
+        forget_node: Callable[[str], None],
+    ) -> None:
+        self.table = table
+        self.clock = clock
+        self.max_entry_bytes = max_entry_bytes
+        self.fill_entry = fill_entry
+        self.take_entry = take_entry
+        self.forget_node = forget_node
+        self.living: set[str] = set()
+        self.roster: list[str] = []
+        self.roster_hash = roster_hash([])
+        self.addresses: dict[str, str] = {}
+        self.note_serial = 0
+        self.leaving = False
+        self.clean_stop = False
+
+    def set_note(self, note: Note) -> None:
+        """Takes the nodes of a new note."""
+        nodes = note.statement.nodes
+        self.roster = sorted(nodes)
+        self.roster_hash = roster_hash(self.roster)
+        self.addresses = {name: node.peer_address for name, node in nodes.items()}
+        self.note_serial = note.serial
+
+    def beat(self) -> None:
+        """Advances the own heartbeat, renews the own entry and judges the other nodes."""
+        self.table.beat()
+        self.renew_own()
+        now_s = self.clock()
+        living = set(self.table.living(self.table.members, now_s))
+        for node_id in sorted(self.living - living):
+            self.forget_node(node_id)
+        for node_id in sorted(living - self.living):
+            # A node may return without a change of its entry, after a partition.
+            member = self.table.members[node_id]
+            self.take_entry(_message(member.entry, member.heartbeat))
+        self.living = living
+
+    def renew_own(self) -> None:
+        """Renews the own entry from the scheduler."""
+        entry = NodeEntry()
+        self.fill_entry(entry)
+        entry.note_serial = self.note_serial
+        payload = entry.SerializeToString(deterministic=True)
+        self.table.set_own(payload, leaving=self.leaving, clean_stop=self.clean_stop)
+
+    def request(self, peer: str) -> tuple[ExchangeRequest, list[Entry]]:
+        """Returns the message for `peer` and the entries in it.
+
+        What the peer lacks is not known before its answer, so only changes are sent.
+        """
+        now_s = self.clock()
+        news = self.table.news_for(peer, (), b"", self.max_entry_bytes, now_s)
+        request = ExchangeRequest(
+            sender=self.table.node_id,
+            incarnation=self.table.own.incarnation,
+            entries=_messages(news),
+            roster=self.roster_hash,
+            pulses=self.table.pulses(self.roster, now_s),
+            note_serial=self.note_serial,
+        )
+        return request, [entry for entry, _heartbeat in news]
+
+    def take_request(self, request: ExchangeRequest) -> ExchangeReply:
+        """Merges a peer's message and returns the answer."""
+        now_s = self.clock()
+        highest, unclean = self.table.predecessor(request.sender, request.incarnation)
+        reply = ExchangeReply(
+            highest_incarnation=highest,
+            unclean_predecessor=unclean,
+            note_serial=self.note_serial,
+        )
+        if request.survey:
+            reply.sender = self.table.node_id
+            return reply
+        self._merge(request.sender, request.entries)
+        same_roster = request.roster == self.roster_hash
+        if same_roster:
+            self.table.take_pulses(self.roster, request.pulses, now_s)
+        news = self.table.news_for(
+            request.sender,
+            self.roster if same_roster else (),
+            request.pulses,
+            self.max_entry_bytes,
+            now_s,
+        )
+        reply.entries.extend(_messages(news))
+        reply.roster = self.roster_hash
+        reply.pulses = self.table.pulses(self.roster, now_s)
+        return reply
+
+    def take_reply(self, peer: str, reply: ExchangeReply) -> None:
+        """Merges the answer of `peer`."""
+        self._merge(peer, reply.entries)
+        if reply.roster == self.roster_hash:
+            self.table.take_pulses(self.roster, reply.pulses, self.clock())
+
+    def _merge(self, peer: str, entries: Iterable[NodeEntry]) -> None:
+        now_s = self.clock()
+        for message in entries:
+            entry = _entry(message)
+            if not self.table.merge(entry, max(message.pulse, message.heartbeat), peer, now_s):
+                continue
+            if self.table.liveness(entry.node_id, now_s) in LIVELY:
+                self.living.add(entry.node_id)
+                self.take_entry(message)
+
+
+def _entry(message: NodeEntry) -> Entry:
+    body = NodeEntry()
+    body.CopyFrom(message)
+    # These stand beside the payload, so that a table compares and relays without decoding.
+    for name in ("node_id", "incarnation", "heartbeat", "pulse", "leaving", "clean_stop"):
+        body.ClearField(name)
+    return Entry(
+        message.node_id,
+        (message.incarnation, message.heartbeat),
+        message.leaving,
+        message.clean_stop,
+        body.SerializeToString(deterministic=True),
+    )
+
+
+def _message(entry: Entry, heartbeat: int) -> NodeEntry:
+    message = NodeEntry.FromString(entry.payload)
+    message.node_id = entry.node_id
+    message.incarnation, message.heartbeat = entry.version
+    message.pulse = heartbeat
+    message.leaving = entry.leaving
+    message.clean_stop = entry.clean_stop
+    return message
+
+
+def _messages(news: Iterable[tuple[Entry, int]]) -> list[NodeEntry]:
+    return [_message(entry, heartbeat) for entry, heartbeat in news]
