Test mutual TLS between nodes

Guards: foreign, expired, absent and other-purpose certificates learn and teach nothing; keys of two authorities are valid during a rotation and the old one is refused after it; connections are renewed with new key material; files that do not fit are refused.

--- /dev/null
+++ b/tests/test_peer_tls.py
@@ -0,0 +1,191 @@
+"""Mutual TLS between nodes: who may learn and teach."""
+
+import asyncio
+from random import Random
+
+import grpc
+import pytest
+
+from tanagerworks.agent.gossip import Gossip
+from tanagerworks.agent.note_keeper import NoteKeeper
+from tanagerworks.agent.peer_links import CHANNEL_OPTIONS, PeerLinks
+from tanagerworks.agent.peer_service import PeerService, start_peer_server
+from tanagerworks.agent.state import AgentState
+from tanagerworks.errors import TlsError
+from tanagerworks.membership.table import NodeTable
+from tanagerworks.note.model import Note
+from tanagerworks.rpc.tanager_pb2 import ExchangeRequest, FetchNoteRequest, NodeEntry
+from tanagerworks.rpc.tanager_pb2_grpc import PeerExchangeStub
+from tanagerworks.tls.peer_credentials import PeerCredentials
+from tests.builders import note_document
+from tests.certificates import NODE_NAME, Authority, write_files
+from tools.fleet import free_address
+
+
+class _Node:
+    """The peer service of a node that has a note."""
+
+    def __init__(self, credentials):
+        self.credentials = credentials
+        self.address = free_address()
+        state = AgentState("n1")
+        self.table = NodeTable("n1", 1, Random(1))
+        gossip = Gossip(
+            self.table,
+            state.clock,
+            max_entry_bytes=700,
+            fill_entry=lambda entry: None,
+            take_entry=lambda entry: None,
+            forget_node=lambda name: None,
+        )
+        keeper = NoteKeeper(lambda note, source: None)
+        keeper.offer(Note.model_validate(note_document(7)), "test")
+        self.service = PeerService(state, gossip, keeper, newer_note=lambda peer: None)
+
+    async def __aenter__(self):
+        self.server = await start_peer_server(self.service, self.address, self.credentials, 60.0)
+        return self
+
+    async def __aexit__(self, *error):
+        await self.server.stop(0)
+
+
+async def _talk(stub):
+    """Teaches and learns; returns the serial learnt."""
+    entry = NodeEntry(node_id="n2", incarnation=1, heartbeat=1)
+    await stub.Exchange(ExchangeRequest(sender="n2", entries=[entry]), timeout=5)
+    reply = await stub.FetchNote(FetchNoteRequest(sender="n2"), timeout=5)
+    return reply.serial if reply.packed_note else 0
+
+
+async def _talk_with(credentials, address):
+    links = PeerLinks(credentials)
+    try:
+        return await _talk(links.stub(address))
+    finally:
+        await links.close()
+
+
+async def _talk_raw(address, key, chain, authorities):
+    options = [*CHANNEL_OPTIONS, ("grpc.ssl_target_name_override", NODE_NAME)]
+    credentials = grpc.ssl_channel_credentials(authorities, key, chain)
+    async with grpc.aio.secure_channel(address, credentials, options=options) as channel:
+        return await _talk(PeerExchangeStub(channel))
+
+
+def test_only_nodes_of_the_fleet_learn_and_teach(tmp_path):
+    """Guards against a node with a foreign, expired or absent certificate that is served."""
+    fleet, foreign = Authority(), Authority()
+    own = PeerCredentials(write_files(tmp_path / "own", fleet.issue(), [fleet]))
+    peer = PeerCredentials(write_files(tmp_path / "peer", fleet.issue(), [fleet]))
+    refused = {
+        "foreign": foreign.issue(),
+        "expired": fleet.issue(days=-1),
+        "other purpose": fleet.issue(name="mail.example"),
+        "absent": (None, None),
+    }
+
+    async def check():
+        async with _Node(own) as node:
+            for name, (key, chain) in refused.items():
+                with pytest.raises(grpc.RpcError):
+                    await _talk_raw(node.address, key, chain, fleet.pem)
+                assert not node.table.members, name
+            plain = PeerLinks(None)
+            with pytest.raises(grpc.RpcError):
+                await _talk(plain.stub(node.address))
+            await plain.close()
+            assert not node.table.members
+            assert await _talk_with(peer, node.address) == 7
+            assert set(node.table.members) == {"n2"}
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("kind", ["foreign", "other purpose", "plain"])
+def test_false_peer_teaches_nothing(tmp_path, kind):
+    """Guards against a node that takes a note from a server which is no node of the fleet."""
+    fleet, foreign = Authority(), Authority()
+    own = PeerCredentials(write_files(tmp_path / "own", fleet.issue(), [fleet]))
+    false = None
+    if kind != "plain":
+        issued = foreign.issue() if kind == "foreign" else fleet.issue(name="mail.example")
+        false = PeerCredentials(write_files(tmp_path / "false", issued, [fleet, foreign]))
+
+    async def check():
+        async with _Node(false) as node:
+            with pytest.raises(grpc.RpcError):
+                await _talk_with(own, node.address)
+            assert not node.table.members
+
+    asyncio.run(check())
+
+
+def test_both_keys_are_valid_during_a_rotation(tmp_path):
+    """Guards against a rotation that cuts off nodes, and against one that never ends."""
+    old, new = Authority("old"), Authority("new")
+    files = write_files(tmp_path / "own", old.issue(), [old])
+    own = PeerCredentials(files)
+    on_old = PeerCredentials(write_files(tmp_path / "old", old.issue(), [old, new]))
+    on_new = PeerCredentials(write_files(tmp_path / "new", new.issue(), [old, new]))
+
+    async def check():
+        async with _Node(own) as node:
+            assert await _talk_with(on_old, node.address) == 7
+            with pytest.raises(grpc.RpcError):
+                await _talk_with(on_new, node.address)
+            write_files(tmp_path / "own", old.issue(), [old, new])
+            assert own.reload_if_changed()
+            assert await _talk_with(on_old, node.address) == 7
+            assert await _talk_with(on_new, node.address) == 7
+            write_files(tmp_path / "own", new.issue(), [new])
+            assert own.reload_if_changed()
+            with pytest.raises(grpc.RpcError):
+                await _talk_with(on_old, node.address)
+            assert await _talk_with(on_new, node.address) == 7
+
+    asyncio.run(check())
+
+
+def test_links_are_renewed_with_new_key_material(tmp_path):
+    """Guards against connections that keep a withdrawn key in use."""
+    fleet = Authority()
+    own = PeerCredentials(write_files(tmp_path / "own", fleet.issue(), [fleet]))
+    peer = PeerCredentials(write_files(tmp_path / "peer", fleet.issue(), [fleet]))
+
+    async def check():
+        async with _Node(own) as node:
+            links = PeerLinks(peer)
+            assert await _talk(links.stub(node.address)) == 7
+            before = links.channels[node.address]
+            links.renew_if_changed()
+            assert links.channels[node.address] is before
+            write_files(tmp_path / "peer", fleet.issue(), [fleet])
+            assert peer.reload_if_changed()
+            links.renew_if_changed()
+            assert not links.channels
+            assert await _talk(links.stub(node.address)) == 7
+            await links.close()
+
+    asyncio.run(check())
+
+
+def test_files_that_do_not_fit_are_refused(tmp_path):
+    """Guards against a process that starts, or goes on, with half of a key pair."""
+    fleet = Authority()
+    key, certificate = fleet.issue()
+    good = write_files(tmp_path / "own", (key, certificate), [fleet])
+    credentials = PeerCredentials(good)
+    for issued in (
+        (fleet.issue()[0], certificate),
+        (b"no key", certificate),
+        (key, b"no certificate"),
+        fleet.issue(days=-1),
+    ):
+        write_files(tmp_path / "own", issued, [fleet])
+        assert not credentials.reload_if_changed()
+        with pytest.raises(TlsError):
+            PeerCredentials(good)
+    assert credentials.material.key == key
+    write_files(tmp_path / "own", fleet.issue(), [fleet])
+    assert credentials.reload_if_changed()
