--- a/src/tanagerworks/agent/node.py
+++ b/src/tanagerworks/agent/node.py
@@ -40,6 +40,8 @@
 _LOGGER = logging.getLogger(__name__)
 # The platform counts as answering this long after its last answer.
 _PLATFORM_RECENT_S = 3.0
+# A router that asks for a refresh gets knowledge that is not older.
+_REFRESH_AGE_S = 1.0
 # Longest list of exceptions in an entry, so that one entry fits into an exchange at 350 nodes.
 _MAX_EXCEPTIONS = 8
 _MAX_DOWN_ENGINES = 16
@@ -128,21 +130,20 @@
             PeerError: an address cannot be used.
         """
         settings = self.settings
-        self.router_server = create_grpc_server(interceptors=[PauseInterceptor(self.guard)])
-        add_NodeAgentServicer_to_server(RouterService(self.state), self.router_server)
+        interceptor = PauseInterceptor(self.guard, self._age_s, _REFRESH_AGE_S)
+        self.router_server = create_grpc_server(interceptors=[interceptor])
+        service = RouterService(self.state, self.guard.ensure_fresh)
+        add_NodeAgentServicer_to_server(service, self.router_server)
         try:
             self.router_server.add_insecure_port(settings.router_link_address)
         except RuntimeError as error:
             raise PeerError(f"cannot listen at {settings.router_link_address}") from error
         await self.router_server.start()
-        service = PeerService(
-            self.state,
-            self.gossip,
-            self.keeper,
-            newer_note=self.peers.fetch_note,
+        peer_service = PeerService(
+            self.state, self.gossip, self.keeper, newer_note=self.peers.fetch_note
         )
         self.peer_server = await start_peer_server(
-            service, settings.peer_address, self.credentials, settings.max_peer_connection_s
+            peer_service, settings.peer_address, self.credentials, settings.max_peer_connection_s
         )
         self._run("ticks", self.state.run_ticks())
         self._run("pause guard", self.guard.run())
@@ -249,6 +250,9 @@
             return False
         return True
 
+    def _age_s(self) -> float:
+        return self.state.scheduler.freshness.age_s(self.clock())
+
     # Peers.
 
     def _fill_entry(self, entry: NodeEntry) -> None:
--- a/src/tanagerworks/agent/pauses.py
+++ b/src/tanagerworks/agent/pauses.py
@@ -49,6 +49,10 @@
             return
         self.pauses += 1
         _LOGGER.warning("the process was paused", extra={"gap_s": round(gap_s, 3)})
+        self.start_refresh()
+
+    def start_refresh(self) -> None:
+        """Starts a refresh unless one is in progress."""
         if self.refreshing is None or self.refreshing.done():
             self.refreshing = asyncio.get_running_loop().create_task(self._refresh())
 
@@ -59,7 +63,7 @@
         except TimeoutError:
             refreshed = False
         if not refreshed:
-            _LOGGER.warning("nobody answered after a pause; continues with the former state")
+            _LOGGER.warning("nobody answered a refresh; continues with the former state")
 
     async def ensure_fresh(self) -> None:
         """Returns once the knowledge is refreshed, at once without a pause."""
@@ -70,13 +74,20 @@
 
 
 class PauseInterceptor(grpc.aio.ServerInterceptor):
-    """Makes every call wait for the refresh after a pause."""
+    """Makes every call wait for the refresh after a pause.
+
+    A call of `Refresh` also starts one if the knowledge is older than `max_age_s`.
+    """
 
-    def __init__(self, guard: PauseGuard) -> None:
+    def __init__(self, guard: PauseGuard, age_s: Callable[[], float], max_age_s: float) -> None:
         self.guard = guard
+        self.age_s = age_s
+        self.max_age_s = max_age_s
 
     async def intercept_service(  # noqa: D102 - documented by the base class
         self, continuation: Callable, details: grpc.HandlerCallDetails
     ) -> grpc.RpcMethodHandler:
+        if details.method.endswith("/Refresh") and self.age_s() > self.max_age_s:
+            self.guard.start_refresh()
         await self.guard.ensure_fresh()
         return await continuation(details)
--- a/src/tanagerworks/agent/router_service.py
+++ b/src/tanagerworks/agent/router_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from grpc.aio import ServicerContext
 
@@ -34,8 +34,12 @@
 class RouterService(NodeAgentServicer):
     """The agent's side of the link to its routers."""
 
-    def __init__(self, state: AgentState) -> None:
+    def __init__(
+        self, state: AgentState, ensure_fresh: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
         self.state = state
+        # Awaited before a view of an open watch is sent; returns at once unless the process paused.
+        self.ensure_fresh = ensure_fresh
         # Open watches by router process.
         self.watches: Counter[str] = Counter()
 
@@ -55,6 +59,8 @@
         serial = request.note_serial
         try:
             while not self.state.stopping.is_set():
+                if self.ensure_fresh is not None:
+                    await self.ensure_fresh()
                 changed = self.state.changed
                 view = self.state.view(serial)
                 serial = view.note_serial
