Count a stop as clean once the hold after a start has passed

A node whose predecessor crashed never announced a clean stop, because only the peers' answers ended its hold, not time.

--- a/src/tanagerworks/agent/admin_models.py
+++ b/src/tanagerworks/agent/admin_models.py
@@ -83,6 +83,8 @@
     serial: int
     digest: str | None
     ready: bool
+    # Own slots wait until no work of an earlier process of this node can still run.
+    slots_on_hold: bool
     drained_by: str | None
     stopping: bool
     audit_sequence: int
--- a/src/tanagerworks/agent/node.py
+++ b/src/tanagerworks/agent/node.py
@@ -188,7 +188,9 @@
         """Announces the end to the peers and ends all parts; `clean` if all work has ended."""
         # Peers may trust a clean stop only of a process that was past its own hold: work of an
         # unclean predecessor may still run otherwise.
-        await self.peers.announce_stop(clean=clean and self.state.ledger.confirmed)
+        await self.peers.announce_stop(
+            clean=clean and not self.state.ledger.on_hold(self.state.clock())
+        )
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/src/tanagerworks/agent/operations.py
+++ b/src/tanagerworks/agent/operations.py
@@ -68,6 +68,7 @@
             serial=self.serial,
             digest=note.digest() if note else None,
             ready=self.health().ok,
+            slots_on_hold=self.state.ledger.on_hold(self.state.clock()),
             drained_by=self.drained_by,
             stopping=self.stopping,
             audit_sequence=self.trail.head_sequence,
--- a/src/tanagerworks/routing/slots.py
+++ b/src/tanagerworks/routing/slots.py
@@ -208,6 +208,10 @@
         self.hold_until_s = now_s
         self.tick(now_s)
 
+    def on_hold(self, now_s: float) -> bool:
+        """Returns whether the own slots still wait because of a predecessor's work."""
+        return now_s < self.hold_until_s
+
     def take_serials(
         self, node_id: str, note_serial: int, drained_serial: int, all_drained_serial: int
     ) -> None:
