Explain versions and long prompts; test drain through processes

Explain ranked the engines of all versions of a model and took every chat for a short one. Metrics are rendered on the event loop, since the gauges read the agent's state. A test drains and undrains a real agent, checks that callers are refused as not run in between, and verifies the audit chain in the agent's log.

--- a/src/tanagerworks/agent/admin.py
+++ b/src/tanagerworks/agent/admin.py
@@ -57,6 +57,7 @@
 
 # Longer waits are refused as a mistake; those above max_wait_s of the settings are shortened.
 _LONGEST_WAIT_S = 3600.0
+_MOST_PROMPT_TOKENS = 10_000_000
 
 ResultT = TypeVar("ResultT")
 
@@ -184,7 +185,8 @@
             health = self._on_loop(self.operations.health)
             return model_response(health, 200 if health.ok else 503)
         if path == "/metrics":
-            body = render_metrics()
+            # The gauges read the agent's state.
+            body = self._on_loop(render_metrics)
             headers = [("Content-Type", METRICS_CONTENT_TYPE), ("Content-Length", str(len(body)))]
             return Response(200, headers, [body])
         # The key is checked before the path, so strangers do not learn which paths exist.
@@ -248,6 +250,7 @@
             call.field("customer"),
             call.field("model"),
             call.field("chat_key"),
+            int(call.number("prompt_tokens", 0, _MOST_PROMPT_TOKENS)),
         )
         return model_response(report)
 
--- a/src/tanagerworks/agent/explain.py
+++ b/src/tanagerworks/agent/explain.py
@@ -3,7 +3,9 @@
 from collections.abc import Sequence
 
 from tanagerworks.agent.admin_models import ExplainReport, ExplainStage
+from tanagerworks.errors import ModelNotFoundError
 from tanagerworks.note.model import Customer, Note
+from tanagerworks.router.view import ModelChoice, NoteIndex
 from tanagerworks.routing.placement import Candidate, Way
 from tanagerworks.routing.ranking import chat_hash, rank_engines
 from tanagerworks.routing.scheduler import Claim, NodeScheduler
@@ -11,11 +13,7 @@
 
 
 class Explanation:
-    """The stages of one routing decision, in the order in which a request meets them.
-
-    The chat is taken for one without a cached prefix to rebuild, so waiting for the first choice
-    in order to save a rebuild does not show.
-    """
+    """The stages of one routing decision, in the order in which a request meets them."""
 
     def __init__(self, scheduler: NodeScheduler, note: Note, now_s: float) -> None:
         self.scheduler = scheduler
@@ -26,21 +24,28 @@
         self.way: Way | None = None
         self.engine_id: str | None = None
 
-    def run(self, customer_name: str, model_name: str, chat_key: str) -> None:
-        """Goes through the stages until one refuses."""
+    def run(
+        self, customer_name: str, model_name: str, chat_key: str, prompt_tokens: int = 0
+    ) -> None:
+        """Goes through the stages until one refuses.
+
+        `prompt_tokens` is the length of the prefix that an engine other than the first choice
+        would have to rebuild.
+        """
         statement = self.note.statement
         customer = statement.customers.get(customer_name)
         if customer is None:
             self._stage("customer", False, f"no customer named {customer_name!r}")
             return
         self._stage("customer", True, f"serial {self.note.serial} names the customer")
-        if model_name not in statement.models:
-            self._stage("model", False, f"no model named {model_name!r}")
-            return
-        if model_name not in customer.models:
-            self._stage("model", False, "the customer's list of models does not name it")
+        # The router builds the same key, so that customers' chats never share one.
+        full_key = f"{customer_name}\0{chat_key}"
+        try:
+            choice = NoteIndex(self.note).choose_model(model_name, customer, full_key)
+        except ModelNotFoundError as error:
+            self._stage("model", False, error.message)
             return
-        self._stage("model", True, "the model is in force for the customer")
+        self._stage("model", True, f"{choice.model} version {choice.version}")
         request_class = statement.classes[customer.request_class]
         self._stage(
             "class",
@@ -50,15 +55,13 @@
         )
         if not self._within_limits(customer_name, customer):
             return
-        weights = self._eligible(model_name)
-        # The router builds the same key, so that customers' chats never share one.
-        full_key = f"{customer_name}\0{chat_key}"
+        weights = self._eligible(choice)
         self.ranking = rank_engines(full_key, weights)
         if not self.ranking:
-            self._stage("rank", False, "no engine of the model is in service")
+            self._stage("rank", False, "no engine of the model's version is in service")
             return
         self._stage("rank", True, f"first choice {self.ranking[0]} of {len(self.ranking)}")
-        self._place(customer_name, customer, chat_hash(full_key))
+        self._place(customer_name, customer, chat_hash(full_key), prompt_tokens)
 
     def report(self, node_id: str, customer: str, model: str) -> ExplainReport:
         """Returns the published document."""
@@ -86,10 +89,10 @@
         reason = f"{running} of {allowed} streams that this node allows"
         return self._stage("limits", running < allowed, reason)
 
-    def _eligible(self, model_name: str) -> dict[str, float]:
+    def _eligible(self, choice: ModelChoice) -> dict[str, float]:
         weights: dict[str, float] = {}
         for engine_id, engine in sorted(self.note.statement.engines.items()):
-            if engine.model != model_name:
+            if (engine.model, engine.version) != (choice.model, choice.version):
                 continue
             why_not = self.scheduler.why_not(engine_id, self.now_s)
             if why_not:
@@ -103,7 +106,12 @@
             self._stage("eligible", True, f"{engine_id} in {engine.zone}: {warmth}")
         return weights
 
-    def _place(self, name: str, customer: Customer, hashed: int) -> None:
+    def _place(self, name: str, customer: Customer, hashed: int, prompt_tokens: int) -> None:
+        engines = self.note.statement.engines
+        candidates = [Candidate(self.ranking[0])]
+        for engine_id in self.ranking[1:]:
+            rebuild_s = prompt_tokens / engines[engine_id].prefill_tokens_per_s
+            candidates.append(Candidate(engine_id, rebuild_s))
         request_class = self.note.statement.classes[customer.request_class]
         claim = Claim(
             claim_id="explain",
@@ -111,7 +119,7 @@
             customer=name,
             request_class=customer.request_class,
             deadline_s=self.now_s + request_class.deadline_s,
-            candidates=[Candidate(engine_id) for engine_id in self.ranking],
+            candidates=candidates,
             arrived_at_s=self.now_s,
             chat_hash=hashed,
             explain=True,
--- a/src/tanagerworks/agent/operations.py
+++ b/src/tanagerworks/agent/operations.py
@@ -136,7 +136,9 @@
     def _close(self) -> None:
         self.state.closed = True
 
-    def explain(self, customer_name: str, model_name: str, chat_key: str) -> ExplainReport:
+    def explain(
+        self, customer_name: str, model_name: str, chat_key: str, prompt_tokens: int = 0
+    ) -> ExplainReport:
         """Returns every stage of the decision for a chat, as it would be taken now.
 
         Raises:
@@ -146,7 +148,7 @@
         explanation = Explanation(self.state.scheduler, note, self.state.clock())
         health = self.health()
         if health.ok:
-            explanation.run(customer_name, model_name, chat_key)
+            explanation.run(customer_name, model_name, chat_key, prompt_tokens)
         else:
             explanation.stages.append(
                 ExplainStage(stage="node", passed=False, reason=health.reason)
--- a/src/tanagerworks/ctl/command.py
+++ b/src/tanagerworks/ctl/command.py
@@ -107,6 +107,13 @@
     flags.DEFINE_integer(
         "at_serial", None, "Last serial that replay takes.", flag_values=flag_values
     )
+    flags.DEFINE_integer(
+        "prompt_tokens",
+        0,
+        "Length of the chat's prompt, which another engine would have to rebuild; for explain.",
+        lower_bound=0,
+        flag_values=flag_values,
+    )
     flags.DEFINE_float(
         "follow_s",
         0.0,
--- a/src/tanagerworks/ctl/status.py
+++ b/src/tanagerworks/ctl/status.py
@@ -146,6 +146,7 @@
 def explain(invocation: Invocation) -> int:
     """Prints the stages of the routing decision for a chat at every node asked."""
     customer, model, chat_key = invocation.arguments
+    tokens = str(invocation.flag_values["prompt_tokens"].value)
     client = invocation.client
     gathered = gather(
         invocation.nodes,
@@ -153,7 +154,12 @@
             address,
             "explain",
             ExplainReport,
-            {"customer": customer, "model": model, "chat_key": chat_key},
+            {
+                "customer": customer,
+                "model": model,
+                "chat_key": chat_key,
+                "prompt_tokens": tokens,
+            },
         ),
     )
     printer = invocation.printer
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -110,7 +110,7 @@
     assert refused["stages"][-1] == {
         "stage": "model",
         "passed": False,
-        "reason": "no model named 'tallow'",
+        "reason": "no such model, version or alias for this customer",
     }
 
 
@@ -134,6 +134,22 @@
         assert admin.get(path)[1]["way"] == "wait"
 
 
+def test_explain_waits_for_the_cached_prefix_of_a_long_chat():
+    """Guards against an explanation that differs from the router's choice for long prompts."""
+    engines = note_document()["statement"]["engines"]
+    engines["m2"] = {**engines["m1"], "address": "127.0.0.1:8002"}
+    path = "/admin/v1/explain?customer=club-carthage&model=wax&chat_key=c&prompt_tokens={}"
+    with running_admin(note=note_document(engines=engines)) as admin:
+        first = admin.get(path.format(0))[1]["ranking"][0]
+        now_s = admin.state.clock()
+        for _ in range(2):
+            admin.loop.call_soon_threadsafe(admin.state.ledger.claim, first, 8, "router", now_s)
+        short, long = (admin.get(path.format(tokens))[1] for tokens in (0, 100_000))
+        assert short["way"] == "own"
+        assert short["engine_id"] != first
+        assert (long["way"], long["engine_id"]) == ("wait", first)
+
+
 def test_accepted_note_records_zone_and_key_changes():
     """Guards against a zone or key change that leaves no trace."""
     document = note_document(serial=2, zones={"sfax-medina": {"state": "out"}})
--- /dev/null
+++ b/tests/test_operator_path.py
@@ -0,0 +1,67 @@
+"""The operator's tool and the audit trail through separate processes."""
+
+import json
+import re
+
+import pytest
+
+from tanagerworks.audit.merge import exports_from_log, verify_chain
+from tanagerworks.ctl.exits import ExitStatus
+from tanagerworks.ctl.main import main
+from tests.admin_builders import ACT_KEY, admin_settings
+from tests.builders import CUSTOMER_KEY, note_document
+from tools.fleet import Fleet, free_address, new_node
+
+
+@pytest.fixture(name="running")
+def running_fleet(tmp_path):
+    engine_address = free_address()
+    node = new_node("n1", "sfax-medina")
+    document = note_document(nodes={"n1": {"zone": "sfax-medina", "peer_address": node.peer}})
+    document["statement"]["engines"]["m1"]["address"] = engine_address
+    with Fleet(tmp_path) as fleet:
+        fleet.start_platform()
+        fleet.start_engine("m1", engine_address, tokens_per_s=500.0)
+        fleet.wait_for("m1", f"http://{engine_address}/v1/boot")
+        fleet.publish(document)
+        keys = admin_settings().model_dump(mode="json")["keys"]
+        fleet.start_node(node, [], admin={"keys": keys}, drain_notice_s=0.0)
+        fleet.wait_for_node(node)
+        yield fleet, node
+
+
+def _chat_status(fleet, node):
+    body = {"model": "wax", "messages": [{"role": "user", "content": "Hello"}], "max_tokens": 2}
+    answer = fleet.pool.request(
+        "POST",
+        f"http://{node.callers[0]}/v1/chat/completions",
+        body=json.dumps(body),
+        headers={"Authorization": f"Bearer {CUSTOMER_KEY}"},
+    )
+    return answer.status, answer.headers.get("X-Outcome")
+
+
+def test_drain_refuses_callers_as_not_run_until_undrain(running, monkeypatch):
+    """Guards against a drained node that still starts work, or whose drain cannot be taken back."""
+    fleet, node = running
+    monkeypatch.setenv("TANAGERCTL_KEY", ACT_KEY)
+    monkeypatch.setattr("tanagerworks.program.configure_logging", lambda *_arguments: None)
+    nodes = f"--nodes={node.admin}"
+    assert _chat_status(fleet, node)[0] == 200
+    assert main(["tanagerctl", "status", nodes]) == ExitStatus.OK
+    assert main(["tanagerctl", "drain", nodes, "--reason=test"]) == ExitStatus.OK
+    assert fleet.pool.request("GET", f"http://{node.admin}/readyz").status == 503
+    assert _chat_status(fleet, node) == (503, "not_run")
+    assert main(["tanagerctl", "undrain", nodes]) == ExitStatus.OK
+    assert fleet.pool.request("GET", f"http://{node.admin}/readyz").status == 200
+    assert _chat_status(fleet, node)[0] == 200
+    metrics = fleet.pool.request("GET", f"http://{node.admin}/metrics").data.decode()
+    assert re.search(r"^tanager_node_ready\{.*\} 1\.0$", metrics, re.MULTILINE)
+    assert main(["tanagerctl", "audit", nodes]) == ExitStatus.OK
+    agent = fleet.processes["n1-agent"]
+    assert agent.stop() == 0
+    (export,) = exports_from_log(agent.log_path.read_text().splitlines())
+    assert verify_chain(export) == []
+    kinds = [record.kind.value for record in export.records]
+    assert kinds[0] == "node_started"
+    assert kinds[-3:] == ["operator_drain", "operator_undrain", "node_stopped"]
