--- a/src/tanagerworks/routing/slots.py
+++ b/src/tanagerworks/routing/slots.py
@@ -94,6 +94,14 @@
     return ranked[: max(MIN_OWNERS, math.ceil(slots / SLOTS_PER_OWNER))]
 
 
+def owned_indexes(node_id: str, engine_id: str, slots: int, node_ids: Collection[str]) -> set[int]:
+    """Returns the indexes of an engine's slots that belong to a node."""
+    owners = slot_owners(engine_id, slots, node_ids)
+    if node_id not in owners:
+        return set()
+    return set(range(owners.index(node_id), slots, len(owners)))
+
+
 def hold_time_s(statement: Statement, max_work_s: float) -> float:
     """Returns the time after which no work of a lost node can still be at an engine."""
     return statement.rules.max_lent_s + max_work_s + HOLD_MARGIN_S
@@ -149,10 +157,7 @@
                 account = self.engines[engine_id] = _EngineSlots(engine.slots, engine.max_work_s)
             account.slots = engine.slots
             account.max_work_s = engine.max_work_s
-            owners = slot_owners(engine_id, engine.slots, statement.nodes)
-            owned: set[int] = set()
-            if self.node_id in owners:
-                owned.update(range(owners.index(self.node_id), engine.slots, len(owners)))
+            owned = owned_indexes(self.node_id, engine_id, engine.slots, statement.nodes)
             self._set_owned(engine_id, account, owned, serial)
         for engine_id in self.engines.keys() - statement.engines.keys():
             self.engines[engine_id].slots = 0
--- /dev/null
+++ b/tests/test_agent_claims.py
@@ -0,0 +1,241 @@
+"""The claim path of agents over real gRPC connections on loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import grpc
+import pytest
+from grpc.aio import insecure_channel
+from grpc.aio import server as create_grpc_server
+
+from tanagerworks.agent.router_service import RouterService
+from tanagerworks.agent.slot_lending import PeerSlots, SlotLending
+from tanagerworks.agent.state import AgentState
+from tanagerworks.errors import CapacityError, DeadlineError, RateLimitError
+from tanagerworks.note.model import Note
+from tanagerworks.rpc.tanager_pb2 import (
+    Candidate,
+    ClaimRequest,
+    Ended,
+    Evidence,
+    NodeEntry,
+    ReleaseRequest,
+    Slot,
+    WatchRequest,
+)
+from tanagerworks.rpc.tanager_pb2_grpc import (
+    NodeAgentStub,
+    PeerExchangeStub,
+    add_NodeAgentServicer_to_server,
+    add_PeerExchangeServicer_to_server,
+)
+from tests.builders import note_document
+
+WAIT_S = 20.0
+
+
+def _note(nodes, slots):
+    document = note_document(
+        1, nodes={n: {"zone": "sfax-medina", "peer_address": "127.0.0.1:7001"} for n in nodes}
+    )
+    document["statement"]["engines"]["m1"].update(slots=slots, cold_slots=slots)
+    return Note.model_validate(document)
+
+
+@asynccontextmanager
+async def _agents(names, slots):
+    """Yields agents with open ledgers by name, each with a stub of its router service."""
+    servers, channels, tickers, agents, peers = [], [], [], {}, {}
+    for name in names:
+        state = AgentState(name, invariants=True)
+        server = create_grpc_server()
+        add_NodeAgentServicer_to_server(RouterService(state), server)
+        add_PeerExchangeServicer_to_server(SlotLending(state), server)
+        channel = insecure_channel(f"127.0.0.1:{server.add_insecure_port('127.0.0.1:0')}")
+        await server.start()
+        servers.append(server)
+        channels.append(channel)
+        peers[name] = PeerExchangeStub(channel)
+        agents[name] = (state, NodeAgentStub(channel))
+        state.lender = PeerSlots(state, peers.get)
+        tickers.append(asyncio.create_task(state.run_ticks()))
+    states = [state for state, _stub in agents.values()]
+    for state in states:
+        state.accept(_note(names, slots))
+        state.confirm_start()
+    _exchange(states)
+    _exchange(states)
+    yield agents
+    for ticker in tickers:
+        ticker.cancel()
+    for channel in channels:
+        await channel.close()
+    for server in servers:
+        await server.stop(None)
+
+
+def _exchange(states):
+    for state in states:
+        entry = NodeEntry(node_id=state.node_id)
+        state.fill_entry(entry)
+        for other in states:
+            if other is not state:
+                other.take_entry(entry)
+
+
+def _claim(request_id, deadline_s=WAIT_S, explain=False):
+    return ClaimRequest(
+        instance_id="r1",
+        request_id=request_id,
+        customer="club-carthage",
+        request_class="counter",
+        deadline_s=deadline_s,
+        candidates=[Candidate(engine_id="m1")],
+        explain=explain,
+    )
+
+
+def _release(slot):
+    evidence = Evidence(engine_id="m1", boot_id="b1", whole=True)
+    return ReleaseRequest(instance_id="r1", ended=[Ended(slot=slot, evidence=evidence)])
+
+
+async def _until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_claim_waits_and_is_served_when_a_slot_frees():
+    """Guards against a refusal while a slot frees within the deadline."""
+
+    async def scenario():
+        async with _agents(["n1"], 1) as agents:
+            state, stub = agents["n1"]
+            first = await stub.Claim(_claim("a"))
+            waiting = asyncio.ensure_future(stub.Claim(_claim("b")))
+            await _until(lambda: len(state.scheduler.queue) == 1)
+            await stub.Release(_release(first.slot))
+            second = await waiting
+            assert second.slot.index == first.slot.index
+            assert second.slot.grant_id != first.slot.grant_id
+            assert second.boot_id == "b1"
+
+    asyncio.run(scenario())
+
+
+def test_cancelled_claim_leaves_the_queue():
+    """Guards against a slot that is granted to a caller that has gone."""
+
+    async def scenario():
+        async with _agents(["n1"], 1) as agents:
+            state, stub = agents["n1"]
+            first = await stub.Claim(_claim("a"))
+            call = stub.Claim(_claim("b"))
+            await _until(lambda: len(state.scheduler.queue) == 1)
+            call.cancel()
+            await _until(lambda: not state.scheduler.claims)
+            await stub.Release(_release(first.slot))
+            assert not state.ledger.used
+
+    asyncio.run(scenario())
+
+
+def test_refusals_are_typed():
+    """Guards against refusals that a caller cannot tell apart."""
+
+    async def scenario():
+        async with _agents(["n1"], 1) as agents:
+            _state, stub = agents["n1"]
+            await stub.Claim(_claim("a"))
+            late = await stub.Claim(_claim("b", deadline_s=0.3, explain=True))
+            assert late.refusal == DeadlineError.code
+            assert any(step.startswith("place: wait m1") for step in late.trace)
+            unknown = _claim("c")
+            del unknown.candidates[:]
+            assert (await stub.Claim(unknown)).refusal == CapacityError.code
+            for number in range(200):
+                reply = await stub.Claim(_claim(f"d{number}", deadline_s=0.0))
+                if reply.refusal == RateLimitError.code:
+                    return
+            pytest.fail("requests_per_s was not enforced")
+
+    asyncio.run(scenario())
+
+
+def test_slot_is_borrowed_from_a_peer_and_returned():
+    """Guards against a node that cannot use the free slots of its peers."""
+
+    async def scenario():
+        async with _agents(["n1", "n2"], 2) as agents:
+            state, stub = agents["n1"]
+            peer, _peer_stub = agents["n2"]
+            first = await stub.Claim(_claim("a"))
+            second = await stub.Claim(_claim("b"))
+            assert {first.slot.index, second.slot.index} == {0, 1}
+            assert 0.0 < second.start_by_s < 10.5
+            assert len(peer.ledger.lent) == 1
+            borrowed = next(g.slot for g in state.ledger.used.values() if g.lender)
+            ended = first.slot if first.slot.index == borrowed.index else second.slot
+            await stub.Release(_release(ended))
+            await _until(lambda: not peer.ledger.lent)
+
+    asyncio.run(scenario())
+
+
+def test_lost_router_keeps_its_slots_and_gets_them_back():
+    """Guards against reuse of slots of a router that may still be at work."""
+
+    async def scenario():
+        async with _agents(["n1"], 1) as agents:
+            state, stub = agents["n1"]
+            watch = stub.Watch(WatchRequest(instance_id="r1"))
+            await watch.read()
+            claimed = await stub.Claim(_claim("a"))
+            grant = next(iter(state.ledger.used.values()))
+            before = grant.ends_by_s
+            watch.cancel()
+            await _until(lambda: grant.ends_by_s < before)
+            assert state.ledger.used
+            again = stub.Watch(WatchRequest(instance_id="r1", held=[claimed.slot]))
+            await again.read()
+            assert grant.ends_by_s == before
+
+    asyncio.run(scenario())
+
+
+def test_agent_restart_learns_the_held_slots():
+    """Guards against an agent that grants a slot which a router got from its predecessor."""
+
+    async def scenario():
+        async with _agents(["n1"], 1) as agents:
+            state, stub = agents["n1"]
+            held = Slot(engine_id="m1", index=0, grant_id=5)
+            await stub.Watch(WatchRequest(instance_id="r1", held=[held])).read()
+            late = await stub.Claim(_claim("b", deadline_s=0.3))
+            assert late.refusal == DeadlineError.code
+            await stub.Release(_release(held))
+            assert not (await stub.Claim(_claim("c"))).refusal
+
+    asyncio.run(scenario())
+
+
+def test_watch_ends_at_shutdown():
+    """Guards against a stop that waits for streams that never end."""
+
+    async def scenario():
+        async with _agents(["n1"], 1) as agents:
+            state, stub = agents["n1"]
+            watch = stub.Watch(WatchRequest(instance_id="r1"))
+            await watch.read()
+            claimed = await stub.Claim(_claim("a"))
+            drained = asyncio.ensure_future(state.drain(0.0, WAIT_S))
+            await _until(lambda: state.closed)
+            assert (await stub.Claim(_claim("b"))).refusal == "not_ready"
+            await stub.Release(_release(claimed.slot))
+            assert await drained
+            async with asyncio.timeout(WAIT_S):
+                while await watch.read() is not grpc.aio.EOF:
+                    continue
+
+    asyncio.run(scenario())
