Measure outcomes and at most once under all failures

Four deliberately broken variants are caught by the tests.

A request that trickles in is ended by one deadline for header and body.

--- a/src/tanagerworks/router/answer.py
+++ b/src/tanagerworks/router/answer.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import time
+from collections.abc import Callable
 from http.client import HTTPMessage, HTTPResponse
 from typing import Protocol
 
@@ -98,10 +99,10 @@
 class AnswerReader:
     """Receives bytes of a connection within a deadline; a file object for `http.client`."""
 
-    def __init__(self, sock: Socket) -> None:
+    def __init__(self, sock: Socket, now: Callable[[], float] = time.monotonic) -> None:
         self.sock = sock
+        self.now = now
         self.buffer = b""
-        # On time.monotonic.
         self.deadline_s = 0.0
         self.watch: CallerWatch | None = None
 
@@ -111,7 +112,7 @@
         Raises:
             OSError: the connection failed or the deadline passed.
         """
-        remaining_s = self.deadline_s - time.monotonic()
+        remaining_s = self.deadline_s - self.now()
         if remaining_s <= 0:
             raise TimeoutError("the deadline passed")
         if self.watch is not None:
--- a/src/tanagerworks/router/backend.py
+++ b/src/tanagerworks/router/backend.py
@@ -43,9 +43,9 @@
 class _CountedSocket:
     """A socket that counts the bytes that the kernel took; `http.client` writes to it."""
 
-    def __init__(self, sock: Socket) -> None:
+    def __init__(self, sock: Socket, now: Callable[[], float]) -> None:
         self.sock = sock
-        self.reader = AnswerReader(sock)
+        self.reader = AnswerReader(sock, now)
         self.bytes_written = 0
 
     def sendall(self, data: bytes) -> None:
@@ -83,12 +83,13 @@
 class BackendConnection:
     """One connection to a backend server; it carries one request at a time."""
 
-    def __init__(self, address: str, sock: Socket, opened_at_s: float) -> None:
+    def __init__(self, address: str, sock: Socket, now: Callable[[], float]) -> None:
         self.address = address
         self.sock = sock
-        self.counted = _CountedSocket(sock)
+        self.now = now
+        self.counted = _CountedSocket(sock, now)
         self.http = _HttpConnection(address, self.counted)
-        self.idle_since_s = opened_at_s
+        self.idle_since_s = now()
         # Boot id that the engine proved on this connection, and when (CLOCK_BOOTTIME).
         self.boot_id = ""
         self.boot_proved_at_s = 0.0
@@ -127,7 +128,7 @@
     ) -> Answer:
         """Sends one request and returns the answer with its body still unread.
 
-        `deadline_s` (time.monotonic) holds for the whole answer. The connection is closed if it
+        `deadline_s` (on `now`) holds for the whole answer. The connection is closed if it
         fails.
 
         Raises:
@@ -139,7 +140,7 @@
         self.reader.deadline_s = deadline_s
         self.reader.watch = None
         try:
-            remaining_s = deadline_s - time.monotonic()
+            remaining_s = deadline_s - self.now()
             if remaining_s <= 0:
                 raise TimeoutError("the deadline passed")
             self.sock.settimeout(remaining_s)
@@ -197,7 +198,7 @@
             sock = self.connect(address, self.connect_timeout_s)
         except OSError as error:
             raise BackendConnectError(f"cannot connect: {type(error).__name__}") from error
-        return BackendConnection(address, sock, self.now())
+        return BackendConnection(address, sock, self.now)
 
     def take(self, address: str) -> BackendConnection:
         """Returns an idle connection that the server has not closed, or a new one."""
--- a/src/tanagerworks/router/caller_server.py
+++ b/src/tanagerworks/router/caller_server.py
@@ -100,9 +100,17 @@
         self.deadline_s: float | None = None
 
     def readinto(self, buffer: Any) -> int | None:
-        if self.deadline_s is not None and time.monotonic() > self.deadline_s:
+        if self.deadline_s is None:
+            return super().readinto(buffer)
+        remaining_s = self.deadline_s - time.monotonic()
+        if remaining_s <= 0:
             raise TimeoutError("timed out")
-        return super().readinto(buffer)
+        timeout_s = self.caller.gettimeout()
+        self.caller.settimeout(remaining_s if timeout_s is None else min(timeout_s, remaining_s))
+        try:
+            return super().readinto(buffer)
+        finally:
+            self.caller.settimeout(timeout_s)
 
 
 class _DeadlineReader(StreamReader):
--- a/src/tanagerworks/router/service_endpoint.py
+++ b/src/tanagerworks/router/service_endpoint.py
@@ -11,7 +11,6 @@
     TicketUnknownError,
 )
 from tanagerworks.note.model import Customer, Service
-from tanagerworks.router.agent_link import AgentLink
 from tanagerworks.router.http_rules import (
     FORWARDED_HEADER,
     IDEMPOTENCY_KEY,
@@ -21,7 +20,7 @@
 )
 from tanagerworks.router.services import ServiceAnswer, ServiceCall, ServiceCaller
 from tanagerworks.router.ticket_desk import TicketDesk, TicketForwarder, check_binding
-from tanagerworks.router.view import RouterView
+from tanagerworks.router.view import RouterView, ViewSource
 from tanagerworks.routing.tickets import read_ticket, request_digest
 from tanagerworks.wsgi import Environ, Response, json_response, read_body
 
@@ -35,7 +34,7 @@
     """Serves plain services and their tickets."""
 
     def __init__(
-        self, link: AgentLink, caller: ServiceCaller, desk: TicketDesk, forwarder: TicketForwarder
+        self, link: ViewSource, caller: ServiceCaller, desk: TicketDesk, forwarder: TicketForwarder
     ) -> None:
         self.link = link
         self.caller = caller
--- a/src/tanagerworks/router/services.py
+++ b/src/tanagerworks/router/services.py
@@ -21,7 +21,7 @@
 from tanagerworks.router.answer import Answer
 from tanagerworks.router.backend import BackendConnections
 from tanagerworks.router.http_rules import passed_answer_headers
-from tanagerworks.routing.retries import MAX_ATTEMPTS, backoff_s, may_retry
+from tanagerworks.routing.retries import MAX_ATTEMPTS, RecentFailures, backoff_s, may_retry
 from tanagerworks.wsgi import Response
 
 _REFUSAL_STATUSES = (429, 503)
@@ -102,6 +102,7 @@
         self.check_view = check_view
         self.lock = threading.Lock()
         self.open_calls: Counter[str] = Counter()
+        self.failures = RecentFailures()
 
     def call(self, call: ServiceCall, servers: Mapping[str, ServiceServer]) -> ServiceAnswer:
         """Returns the whole answer to a call.
@@ -124,8 +125,11 @@
                 raise failure
             tried.append(address)
             try:
-                return self._attempt(call, address, deadline_s)
+                answer = self._attempt(call, address, deadline_s)
+                self._record(address, failed=False)
+                return answer
             except TanagerError as error:
+                self._record(address, failed=isinstance(error, BackendError))
                 left_open = failure is not None and failure.outcome is Outcome.UNKNOWN
                 if left_open and error.outcome is Outcome.NOT_RUN:
                     # What an earlier attempt left open stays open.
@@ -143,20 +147,29 @@
         raise failure
 
     def _choose(self, servers: Mapping[str, ServiceServer], tried: list[str]) -> str:
-        """Returns the address of an untried server: own zone first, then the least busy."""
+        """Returns the address of an untried server that did not fail just now.
+
+        The own zone comes first, then the least busy server.
+        """
         if not servers:
             raise CapacityError("no server of the service is in service")
+        now_s = self.now()
         with self.lock:
             return min(
                 servers.values(),
                 key=lambda server: (
                     tried.count(server.address),
+                    self.failures.avoided(server.address, now_s),
                     server.zone != self.zone,
                     self.open_calls[server.address],
                     self.random.random(),
                 ),
             ).address
 
+    def _record(self, address: str, failed: bool) -> None:
+        with self.lock:
+            self.failures.record(address, failed, self.now())
+
     def _attempt(self, call: ServiceCall, address: str, deadline_s: float) -> ServiceAnswer:
         if call.repeatable:
             connection = self.connections.take(address)
--- a/src/tanagerworks/router/ticket_desk.py
+++ b/src/tanagerworks/router/ticket_desk.py
@@ -3,7 +3,6 @@
 import ipaddress
 import secrets
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -171,7 +170,7 @@
         try:
             connection = self.connections.open(address)
             answer = connection.exchange(
-                method, target, body, headers, time.monotonic() + timeout_s
+                method, target, body, headers, self.connections.now() + timeout_s
             )
             payload = answer.read_whole(self.max_answer_bytes)
         except (BackendError, RequestError, OSError) as error:
--- a/src/tanagerworks/router/view.py
+++ b/src/tanagerworks/router/view.py
@@ -4,6 +4,7 @@
 import hmac
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
 
@@ -134,6 +135,19 @@
         }
 
 
+class ViewSource(Protocol):
+    """Where the newest view comes from: the link to the node agent."""
+
+    view: RouterView
+
+    def fresh_view(self) -> RouterView:
+        """Returns a view that is fresh enough to send a request by.
+
+        Raises:
+            NotReadyError: there is none.
+        """
+
+
 def next_view(message: View, previous: RouterView, received_at_s: float) -> RouterView:
     """Returns the view that a message of the agent gives; the note is sent only if it is new."""
     index = previous.index
--- /dev/null
+++ b/tests/test_measure_outcomes.py
@@ -0,0 +1,70 @@
+"""The measurement of outcomes has to catch a router that gets them wrong."""
+
+import pytest
+
+from tanagerworks.errors import BackendError
+from tanagerworks.outcome import Outcome
+from tanagerworks.router import service_endpoint
+from tanagerworks.router.backend import BackendConnection
+from tanagerworks.router.services import ServiceCaller
+from tanagerworks.routing.tickets import TicketBook
+from tools.measure_outcomes import run_amplification, run_outcomes
+
+_REQUESTS = 3000
+
+
+def test_outcomes_hold_under_all_failures():
+    """Guards against a second execution and against a false NOT_RUN."""
+    metrics = run_outcomes(7, _REQUESTS)
+    assert metrics["outcome.requests"] >= _REQUESTS
+    assert metrics["outcome.double_executions"] == 0
+    assert metrics["outcome.false_not_run"] == 0
+
+
+def _not_run_always(self, error):
+    return BackendError("failed", outcome=Outcome.NOT_RUN)
+
+
+def _forget(self, nonce, call, result, size_bytes):
+    self.forget(nonce, call)
+
+
+def _all_refusals_trusted(original):
+    def read(self, call, answer):
+        return original(self, type(call)(**{**vars(call), "trust_refusal": True}), answer)
+
+    return read
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "broken", "metric"),
+    [
+        (BackendConnection, "_failure", _not_run_always, "outcome.false_not_run"),
+        (
+            ServiceCaller,
+            "_read",
+            _all_refusals_trusted(ServiceCaller._read),
+            "outcome.false_not_run",
+        ),
+        (
+            service_endpoint,
+            "is_repeatable",
+            lambda *_: True,
+            "outcome.double_executions",
+        ),
+        (TicketBook, "finish", _forget, "outcome.double_executions"),
+    ],
+    ids=["bytes not counted", "refusals believed", "all repeated", "outcome forgotten"],
+)
+def test_broken_router_is_caught(monkeypatch, owner, name, broken, metric):
+    """Guards against a measurement that cannot fail."""
+    monkeypatch.setattr(owner, name, broken)
+    assert run_outcomes(7, _REQUESTS)[metric] > 0
+
+
+def test_retries_do_not_amplify(monkeypatch):
+    """Guards against retries that multiply the load of the back ends that still work."""
+    assert run_amplification(7, 3000) <= 1.1
+    monkeypatch.setattr("tanagerworks.routing.retries.RetryBudget.take_retry", lambda *_: True)
+    monkeypatch.setattr("tanagerworks.routing.retries.RecentFailures.avoided", lambda *_: False)
+    assert run_amplification(7, 3000) > 1.1
