--- a/src/tanagerworks/load/chats.py
+++ b/src/tanagerworks/load/chats.py
@@ -111,6 +111,8 @@
         if attempt.seen is not Seen.DISCONNECTED:
             # A chat call with an unknown outcome is not repeated, so its last attempt is the one.
             self.run.record_failure(started_s, node, kind, attempt)
+        if attempt.seen is Seen.NOT_RUN:
+            self.run.report.record_time("refusal_s", time.monotonic() - started_s)
         return False
 
     async def _attempt(
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -45,7 +45,10 @@
     engine: dict[str, Any] = field(default_factory=dict)
     rules: dict[str, Any] = field(default_factory=dict)
     agent: dict[str, Any] = field(default_factory=dict)
+    router: dict[str, Any] = field(default_factory=dict)
     max_streams_per_customer: int = 64
+    requests_per_s_per_customer: float = 100.0
+    max_queue: int = 128
 
 
 @dataclass
@@ -97,6 +100,7 @@
                     "models": [MODEL],
                     "services": [SERVICE] if servers else [],
                     "max_streams": sizes.max_streams_per_customer,
+                    "requests_per_s": sizes.requests_per_s_per_customer,
                 }
                 for customer in CUSTOMERS
             },
@@ -107,7 +111,7 @@
             # Callers of a short run do not wait as long as those of the default classes.
             "classes": {
                 "quick": {"priority": 0, "deadline_s": 4.0},
-                "counter": {"priority": 1, "deadline_s": 6.0, "max_queue": 128},
+                "counter": {"priority": 1, "deadline_s": 6.0, "max_queue": sizes.max_queue},
                 "patient": {"priority": 2, "deadline_s": 8.0, "max_queue": 256},
             },
             "rules": sizes.rules,
@@ -154,7 +158,7 @@
     def start_node(self, node: NodeAddresses) -> None:
         """Starts the processes of a node."""
         peers = [other.peer for other in self.nodes]
-        self.fleet.start_node(node, peers, **self.sizes.agent)
+        self.fleet.start_node(node, peers, self.sizes.router, **self.sizes.agent)
 
     def publish_full(self) -> None:
         """Publishes the full statement under the serial in force."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -184,8 +184,17 @@
             {"address": address, "server_id": server_id, **settings},
         )
 
-    def start_node(self, node: NodeAddresses, peers: Iterable[str], **settings: Any) -> None:
-        """Starts the agent of a node and one router for each caller address."""
+    def start_node(
+        self,
+        node: NodeAddresses,
+        peers: Iterable[str],
+        router: dict[str, Any] | None = None,
+        **settings: Any,
+    ) -> None:
+        """Starts the agent of a node and one router for each caller address.
+
+        `router` holds further settings of the routers and `settings` those of the agent.
+        """
         self.start(
             f"{node.node_id}-agent",
             "tanagerworks.agent",
@@ -215,6 +224,7 @@
                     "forward_address": free_address(),
                     "agent_address": node.router_link,
                     "invariants": True,
+                    **(router or {}),
                 },
             )
 
--- /dev/null
+++ b/tools/measure_speed.py
@@ -0,0 +1,295 @@
+"""Measures what the routers of one VM add to calls of the engines, and how much they carry.
+
+Each load runs once against the engine stand-ins directly and once through the routers. The
+difference is the routers' own part; the load tool and the stand-ins cost the same in both. The
+programs run without their checks of the invariants, as in production.
+"""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from tanagerworks.load.report import Report, Seen, merge_reports
+from tools.deployment import CUSTOMERS, MODEL, Deployment, Sizes, customer_key
+from tools.fleet import Fleet
+
+_ROUTERS = 4
+_ENGINES = 4
+_LOAD_PROCESSES = 4
+# Tokens per second and stream that the target size implies: 3.3 million over 260,000 streams.
+_TOKENS_PER_S = 12.5
+_STREAMS = 1000
+_STREAM_TOKENS = 75
+_STREAM_STEPS = (400, 550)
+_MAX_TOKEN_DELAY_MS = 5.0
+_MAX_FIRST_TOKEN_S = 0.25
+_OVERLOAD_SLOTS = 8
+_OVERLOAD_ANSWER_S = 0.4
+_OVERLOAD_FACTOR = 10
+_KIB_PER_MIB = 1024
+
+
+@dataclass(frozen=True)
+class Chats:
+    """A load of equal callers; each sends one-turn chats without pause unless `pause_s` is set."""
+
+    name: str
+    targets: Sequence[str]
+    callers: int
+    seconds: float
+    max_tokens: int
+    processes: int = 1
+    streamed: bool = True
+    pause_s: float = 0.0
+    ramp_s: float = 0.1
+    attempts: int = 1
+
+
+def _load(fleet: Fleet, seed: int, chats: Chats) -> Report:
+    """Runs a load split over processes and returns the merged report."""
+    names = [f"{chats.name}-{number}" for number in range(chats.processes)]
+    paths = []
+    for number, name in enumerate(names):
+        callers = chats.callers // chats.processes
+        customer = CUSTOMERS[number % len(CUSTOMERS)]
+        settings: dict[str, Any] = {
+            "nodes": list(chats.targets),
+            "seconds": chats.seconds,
+            "seed": seed + number,
+            "ramp_s": chats.ramp_s,
+            "attempts": chats.attempts,
+            "grace_s": 0.0,
+            "chats": [
+                {
+                    "customer": customer,
+                    "key": customer_key(customer),
+                    "model": MODEL,
+                    "callers": callers,
+                    "turns": 1,
+                    "pause_s": chats.pause_s,
+                    "prompt_words": 20,
+                    "max_tokens": chats.max_tokens,
+                    "streamed_share": 1.0 if chats.streamed else 0.0,
+                }
+            ],
+        }
+        paths.append(fleet.start_load(name, settings))
+    for name in names:
+        fleet.finish_load(name, chats.seconds + 40.0)
+    return merge_reports(json.loads(path.read_text(encoding="utf-8")) for path in paths)
+
+
+def _resident_mb(fleet: Fleet, names: Sequence[str]) -> float:
+    total_kib = 0
+    for name in names:
+        status = Path(f"/proc/{fleet.processes[name].process.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+        total_kib += int(line.split()[1])
+    return total_kib / _KIB_PER_MIB
+
+
+def _large_sizes() -> Sizes:
+    return Sizes(
+        nodes=1,
+        routers_per_node=_ROUTERS,
+        engines=_ENGINES,
+        order_services=0,
+        # More slots than streams, and none of them reserved for warm engines.
+        slots=600,
+        cold_slots=600,
+        max_work_s=30.0,
+        engine={
+            "tokens_per_s": _TOKENS_PER_S,
+            "first_token_s": 0.005,
+            "starts_warm": True,
+            "stamps_events": True,
+        },
+        agent={"invariants": False},
+        router={"max_streams": 800, "invariants": False},
+        max_streams_per_customer=5000,
+        requests_per_s_per_customer=100_000.0,
+    )
+
+
+def _overload_sizes() -> Sizes:
+    return Sizes(
+        nodes=1,
+        routers_per_node=_ROUTERS,
+        engines=1,
+        order_services=0,
+        slots=_OVERLOAD_SLOTS,
+        cold_slots=_OVERLOAD_SLOTS,
+        engine={"first_token_s": _OVERLOAD_ANSWER_S, "starts_warm": True},
+        agent={"invariants": False},
+        router={"invariants": False},
+        max_streams_per_customer=5000,
+        requests_per_s_per_customer=100_000.0,
+        max_queue=16,
+    )
+
+
+class SpeedMeasurement:
+    """The loads against one deployment with large engines."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.seed = seed
+        self.engines = [engine.address for engine in deployment.engines]
+        self.routers = deployment.caller_addresses()
+        self.figures: dict[str, float] = {}
+        self.direct_streams: dict[int, Report] = {}
+
+    def run(self) -> dict[str, float]:
+        """Runs all loads and returns the figures."""
+        self._added_when_idle()
+        # The rates come first: all threads of the routers have then been used once.
+        self._requests_per_s()
+        self._memory()
+        self._thousand_streams()
+        self._streams_per_process()
+        return self.figures
+
+    def _load(self, chats: Chats) -> Report:
+        report = _load(self.deployment.fleet, self.seed, chats)
+        wrong = report.counts[Seen.WRONG.value]
+        self.figures["speed.wrong_answers"] = self.figures.get("speed.wrong_answers", 0.0) + wrong
+        return report
+
+    def _added_when_idle(self) -> None:
+        direct = self._load(Chats("idle-direct", self.engines, 1, 2.5, 2))
+        routed = self._load(Chats("idle-routed", self.routers, 1, 2.5, 2))
+        for percentile in (50, 95):
+            added = routed.percentile_ms("first_token", percentile)
+            added -= direct.percentile_ms("first_token", percentile)
+            self.figures[f"speed.added_p{percentile}_ms"] = added
+
+    def _memory(self) -> None:
+        """Compares the memory of agent and routers before and after a thousand rounds."""
+        names = [item.name for item in self.deployment.fleet.node_processes(self._node())]
+        rounds = Chats("rounds-0", self.routers, 8, 1.5, 1, streamed=False)
+        self._load(rounds)
+        before_mb = _resident_mb(self.deployment.fleet, names)
+        done = 0
+        number = 0
+        while done < 1000 and number < 10:
+            number += 1
+            load = Chats(f"rounds-{number}", self.routers, 8, 2.0, 1, streamed=False)
+            done += self._load(load).counts[Seen.WHOLE.value]
+        after_mb = _resident_mb(self.deployment.fleet, names)
+        self.figures["speed.memory_mb"] = after_mb
+        self.figures["speed.memory_growth_mb_per_1000"] = (after_mb - before_mb) * 1000 / done
+
+    def _node(self) -> Any:
+        return self.deployment.nodes[0]
+
+    def _requests_per_s(self) -> None:
+        seconds = 4.0
+        one = Chats("rate-one", self.routers[:1], 32, seconds, 1, 2, streamed=False)
+        four = Chats("rate-four", self.routers, 128, seconds, 1, 4, streamed=False)
+        for name, chats in (("_one_process", one), ("", four)):
+            report = self._load(chats)
+            rate = report.counts[Seen.WHOLE.value] / report.seconds
+            self.figures[f"speed.requests_per_s{name}"] = rate
+
+    def _streams(self, name: str, targets: Sequence[str], streams: int) -> Report:
+        # Callers start over the duration of one answer, so that ends and starts stay spread.
+        answer_s = _STREAM_TOKENS / _TOKENS_PER_S
+        return self._load(
+            Chats(
+                name,
+                targets,
+                streams,
+                answer_s + 2.5,
+                _STREAM_TOKENS,
+                _LOAD_PROCESSES,
+                ramp_s=answer_s,
+            )
+        )
+
+    def _added_by_router(self, routed: Report, direct: Report) -> tuple[float, float]:
+        """Returns the added p95 delay of a token in ms and of a first token in seconds."""
+        token_ms = routed.percentile_ms("token_delay", 95) - direct.percentile_ms("token_delay", 95)
+        first_ms = routed.percentile_ms("first_token", 95) - direct.percentile_ms("first_token", 95)
+        return token_ms, first_ms / 1000
+
+    def _thousand_streams(self) -> None:
+        direct = self._streams("streams-direct", self.engines, _STREAMS)
+        routed = self._streams("streams-routed", self.routers, _STREAMS)
+        token_ms, first_s = self._added_by_router(routed, direct)
+        whole_share = routed.counts[Seen.WHOLE.value] / max(1, routed.counts["requests"])
+        self.figures["speed.token_delay_p95_ms_1000"] = token_ms
+        self.figures["speed.token_delay_routed_p95_ms_1000"] = routed.percentile_ms(
+            "token_delay", 95
+        )
+        self.figures["speed.token_delay_direct_p95_ms_1000"] = direct.percentile_ms(
+            "token_delay", 95
+        )
+        self.figures["speed.first_token_added_p95_s_1000"] = first_s
+        self.figures["speed.whole_share_1000"] = whole_share
+
+    def _streams_per_process(self) -> None:
+        """Finds the largest of a few numbers of streams that one process carries in bounds."""
+        carried = 0
+        direct = self._streams("process-direct", self.engines, _STREAM_STEPS[0])
+        for streams in _STREAM_STEPS:
+            routed = self._streams(f"process-{streams}", self.routers[:1], streams)
+            token_ms, first_s = self._added_by_router(routed, direct)
+            self.figures[f"speed.token_delay_p95_ms_process_{streams}"] = token_ms
+            self.figures[f"speed.first_token_added_p95_s_process_{streams}"] = first_s
+            whole = routed.counts[Seen.WHOLE.value] == routed.counts["requests"]
+            if not whole or token_ms >= _MAX_TOKEN_DELAY_MS or first_s >= _MAX_FIRST_TOKEN_S:
+                break
+            carried = streams
+        self.figures["speed.streams_per_process"] = carried
+
+
+def _overload(directory: Path, seed: int) -> dict[str, float]:
+    """Offers ten times the capacity and returns how it is refused."""
+    with Fleet(directory) as fleet:
+        deployment = Deployment(fleet, _overload_sizes())
+        deployment.start()
+        capacity = _OVERLOAD_SLOTS / _OVERLOAD_ANSWER_S
+        pause_s = 1.0
+        callers = int(_OVERLOAD_FACTOR * capacity * pause_s)
+        report = _load(
+            fleet,
+            seed,
+            Chats(
+                "overload",
+                deployment.caller_addresses(),
+                callers,
+                5.0,
+                1,
+                2,
+                streamed=False,
+                pause_s=pause_s,
+                ramp_s=pause_s,
+            ),
+        )
+        counters = deployment.engine_counters()
+    refused = report.counts[Seen.NOT_RUN.value]
+    whole = report.counts[Seen.WHOLE.value]
+    return {
+        "speed.refused_share_at_10x": refused / max(1, report.counts["requests"]),
+        "speed.refusals_per_s_at_10x": refused / report.seconds,
+        "speed.refusal_p95_ms_at_10x": report.percentile_ms("refusal_s", 95),
+        "speed.goodput_ratio_at_10x": whole / report.seconds / capacity,
+        "speed.overloaded_samples_at_10x": float(
+            sum(item["overloaded_samples"] for item in counters.values())
+        ),
+    }
+
+
+def measure_speed(seed: int) -> dict[str, float]:
+    """Returns the figures of the routers' speed by dotted name."""
+    with TemporaryDirectory(prefix="tanager-speed-") as directory:
+        with Fleet(Path(directory)) as fleet:
+            deployment = Deployment(fleet, _large_sizes())
+            deployment.start()
+            figures = SpeedMeasurement(deployment, seed).run()
+    with TemporaryDirectory(prefix="tanager-speed-") as directory:
+        figures.update(_overload(Path(directory), seed))
+    return figures
