Let a node without a note learn from peers that it does not know

Cause: nodes cut off from the platform whose seeds were cut off as well stayed without a note: peers that had one were told apart by name only, and a node without a note knows no addresses. Change: a node that exchanges with a peer without a note gives its address, and a node without a note keeps asking its seeds. The fleet test now starts with the cut-off nodes as the only seeds.

--- a/src/tanagerworks/agent/node.py
+++ b/src/tanagerworks/agent/node.py
@@ -92,6 +92,8 @@
             self.keeper,
             self.links,
             self.random,
+            own_address=settings.peer_address,
+            seeds=[seed for seed in settings.seed_peers if seed != settings.peer_address],
             period_s=settings.exchange_period_s,
             timeout_s=settings.exchange_timeout_s,
             heard=state.heard,
@@ -169,8 +171,7 @@
 
     async def _run_peers(self) -> None:
         settings = self.settings
-        seeds = [seed for seed in settings.seed_peers if seed != settings.peer_address]
-        answers = await self.peers.learn(seeds, settings.peer_learn_timeout_s)
+        answers = await self.peers.learn(settings.peer_learn_timeout_s)
         self.state.incarnation = self.table.own.incarnation
         self.keeper.finish_learning()
         async with asyncio.TaskGroup() as tasks:
--- a/src/tanagerworks/agent/peer_exchange.py
+++ b/src/tanagerworks/agent/peer_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -51,6 +51,8 @@
         links: PeerLinks,
         random: Random,
         *,
+        own_address: str,
+        seeds: Sequence[str],
         period_s: float,
         timeout_s: float,
         heard: Callable[[], None],
@@ -60,11 +62,15 @@
         self.keeper = keeper
         self.links = links
         self.random = random
+        self.own_address = own_address
+        self.seeds = seeds
         self.period_s = period_s
         self.timeout_s = timeout_s
         self.heard = heard
         self.platform_answers = platform_answers
         self.rotation = PeerRotation(random)
+        # Peers whose last answer showed that they have no note.
+        self.noteless: set[str] = set()
         self.running: set[asyncio.Task[None]] = set()
         self.fetching: asyncio.Task[None] | None = None
         self.exchanges = 0
@@ -72,12 +78,12 @@
 
     # Start.
 
-    async def learn(self, seeds: Iterable[str], timeout_s: float) -> list[SurveyAnswer]:
+    async def learn(self, timeout_s: float) -> list[SurveyAnswer]:
         """Asks all seed peers, takes their newest note and numbers this process above the last.
 
         Returns the answers that came within `timeout_s`.
         """
-        tasks = [asyncio.create_task(self._learn_from(seed)) for seed in seeds]
+        tasks = [asyncio.create_task(self._learn_from(seed)) for seed in self.seeds]
         if not tasks:
             return []
         done, late = await asyncio.wait(tasks, timeout=timeout_s)
@@ -95,14 +101,17 @@
         retry_s = _RETRY_S
         while True:
             try:
-                answer, serial = await self._survey(seed)
-                if serial > self.keeper.serial:
-                    await self._fetch_from(seed)
-                return answer
+                return await self._ask_seed(seed)
             except PeerError:
                 await asyncio.sleep(retry_s * self.random.uniform(0.5, 1.0))
                 retry_s = min(2 * retry_s, 1.0)
 
+    async def _ask_seed(self, seed: str) -> SurveyAnswer:
+        answer, serial = await self._survey(seed)
+        if serial > self.keeper.serial:
+            await self._fetch_from(seed)
+        return answer
+
     async def confirm_start(self, answers: Iterable[SurveyAnswer]) -> bool:
         """Asks every node of the note about earlier processes of this one, until all answered.
 
@@ -174,6 +183,12 @@
         peer = self.rotation.next(self._is_dead)
         if peer is not None:
             await self.exchange(peer)
+        elif self.seeds and not self.keeper.serial:
+            # Without a note the seeds are the only peers; one of them may have learnt it by now.
+            try:
+                await self._ask_seed(self.random.choice(self.seeds))
+            except PeerError as error:
+                _LOGGER.debug("seed peer did not answer", extra={"error": error.message})
 
     async def exchange(self, peer: str) -> bool:
         """Exchanges with one node of the note; returns whether it answered."""
@@ -181,6 +196,8 @@
         if address is None:
             return False
         request, entries = self.gossip.request(peer)
+        if peer in self.noteless:
+            request.sender_address = self.own_address
         try:
             reply = await self._call(address, request)
         except PeerError as error:
@@ -191,6 +208,10 @@
         self.exchanges += 1
         self.heard()
         self.gossip.take_reply(peer, reply)
+        if reply.note_serial:
+            self.noteless.discard(peer)
+        else:
+            self.noteless.add(peer)
         if reply.note_serial > self.keeper.serial:
             self.fetch_note(peer)
         return True
@@ -219,10 +240,10 @@
 
     # Notes.
 
-    def fetch_note(self, peer: str) -> None:
+    def fetch_note(self, peer: str, given_address: str = "") -> None:
         """Starts to fetch the newer note of a peer, unless a fetch is in progress."""
-        address = self.gossip.addresses.get(peer)
-        if address is None or (self.fetching is not None and not self.fetching.done()):
+        address = self.gossip.addresses.get(peer, given_address)
+        if not address or (self.fetching is not None and not self.fetching.done()):
             return
         self.fetching = asyncio.get_running_loop().create_task(self._fetch_later(address))
 
--- a/src/tanagerworks/agent/peer_service.py
+++ b/src/tanagerworks/agent/peer_service.py
@@ -31,7 +31,8 @@
 class PeerService(SlotLending):
     """The agent's side of the exchange that a peer starts.
 
-    `newer_note` is called with the name of a peer that has a higher serial.
+    `newer_note` is called with the name of a peer that has a higher serial, and with its address
+    if the peer gave it.
     """
 
     def __init__(
@@ -40,7 +41,7 @@
         gossip: Gossip,
         keeper: NoteKeeper,
         *,
-        newer_note: Callable[[str], None],
+        newer_note: Callable[[str, str], None],
     ) -> None:
         super().__init__(state)
         self.gossip = gossip
@@ -57,7 +58,7 @@
         if not request.survey:
             self.state.heard()
             if request.note_serial > self.keeper.serial:
-                self.newer_note(request.sender)
+                self.newer_note(request.sender, request.sender_address)
         return reply
 
     async def FetchNote(  # noqa: N802
--- a/tests/test_fleet_notes.py
+++ b/tests/test_fleet_notes.py
@@ -67,8 +67,10 @@
     agents = Agents(fleet, 9)
     nowhere = free_address()
     fleet.publish(agents.document(1))
+    # The seeds are the nodes that are cut off, so they have to learn the first note from others.
+    seeds = [node.peer for node in agents.nodes[:3]]
     for number, node in enumerate(agents.nodes):
-        agents.start(node, platform=nowhere if number < 3 else None)
+        agents.start(node, platform=nowhere if number < 3 else None, seed_peers=seeds)
     agents.wait_for(1, 30.0)
     fleet.publish(
         {"serial": 2, "base": 1, "changed": {"rules": {"warm_answers": 5}}}, "release-note"
--- a/tests/test_peer_tls.py
+++ b/tests/test_peer_tls.py
@@ -18,7 +18,7 @@
 from tanagerworks.rpc.tanager_pb2_grpc import PeerExchangeStub
 from tanagerworks.tls.peer_credentials import PeerCredentials
 from tests.builders import note_document
-from tests.certificates import NODE_NAME, Authority, write_files
+from tools.certificates import NODE_NAME, Authority, write_files
 from tools.fleet import free_address
 
 
@@ -40,7 +40,7 @@
         )
         keeper = NoteKeeper(lambda note, source: None)
         keeper.offer(Note.model_validate(note_document(7)), "test")
-        self.service = PeerService(state, gossip, keeper, newer_note=lambda peer: None)
+        self.service = PeerService(state, gossip, keeper, newer_note=lambda peer, address: None)
 
     async def __aenter__(self):
         self.server = await start_peer_server(self.service, self.address, self.credentials, 60.0)
--- a/tests/certificates.py
+++ b/tools/certificates.py
@@ -1,6 +1,8 @@
-"""Authorities and certificates for tests."""
+"""Authorities and certificates for tests and measurements."""
 
+from collections.abc import Iterable
 from datetime import UTC, datetime, timedelta
+from pathlib import Path
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -11,8 +13,10 @@
 
 NODE_NAME = "peer.tanagerworks.internal"
 
+Issued = tuple[bytes, bytes]
 
-def _pem(key):
+
+def _pem(key: ec.EllipticCurvePrivateKey) -> bytes:
     return key.private_bytes(
         serialization.Encoding.PEM,
         serialization.PrivateFormat.PKCS8,
@@ -23,13 +27,20 @@
 class Authority:
     """A certificate authority; `issue` returns (key, certificate) in PEM."""
 
-    def __init__(self, name="fleet authority"):
+    def __init__(self, name: str = "fleet authority") -> None:
         self.key = ec.generate_private_key(ec.SECP256R1())
         self.name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         self.certificate = self._sign(self.name, self.key, 365, authority=True)
         self.pem = self.certificate.public_bytes(serialization.Encoding.PEM)
 
-    def _sign(self, subject, key, days, names=(), authority=False):
+    def _sign(
+        self,
+        subject: x509.Name,
+        key: ec.EllipticCurvePrivateKey,
+        days: int,
+        names: Iterable[str] = (),
+        authority: bool = False,
+    ) -> x509.Certificate:
         now = datetime.now(UTC)
         builder = (
             x509.CertificateBuilder()
@@ -41,19 +52,23 @@
             .not_valid_after(now + timedelta(days=days))
             .add_extension(x509.BasicConstraints(ca=authority, path_length=None), critical=True)
         )
-        if names:
-            alternatives = x509.SubjectAlternativeName([x509.DNSName(name) for name in names])
+        dns_names = [x509.DNSName(name) for name in names]
+        if dns_names:
+            alternatives = x509.SubjectAlternativeName(dns_names)
             builder = builder.add_extension(alternatives, critical=False)
         return builder.sign(self.key, hashes.SHA256())
 
-    def issue(self, name=NODE_NAME, days=30):
+    def issue(self, name: str = NODE_NAME, days: int = 30) -> Issued:
+        """Returns key and certificate in PEM; with negative `days` it has expired."""
         key = ec.generate_private_key(ec.SECP256R1())
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "node")])
         certificate = self._sign(subject, key, days, [name])
         return _pem(key), certificate.public_bytes(serialization.Encoding.PEM)
 
 
-def write_files(directory, issued, authorities):
+def write_files(
+    directory: Path, issued: Issued, authorities: Iterable[Authority]
+) -> PeerTlsSettings:
     """Writes key, certificate and authorities; returns the settings that name them."""
     directory.mkdir(exist_ok=True)
     key, certificate = issued
