--- a/tests/test_agent_claims.py
+++ b/tests/test_agent_claims.py
@@ -36,7 +36,11 @@
 
 def _note(nodes, slots):
     document = note_document(
-        1, nodes={n: {"zone": "sfax-medina", "peer_address": "127.0.0.1:7001"} for n in nodes}
+        1,
+        nodes={
+            name: {"zone": "sfax-medina", "peer_address": f"127.0.0.1:{7001 + number}"}
+            for number, name in enumerate(nodes)
+        },
     )
     document["statement"]["engines"]["m1"].update(slots=slots, cold_slots=slots)
     return Note.model_validate(document)
