Audit VM transitions, raised incarnations and peer keys

The trail showed VMs only where a note changed them. It now also records the platform's leaving marks, engines that probes find down, nodes that die, stop or return, a raised incarnation and a change of the peer key. Stale notes count as refused; a refusal that is repeated leaves one record until the next accepted note, since platform and peers offer a refused note again and again. The first note of a process no longer leaves a record per VM. Status shows liveness, incarnation, serial and running requests of every node of the note.

--- a/src/tanagerworks/agent/admin_models.py
+++ b/src/tanagerworks/agent/admin_models.py
@@ -22,6 +22,7 @@
     node_id: str
     zone: str
     peer_address: str
+    # alive, suspect, dead, stopped, or self.
     state: str | None = None
     incarnation: int | None = None
     serial: int | None = None
--- a/src/tanagerworks/agent/main.py
+++ b/src/tanagerworks/agent/main.py
@@ -59,7 +59,11 @@
     trail.record(EventKind.NODE_STARTED, who="agent", subject=subject, serial=0)
     node = AgentNode(settings, state, trail)
     operations = AgentOperations(
-        state, trail, zone=settings.zone, drain_notice_s=settings.drain_notice_s
+        state,
+        trail,
+        zone=settings.zone,
+        drain_notice_s=settings.drain_notice_s,
+        table=node.table,
     )
     meter = create_meter("tanager-agent")
     operations.register_metrics(meter)
--- a/src/tanagerworks/agent/node.py
+++ b/src/tanagerworks/agent/node.py
@@ -23,6 +23,7 @@
 from tanagerworks.agent.router_service import RouterService
 from tanagerworks.agent.slot_lending import PeerSlots
 from tanagerworks.agent.state import AgentState
+from tanagerworks.agent.vm_audit import VmAudit
 from tanagerworks.audit.changes import record_note_accepted, record_note_refused
 from tanagerworks.audit.trail import AuditTrail
 from tanagerworks.errors import NoteError, PeerError, PlatformError
@@ -59,6 +60,7 @@
         self.credentials = PeerCredentials(settings.peer_tls) if settings.peer_tls else None
         self.links = PeerLinks(self.credentials)
         self.keeper = NoteKeeper(self._accept, self._refused)
+        self.vm_audit = VmAudit(trail, lambda: self.keeper.serial)
         self.table = NodeTable(
             settings.node_id,
             state.incarnation,
@@ -152,8 +154,9 @@
         self._run("platform", self.follower.run())
         self._run("peers", self._run_peers())
         self._run("probes", self.prober.run())
+        self._run("vm audit", self._watch_nodes())
         if self.credentials is not None:
-            watch = watch_credentials(self.credentials, self.links.renew_if_changed)
+            watch = watch_credentials(self.credentials, self._credentials_changed)
             self._run("credentials", watch)
 
     def _run(self, name: str, work: Coroutine[Any, Any, None]) -> None:
@@ -173,6 +176,7 @@
         settings = self.settings
         answers = await self.peers.learn(settings.peer_learn_timeout_s)
         self.state.incarnation = self.table.own.incarnation
+        self.vm_audit.take_incarnation(self.state.incarnation)
         self.keeper.finish_learning()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.peers.run())
@@ -227,6 +231,7 @@
             return
         _LOGGER.info("leaving servers changed", extra={"leaving": sorted(leaving)})
         self.leaving_vms = leaving
+        self.vm_audit.take_leaving(leaving)
         self._apply_vms()
 
     def _apply_vms(self) -> None:
@@ -277,6 +282,18 @@
     def _living_nodes(self) -> Collection[str]:
         return self.table.living(self.gossip.roster, self.clock())
 
+    def _credentials_changed(self) -> None:
+        self.links.renew_if_changed()
+        if self.credentials is not None:
+            self.vm_audit.take_peer_key(self.credentials.material.expires_at)
+
+    async def _watch_nodes(self) -> None:
+        while True:
+            now_s = self.clock()
+            others = [name for name in self.gossip.roster if name != self.table.node_id]
+            self.vm_audit.take_nodes({name: self.table.liveness(name, now_s) for name in others})
+            await asyncio.sleep(self.settings.exchange_period_s)
+
     # Engines.
 
     def _engines(self) -> dict[str, Engine]:
@@ -286,6 +303,7 @@
         self.state.scheduler.observe_boot(engine_id, report.boot_id)
 
     def _set_engine_down(self, engine_id: str, down: bool) -> None:
+        self.vm_audit.take_engine_down(engine_id, down)
         self.state.scheduler.set_engine_down(engine_id, down, self.clock())
         self.state.notify()
 
--- a/src/tanagerworks/agent/note_keeper.py
+++ b/src/tanagerworks/agent/note_keeper.py
@@ -89,7 +89,8 @@
         """Offers a parsed note; a refused one changes nothing."""
         try:
             changed = self.in_force.offer(offered)
-        except StaleSerialError:
+        except StaleSerialError as error:
+            self.refused(source, offered.serial, error)
             return Offer.STALE
         except NoteBaseMissingError:
             assert isinstance(offered, Delta)
--- a/src/tanagerworks/agent/operations.py
+++ b/src/tanagerworks/agent/operations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from typing import Any
 
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
 
@@ -22,7 +23,9 @@
 from tanagerworks.audit.trail import AuditTrail, EventKind
 from tanagerworks.clock import boot_time_s
 from tanagerworks.errors import ConflictError, NotReadyError
+from tanagerworks.membership.table import NodeTable
 from tanagerworks.note.model import Note
+from tanagerworks.rpc.tanager_pb2 import NodeEntry
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,11 +34,18 @@
     """Reports on the agent's state, and the actions of operators on it."""
 
     def __init__(
-        self, state: AgentState, trail: AuditTrail, *, zone: str, drain_notice_s: float
+        self,
+        state: AgentState,
+        trail: AuditTrail,
+        *,
+        zone: str,
+        drain_notice_s: float,
+        table: NodeTable | None = None,
     ) -> None:
         self.state = state
         self.trail = trail
         self.zone = zone
+        self.table = table
         self.drain_notice_s = drain_notice_s
         self.started_s = boot_time_s()
         self.drained_by: str | None = None
@@ -63,7 +73,7 @@
         return StatusReport(
             node_id=self.state.node_id,
             zone=self.zone,
-            incarnation=self.trail.incarnation,
+            incarnation=self.state.incarnation,
             uptime_s=round(boot_time_s() - self.started_s, 3),
             serial=self.serial,
             digest=note.digest() if note else None,
@@ -203,27 +213,34 @@
         )
 
     def _nodes(self, note: Note) -> tuple[NodeStatus, ...]:
-        scheduler = self.state.scheduler
-        reports = []
-        for node_id, node in sorted(note.statement.nodes.items()):
-            if node_id == self.state.node_id:
-                state = "self"
-                running: int | None = len(scheduler.ledger.used)
-            else:
-                live = node_id in scheduler.live_peers
-                state = "live" if live else "unknown"
-                counts = scheduler.counts.by_node.get(node_id)
-                running = sum(counts.values()) if counts is not None else None
-            reports.append(
-                NodeStatus(
-                    node_id=node_id,
-                    zone=node.zone,
-                    peer_address=node.peer_address,
-                    state=state,
-                    running=running,
-                )
+        return tuple(
+            NodeStatus(
+                node_id=node_id,
+                zone=node.zone,
+                peer_address=node.peer_address,
+                **self._known_of(node_id),
             )
-        return tuple(reports)
+            for node_id, node in sorted(note.statement.nodes.items())
+        )
+
+    def _known_of(self, node_id: str) -> dict[str, Any]:
+        if node_id == self.state.node_id:
+            return {
+                "state": "self",
+                "incarnation": self.state.incarnation,
+                "serial": self.serial,
+                "running": len(self.state.ledger.used),
+            }
+        if self.table is None:
+            return {}
+        known: dict[str, Any] = {"state": self.table.liveness(node_id, self.state.clock()).value}
+        member = self.table.members.get(node_id)
+        if member is not None:
+            entry = NodeEntry.FromString(member.entry.payload)
+            known["incarnation"] = member.entry.incarnation
+            known["serial"] = entry.note_serial
+            known["running"] = entry.running
+        return known
 
     def _zones(self, note: Note) -> tuple[ZoneStatus, ...]:
         scheduler, now_s = self.state.scheduler, self.state.clock()
--- /dev/null
+++ b/src/tanagerworks/agent/vm_audit.py
@@ -0,0 +1,79 @@
+"""Audit records of VMs and backend servers that come and go, and of key rotations."""
+
+from collections.abc import Callable, Collection, Mapping
+from datetime import datetime
+
+from tanagerworks.audit.trail import AuditTrail, EventKind
+from tanagerworks.membership.entries import LIVELY, Liveness
+
+_LIVE = "live"
+
+
+class VmAudit:
+    """Turns what an agent learns of VMs into audit records, one for each change."""
+
+    def __init__(self, trail: AuditTrail, serial: Callable[[], int]) -> None:
+        self.trail = trail
+        self.serial = serial
+        self.leaving: frozenset[str] = frozenset()
+        self.nodes: dict[str, str] = {}
+
+    def take_leaving(self, leaving: Collection[str]) -> None:
+        """Takes the names that the platform's VM list marks as leaving."""
+        now = frozenset(leaving)
+        for name in sorted(now ^ self.leaving):
+            states = ("in service", "leaving") if name in now else ("leaving", "in service")
+            self._record("platform", f"vms.{name}", *states, reason="VM list")
+        self.leaving = now
+
+    def take_engine_down(self, engine_id: str, down: bool) -> None:
+        """Takes a change of what the probes found."""
+        states = ("up", "down") if down else ("down", "up")
+        self._record("probes", f"engines.{engine_id}", *states, reason="probes")
+
+    def take_nodes(self, liveness: Mapping[str, Liveness]) -> None:
+        """Takes how the other nodes of the note look; a suspect node counts as live.
+
+        The first look at a node gives no record: it is compared with later ones.
+        """
+        now = {name: _LIVE if seen in LIVELY else seen.value for name, seen in liveness.items()}
+        for name, state in sorted(now.items()):
+            before = self.nodes.get(name, state)
+            if before != state:
+                self._record("peers", f"nodes.{name}", before, state, reason="heartbeats")
+        self.nodes = now
+
+    def take_incarnation(self, incarnation: int) -> None:
+        """Takes the incarnation that this process uses, if it is not that of the chain."""
+        if incarnation == self.trail.incarnation:
+            return
+        self.trail.record(
+            EventKind.INCARNATION_RAISED,
+            who="peers",
+            subject=f"nodes.{self.trail.node_id}",
+            serial=self.serial(),
+            before=str(self.trail.incarnation),
+            after=str(incarnation),
+            reason="peers remember a process of this node with a higher number",
+        )
+
+    def take_peer_key(self, expires_at: datetime) -> None:
+        """Takes a change of the key and certificates for peers."""
+        self.trail.record(
+            EventKind.KEY_ROTATED,
+            who="files",
+            subject=f"nodes.{self.trail.node_id}.peer_tls",
+            serial=self.serial(),
+            after=f"valid until {expires_at.isoformat()}",
+        )
+
+    def _record(self, who: str, subject: str, before: str, after: str, reason: str) -> None:
+        self.trail.record(
+            EventKind.VM_CHANGED,
+            who=who,
+            subject=subject,
+            serial=self.serial(),
+            before=before,
+            after=after,
+            reason=reason,
+        )
--- a/src/tanagerworks/audit/changes.py
+++ b/src/tanagerworks/audit/changes.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tanagerworks.audit.trail import AuditTrail, EventKind
+from tanagerworks.audit.trail import AuditTrail, EventKind, bounded_text
 from tanagerworks.note.model import Note
 
 _ABSENT = ""
@@ -58,7 +58,8 @@
 def record_note_accepted(trail: AuditTrail, old: Note | None, new: Note, source: str) -> None:
     """Records a note that came into force, and the zones, VMs and keys that it changes.
 
-    `source` says where the note came from: the platform or a peer.
+    `source` says where the note came from: the platform or a peer. The first note of a process
+    changes every VM, so its digest has to do: 1,060 records would push out everything else.
     """
     serial = new.serial
     trail.record(
@@ -88,7 +89,9 @@
             reason="release note",
         )
     for section in ("nodes", "engines"):
-        members_before = getattr(was, section) if was else {}
+        if was is None:
+            break
+        members_before = getattr(was, section)
         members_after = getattr(now, section)
         for name in sorted(members_before.keys() | members_after.keys()):
             before = _describe_member(members_before.get(name))
@@ -122,13 +125,26 @@
 def record_note_refused(
     trail: AuditTrail, in_force: Note | None, serial: int | None, reason: str, source: str
 ) -> None:
-    """Records a note that was refused; `serial` is its own one, None if it could not be read."""
+    """Records a note that was refused; `serial` is its own one, None if it could not be read.
+
+    The platform and peers offer the same note again and again; a refusal that stands in the ring
+    since the last accepted note is not recorded twice.
+    """
+    after = "" if serial is None else str(serial)
+    reason = bounded_text(reason)
+    for record in trail.newest_first():
+        if record.kind is EventKind.NOTE_ACCEPTED:
+            break
+        if record.kind is not EventKind.NOTE_REFUSED:
+            continue
+        if (record.who, record.after, record.reason) == (source, after, reason):
+            return
     trail.record(
         EventKind.NOTE_REFUSED,
         who=source,
         subject="release-note",
         serial=in_force.serial if in_force else 0,
         before=str(in_force.serial) if in_force else "",
-        after="" if serial is None else str(serial),
+        after=after,
         reason=reason,
     )
--- a/src/tanagerworks/audit/trail.py
+++ b/src/tanagerworks/audit/trail.py
@@ -25,6 +25,7 @@
 
     NODE_STARTED = "node_started"
     NODE_STOPPED = "node_stopped"
+    INCARNATION_RAISED = "incarnation_raised"
     NOTE_ACCEPTED = "note_accepted"
     NOTE_REFUSED = "note_refused"
     ZONE_CHANGED = "zone_changed"
@@ -95,7 +96,8 @@
     return _sha256_of(record.model_dump(mode="json", exclude={"digest"}))
 
 
-def _bounded(text: str) -> str:
+def bounded_text(text: str) -> str:
+    """Returns `text`, cut to `MAX_TEXT_CHARS`."""
     if len(text) <= MAX_TEXT_CHARS:
         return text
     return text[: MAX_TEXT_CHARS - 3] + "..."
@@ -145,11 +147,11 @@
                 time_s=round(self.now_s(), 6),
                 serial=serial,
                 kind=kind,
-                who=_bounded(who),
-                subject=_bounded(subject),
-                before=_bounded(before),
-                after=_bounded(after),
-                reason=_bounded(reason),
+                who=bounded_text(who),
+                subject=bounded_text(subject),
+                before=bounded_text(before),
+                after=bounded_text(after),
+                reason=bounded_text(reason),
                 previous=self.head_digest,
                 digest=self.head_digest,
             )
@@ -164,6 +166,11 @@
             self.export_failures += 1
         return record
 
+    def newest_first(self) -> tuple[AuditRecord, ...]:
+        """Returns all records in the ring, the newest first."""
+        with self._grown:
+            return tuple(reversed(self.ring))
+
     def export(self, after: int = 0, limit: int | None = None) -> TrailExport:
         """Returns the records in the ring with a sequence above `after`, at most `limit`."""
         with self._grown:
--- a/src/tanagerworks/ctl/status.py
+++ b/src/tanagerworks/ctl/status.py
@@ -65,10 +65,9 @@
     ]
 
 
-def _zone_rows(reports: Sequence[StatusReport]) -> list[dict[str, object]]:
+def _newest(reports: Sequence[StatusReport]) -> StatusReport:
     # The node with the highest serial tells the state that the others will reach.
-    newest = max(reports, key=lambda report: report.serial)
-    return [zone.model_dump() for zone in newest.zones]
+    return max(reports, key=lambda report: report.serial)
 
 
 def status(invocation: Invocation) -> int:
@@ -86,7 +85,8 @@
     agree = len({(report.serial, report.digest) for report in reports}) == 1
     engines = merge_engines(reports)
     customers = merge_customers(reports)
-    zones = _zone_rows(reports)
+    newest = _newest(reports)
+    zones = [zone.model_dump() for zone in newest.zones]
     printer.document(
         {
             "serials_agree": agree,
@@ -115,6 +115,15 @@
     ]
     header = ("node", "address", "zone", "serial", "digest", "ready", "drained by", "uptime s")
     printer.table("nodes", header, node_rows)
+    member_rows = [
+        (node.node_id, node.zone, node.state, node.incarnation, node.serial, node.running)
+        for node in newest.nodes
+    ]
+    printer.table(
+        f"nodes of the note as {newest.node_id} sees them",
+        ("node", "zone", "state", "incarnation", "serial", "running"),
+        member_rows,
+    )
     printer.table(
         "zones",
         ("zone", "region", "state", "engines", "eligible"),
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,8 +10,11 @@
 from urllib3.exceptions import HTTPError
 
 from tanagerworks.agent.admin_models import PUBLISHED
+from tanagerworks.agent.vm_audit import VmAudit
+from tanagerworks.audit.changes import record_note_accepted, record_note_refused
 from tanagerworks.audit.merge import verify_chain
-from tanagerworks.audit.trail import EventKind, TrailExport
+from tanagerworks.audit.trail import AuditTrail, EventKind, TrailExport
+from tanagerworks.membership.entries import Liveness
 from tanagerworks.note.model import Note
 from tests.admin_builders import ACT_KEY, READ_KEY, running_admin
 from tests.builders import note_document
@@ -166,6 +169,42 @@
     assert last[EventKind.KEY_ROTATED].subject == "customers.club-carthage"
 
 
+def test_repeated_refusals_leave_one_record():
+    """Guards against a platform that repeats a bad note and so pushes out all other records."""
+    trail = AuditTrail("n1", 1)
+    note = Note.model_validate(note_document(serial=2))
+    for _ in range(3):
+        record_note_refused(trail, note, 1, "serial 1 is below 2 in force", "platform")
+        record_note_refused(trail, note, None, "x" * 9000, "10.0.0.1:1")
+    record_note_accepted(trail, note, Note.model_validate(note_document(serial=3)), "platform")
+    record_note_refused(trail, note, 1, "serial 1 is below 2 in force", "platform")
+    kinds = [record.kind.value for record in trail.export().records]
+    assert kinds == ["note_refused", "note_refused", "note_accepted", "note_refused"]
+
+
+def test_vm_transitions_leave_one_record_each():
+    """Guards against a VM that leaves, returns or dies without a trace, and against repetition."""
+    trail = AuditTrail("n1", 1)
+    audit = VmAudit(trail, lambda: 5)
+    for leaving in ((), ("m1",), ("m1",), ()):
+        audit.take_leaving(leaving)
+    looks = (Liveness.DEAD, Liveness.ALIVE, Liveness.SUSPECT, Liveness.ALIVE, Liveness.STOPPED)
+    for liveness in looks:
+        audit.take_nodes({"n2": liveness})
+    audit.take_engine_down("m1", True)
+    audit.take_incarnation(1)
+    audit.take_incarnation(9)
+    changes = [(record.subject, record.after) for record in trail.export().records]
+    assert changes == [
+        ("vms.m1", "leaving"),
+        ("vms.m1", "in service"),
+        ("nodes.n2", "live"),
+        ("nodes.n2", "stopped"),
+        ("engines.m1", "down"),
+        ("nodes.n1", "9"),
+    ]
+
+
 def test_followers_get_new_events_and_are_bounded():
     """Guards against events that come late or twice, and waits that use up all threads."""
     with running_admin(max_followers=1) as admin:
