--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,9 +1,13 @@
-"""The example files, as far as models can check them."""
+"""The example files and the page of codes, as far as programs can check them."""
 
 from pathlib import Path
 
 import pytest
 
+import tanagerworks.ctl.main
+import tanagerworks.router.app
+import tanagerworks.tls.peer_credentials  # noqa: F401 - defines codes, as do the others
+from tanagerworks.errors import TanagerError
 from tanagerworks.note.delta import Delta
 from tanagerworks.note.model import Note
 from tanagerworks.note.parsing import parse_note
@@ -76,3 +80,13 @@
     assert desk.deduplicates == service.deduplicates_by_key
     platform = load_settings(directory / "standin-platform.yaml", PlatformSettings)
     assert agent.platform_url == f"http://{platform.address}"
+
+
+def _codes(error: type[TanagerError]) -> set[str]:
+    return {error.code}.union(*(_codes(child) for child in error.__subclasses__()))
+
+
+def test_codes_page_names_every_stable_code():
+    """Guards against a code that operators see and cannot look up."""
+    page = (_EXAMPLES.parent / "docs" / "operations" / "codes.md").read_text()
+    assert {code for code in _codes(TanagerError) if f"`{code}`" not in page} == set()
