Check the request's id in the events of a stream

A stream whose later events belong to another request reached the caller, because only the header was checked. An engine that shows the request's id in its first event has to show it in all of them. Comments no longer count as events when a stream is resumed.

--- a/src/tanagerworks/router/relay.py
+++ b/src/tanagerworks/router/relay.py
@@ -29,6 +29,7 @@
 
 END_MARK = b"data: [DONE]\n\n"
 _EVENT_END = b"\n\n"
+_COMMENT = b"\n\n:"
 _MAX_EVENT_BYTES = 1_000_000
 _MAX_RESUMES = 2
 _RESUME_PAUSE_S = 0.05
@@ -54,6 +55,8 @@
     boot_id: str = ""
     first_token_s: float = 0.0
     events: int = 0
+    # How the events show the request's id; empty if the engine gives them ids of its own.
+    id_mark: bytes = b""
     resumes: int = 0
     whole: bool = False
     caller_gone: bool = False
@@ -309,6 +312,7 @@
     assert answer is not None
     read = answer.read
     tail = b""
+    mark = exchange.id_mark
     while piece := read():
         data = tail + piece if tail else piece
         end = data.rfind(_EVENT_END) + len(_EVENT_END)
@@ -321,7 +325,12 @@
             events, tail = data, b""
         else:
             events, tail = data[:end], data[end:]
-        exchange.events += events.count(_EVENT_END)
+        count = _count_events(events)
+        if not exchange.events:
+            mark = exchange.id_mark = _id_mark(events, exchange.request.request_id)
+        if mark and events.count(mark) < count:
+            _check_ids(events, mark)
+        exchange.events += count
         if not exchange.first_token_s:
             exchange.first_token_s = time.monotonic() - exchange.sent_at_s
         if events.endswith(END_MARK):
@@ -333,6 +342,30 @@
     raise BackendProtocolError("the stream ended without its end mark")
 
 
+def _count_events(events: bytes) -> int:
+    """Returns the number of events; comments, which keep a connection alive, are none."""
+    comments = events.count(_COMMENT) + events.startswith(b":")
+    return events.count(_EVENT_END) - comments
+
+
+def _id_mark(events: bytes, request_id: str) -> bytes:
+    for form in ('"id":"%s"', '"id": "%s"'):
+        mark = (form % request_id).encode()
+        if mark in events:
+            return mark
+    return b""
+
+
+def _check_ids(events: bytes, mark: bytes) -> None:
+    """Raises BackendProtocolError for an event that shows another request's id.
+
+    Comments and the end mark hold no document, so no id.
+    """
+    for event in events.split(_EVENT_END):
+        if event.startswith(b"data: {") and mark not in event:
+            raise BackendProtocolError("an event of the stream belongs to another request")
+
+
 def _read_end(answer: Answer) -> None:
     """Reads the end of the framing; an answer that does not end stays unfit for reuse."""
     answer.reader.watch = None
--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -151,10 +151,11 @@
 
 def test_broken_stream_is_resumed_after_the_last_whole_event(engine, router, backend):
     """Guards against a lost, doubled or torn event after a break in the middle of one."""
+    comment = b": keeps the connection open\n\n"
 
     def chat(request, conn):
         start_stream(conn, request.headers["X-Request-Id"])
-        conn.sendall(chunk(event(1) + event(2)) + chunk(event(3)[:7]))
+        conn.sendall(chunk(event(1) + comment + event(2)) + chunk(event(3)[:7]))
         return False
 
     def resume(request, conn):
@@ -164,7 +165,7 @@
 
     engine.chat, engine.resume = chat, resume
     answer = router.chat(stream=True)
-    assert answer.data == event(1) + event(2) + event(3) + DONE
+    assert answer.data == event(1) + comment + event(2) + event(3) + DONE
     request_id = answer.headers["X-Request-Id"]
     assert backend.of("GET")[0].target == f"/v1/requests/{request_id}/stream?after=2"
     assert _released(router).whole
@@ -221,6 +222,34 @@
     assert connections[0] != connections[1]
 
 
+def test_event_of_another_request_never_reaches_the_caller(engine, router):
+    """Guards against a stream that turns into the answer to another request."""
+
+    def named(request_id, number):
+        return b'data: {"id":"%s","n":%d}\n\n' % (request_id.encode(), number)
+
+    def chat(request, conn):
+        request_id = request.headers["X-Request-Id"]
+        start_stream(conn, request_id)
+        conn.sendall(chunk(named(request_id, 1)))
+        conn.sendall(chunk(named(request_id, 2) + named("another", 3)))
+        conn.sendall(chunk(DONE) + chunk(b""))
+        return True
+
+    def resume(request, conn):
+        request_id = request.headers["X-Request-Id"]
+        start_stream(conn, request_id)
+        events = [named(request_id, 1), named(request_id, 2)]
+        rest = events[int(request.target.rpartition("=")[2]) :]
+        conn.sendall(chunk(b"".join(rest)) + chunk(DONE) + chunk(b""))
+        return True
+
+    engine.chat, engine.resume = chat, resume
+    answer = router.chat(stream=True)
+    request_id = answer.headers["X-Request-Id"]
+    assert answer.data == named(request_id, 1) + named(request_id, 2) + DONE
+
+
 def test_plain_answer_is_checked_before_the_caller_sees_a_status(engine, router):
     """Guards against a good status in front of half an answer."""
 
