Watch callers in one thread, and let a stream wait in one system call

Each piece of a stream took a poll of both connections, a receive and a send; each of them gives up the interpreter lock and waits for it again. One thread now watches all callers for their end and all requests for their time limit, and breaks the engine's connection under the stream's thread. A caller that leaves is now also noticed while the engine has not begun to answer.

--- a/src/tanagerworks/router/answer.py
+++ b/src/tanagerworks/router/answer.py
@@ -1,13 +1,11 @@
 """Reads answers of backend servers from a connection and checks their framing.
 
 `http.client` reads the status line and the header through `AnswerReader`; the body is decoded
-here, because a stream has to be relayed in the largest pieces that are ready while the caller's
-connection is watched, which buffered readers of the library do not allow.
+here, because a stream has to be relayed in the largest pieces that are ready, with its framing
+checked to the end, which the readers of the library do not allow.
 """
 
 import re
-import select
-import socket
 import time
 from collections.abc import Callable
 from http.client import HTTPMessage, HTTPResponse
@@ -44,58 +42,6 @@
         """Closes the connection."""
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection while the answer was awaited."""
-
-
-class CallerWatch:
-    """Waits for the backend server and notices when the caller disconnects."""
-
-    def __init__(self, caller: socket.socket | None) -> None:
-        self.caller = caller
-        self.poll: select.poll | None = None
-
-    def wait(self, backend_fd: int, timeout_s: float) -> None:
-        """Returns when the backend server sent something.
-
-        Raises:
-            CallerGoneError: the caller closed its connection.
-            TimeoutError: nothing came.
-        """
-        if self.poll is None:
-            self.poll = select.poll()
-            self.poll.register(backend_fd, select.POLLIN)
-            if self.caller is not None:
-                self.poll.register(self.caller.fileno(), select.POLLIN | select.POLLRDHUP)
-        deadline = time.monotonic() + timeout_s
-        while True:
-            events = self.poll.poll(max(0.0, deadline - time.monotonic()) * 1000)
-            if not events:
-                raise TimeoutError("no answer within the time limit")
-            ready = False
-            for fd, _mask in events:
-                if fd == backend_fd:
-                    ready = True
-                else:
-                    self._check_caller()
-            if ready:
-                return
-
-    def _check_caller(self) -> None:
-        assert self.caller is not None
-        assert self.poll is not None
-        try:
-            gone = not self.caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            gone = False
-        except OSError:
-            gone = True
-        if gone:
-            raise CallerGoneError
-        # The caller sent its next request ahead; its connection stays readable until then.
-        self.poll.unregister(self.caller.fileno())
-
-
 class AnswerReader:
     """Receives bytes of a connection within a deadline; a file object for `http.client`."""
 
@@ -103,8 +49,8 @@
         self.sock = sock
         self.now = now
         self.buffer = b""
-        self.deadline_s = 0.0
-        self.watch: CallerWatch | None = None
+        # None if somebody else ends the wait by breaking the connection.
+        self.deadline_s: float | None = 0.0
 
     def receive(self) -> bytes:
         """Returns the bytes that are ready, waiting for some; empty at the end.
@@ -112,15 +58,18 @@
         Raises:
             OSError: the connection failed or the deadline passed.
         """
-        remaining_s = self.deadline_s - self.now()
-        if remaining_s <= 0:
-            raise TimeoutError("the deadline passed")
-        if self.watch is not None:
-            self.watch.wait(self.sock.fileno(), remaining_s)
-        else:
+        if self.deadline_s is not None:
+            remaining_s = self.deadline_s - self.now()
+            if remaining_s <= 0:
+                raise TimeoutError("the deadline passed")
             self.sock.settimeout(remaining_s)
         return self.sock.recv(_RECEIVE_BYTES)
 
+    def wait_without_deadline(self) -> None:
+        """Leaves it to others to end a wait, which saves system calls for each piece."""
+        self.deadline_s = None
+        self.sock.settimeout(None)
+
     def readline(self, limit: int = -1) -> bytes:
         """Returns a line with its end, or `limit` bytes of a longer one."""
         while True:
--- a/src/tanagerworks/router/backend.py
+++ b/src/tanagerworks/router/backend.py
@@ -138,7 +138,6 @@
         """
         self.counted.bytes_written = 0
         self.reader.deadline_s = deadline_s
-        self.reader.watch = None
         try:
             remaining_s = deadline_s - self.now()
             if remaining_s <= 0:
--- a/src/tanagerworks/router/relay.py
+++ b/src/tanagerworks/router/relay.py
@@ -4,7 +4,6 @@
 import logging
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 from tanagerworks.errors import (
     BackendError,
@@ -13,57 +12,26 @@
     BackendTimeoutError,
     TanagerError,
 )
-from tanagerworks.note.model import Engine
 from tanagerworks.outcome import Outcome
 from tanagerworks.router.agent_link import AgentLink
-from tanagerworks.router.answer import Answer, CallerGoneError, CallerWatch
-from tanagerworks.router.backend import BackendConnection
+from tanagerworks.router.answer import Answer
 from tanagerworks.router.engine_client import EngineClient, check_answer
+from tanagerworks.router.events import MAX_RESUMES, Exchange, whole_events
 from tanagerworks.router.metrics import RouterMetrics
 from tanagerworks.router.request import ChatRequest
-from tanagerworks.router.slot_book import Grant
+from tanagerworks.router.stream_watch import StreamWatch
 from tanagerworks.rpc.tanager_pb2 import Evidence
 from tanagerworks.wsgi import Response, error_document
 
 _LOGGER = logging.getLogger(__name__)
 
-END_MARK = b"data: [DONE]\n\n"
-_EVENT_END = b"\n\n"
-_COMMENT = b"\n\n:"
-_MAX_EVENT_BYTES = 1_000_000
-_MAX_RESUMES = 2
 _RESUME_PAUSE_S = 0.05
-# Time for an engine to end the framing after the end mark.
-_END_TIMEOUT_S = 1.0
 _HTTP_OK = 200
 _HTTP_ERROR = 400
 _HTTP_SERVER_ERROR = 500
 _REFUSAL_STATUSES = (429, 503)
 
 
-@dataclass
-class Exchange:
-    """One request at one engine, from the moment before its first byte is sent."""
-
-    request: ChatRequest
-    engine: Engine
-    grant: Grant
-    connection: BackendConnection
-    sent_at_s: float
-    deadline_s: float
-    answer: Answer | None = None
-    boot_id: str = ""
-    first_token_s: float = 0.0
-    events: int = 0
-    # How the events show the request's id; empty if the engine gives them ids of its own.
-    id_mark: bytes = b""
-    resumes: int = 0
-    whole: bool = False
-    caller_gone: bool = False
-    failure: TanagerError | None = None
-    ended: bool = False
-
-
 class StreamBody:
     """Body of a streamed response; `close` ends the exchange in every case."""
 
@@ -97,6 +65,7 @@
         self.max_answer_bytes = max_answer_bytes
         # Exchanges in progress, so that the end of a shutdown can interrupt them.
         self.exchanges: dict[int, Exchange] = {}
+        self.watch = StreamWatch()
 
     def open(self, request: ChatRequest) -> Response:
         """Sends the request and returns the response.
@@ -120,6 +89,7 @@
         now_s = time.monotonic()
         exchange = Exchange(request, engine, grant, connection, now_s, now_s + grant.max_work_s)
         self.exchanges[id(exchange)] = exchange
+        self.watch.add(exchange, request.caller)
         try:
             return self._send(exchange)
         except TanagerError as error:
@@ -153,13 +123,12 @@
             raise BackendRefusedError("the engine refused the request")
         if answer.status >= _HTTP_SERVER_ERROR or answer.status in _REFUSAL_STATUSES:
             raise BackendError(f"the engine answered {answer.status}")
-        connection.reader.watch = CallerWatch(request.caller)
         content_type = answer.headers.get("Content-Type", "application/json")
         caller_headers = [("Content-Type", content_type), ("X-Request-Id", request.request_id)]
         if request.streamed and answer.status == _HTTP_OK:
             if not content_type.startswith("text/event-stream"):
                 raise BackendProtocolError("the answer is not a stream", outcome=Outcome.RAN)
-            connection.sock.settimeout(None)
+            connection.reader.wait_without_deadline()
             caller_headers.append(("Cache-Control", "no-cache"))
             body = StreamBody(self._pieces(exchange), lambda: self._end(exchange))
             return Response(answer.status, caller_headers, body)
@@ -177,9 +146,6 @@
             if not answer.framed:
                 raise BackendProtocolError("nothing shows where the answer ends")
             body = answer.read_whole(self.max_answer_bytes)
-        except CallerGoneError:
-            exchange.caller_gone = True
-            raise BackendError("the caller disconnected", outcome=Outcome.RAN) from None
         except BackendProtocolError as error:
             raise BackendProtocolError(error.message, outcome=Outcome.RAN) from error
         exchange.first_token_s = time.monotonic() - exchange.sent_at_s
@@ -192,15 +158,17 @@
     def _pieces(self, exchange: Exchange) -> Iterator[bytes]:
         while True:
             try:
-                yield from _whole_events(exchange)
-                return
-            except CallerGoneError:
-                exchange.caller_gone = True
+                yield from whole_events(exchange)
                 return
             except BackendProtocolError as error:
                 exchange.failure = error
             except OSError as error:
                 exchange.failure = _read_failure(error, Outcome.RAN)
+            if exchange.caller_gone:
+                return
+            if exchange.timed_out:
+                exchange.failure = BackendTimeoutError("the request took longer than it may")
+                break
             exchange.connection.close()
             if not self._resume(exchange):
                 break
@@ -211,7 +179,7 @@
 
     def _resume(self, exchange: Exchange) -> bool:
         request = exchange.request
-        while exchange.resumes < _MAX_RESUMES and time.monotonic() < exchange.deadline_s:
+        while exchange.resumes < MAX_RESUMES and time.monotonic() < exchange.deadline_s:
             exchange.resumes += 1
             try:
                 connection, answer = self.client.resume(
@@ -228,8 +196,7 @@
                 )
                 time.sleep(_RESUME_PAUSE_S)
                 continue
-            connection.reader.watch = CallerWatch(request.caller)
-            connection.sock.settimeout(None)
+            connection.reader.wait_without_deadline()
             exchange.connection, exchange.answer = connection, answer
             exchange.failure = None
             self.metrics.resumed.add(1)
@@ -242,6 +209,7 @@
             return
         exchange.ended = True
         self.exchanges.pop(id(exchange), None)
+        self.watch.remove(exchange)
         request, grant, answer = exchange.request, exchange.grant, exchange.answer
         if exchange.whole and answer is not None:
             self.client.give_back(exchange.connection, answer)
@@ -287,7 +255,7 @@
         """Breaks all exchanges in progress; returns their number."""
         exchanges = list(self.exchanges.values())
         for exchange in exchanges:
-            exchange.resumes = _MAX_RESUMES
+            exchange.resumes = MAX_RESUMES
             exchange.connection.interrupt()
         return len(exchanges)
 
@@ -296,81 +264,3 @@
     if isinstance(error, TimeoutError):
         return BackendTimeoutError("the engine did not end its answer in time", outcome=outcome)
     return BackendError(f"the connection failed: {type(error).__name__}", outcome=outcome)
-
-
-def _whole_events(exchange: Exchange) -> Iterator[bytes]:
-    """Yields the stream in the largest pieces of whole events that are ready.
-
-    Only whole events go to the caller, so that a resumed stream continues after the last one.
-
-    Raises:
-        BackendProtocolError: the stream ended without its end mark, or an event is too long.
-        OSError: the connection failed.
-        CallerGoneError: the caller disconnected.
-    """
-    answer = exchange.answer
-    assert answer is not None
-    read = answer.read
-    tail = b""
-    mark = exchange.id_mark
-    while piece := read():
-        data = tail + piece if tail else piece
-        end = data.rfind(_EVENT_END) + len(_EVENT_END)
-        if end < len(_EVENT_END):
-            if len(data) > _MAX_EVENT_BYTES:
-                raise BackendProtocolError("an event of the stream is too long")
-            tail = data
-            continue
-        if end == len(data):
-            events, tail = data, b""
-        else:
-            events, tail = data[:end], data[end:]
-        count = _count_events(events)
-        if not exchange.events:
-            mark = exchange.id_mark = _id_mark(events, exchange.request.request_id)
-        if mark and events.count(mark) < count:
-            _check_ids(events, mark)
-        exchange.events += count
-        if not exchange.first_token_s:
-            exchange.first_token_s = time.monotonic() - exchange.sent_at_s
-        if events.endswith(END_MARK):
-            exchange.whole = True
-            yield events
-            _read_end(answer)
-            return
-        yield events
-    raise BackendProtocolError("the stream ended without its end mark")
-
-
-def _count_events(events: bytes) -> int:
-    """Returns the number of events; comments, which keep a connection alive, are none."""
-    comments = events.count(_COMMENT) + events.startswith(b":")
-    return events.count(_EVENT_END) - comments
-
-
-def _id_mark(events: bytes, request_id: str) -> bytes:
-    for form in ('"id":"%s"', '"id": "%s"'):
-        mark = (form % request_id).encode()
-        if mark in events:
-            return mark
-    return b""
-
-
-def _check_ids(events: bytes, mark: bytes) -> None:
-    """Raises BackendProtocolError for an event that shows another request's id.
-
-    Comments and the end mark hold no document, so no id.
-    """
-    for event in events.split(_EVENT_END):
-        if event.startswith(b"data: {") and mark not in event:
-            raise BackendProtocolError("an event of the stream belongs to another request")
-
-
-def _read_end(answer: Answer) -> None:
-    """Reads the end of the framing; an answer that does not end stays unfit for reuse."""
-    answer.reader.watch = None
-    answer.reader.deadline_s = time.monotonic() + _END_TIMEOUT_S
-    try:
-        answer.read()
-    except (BackendProtocolError, OSError):
-        return
