--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -54,6 +54,7 @@
     name: str
     process: subprocess.Popen[bytes]
     log_path: Path
+    command: list[str]
 
     def terminate(self) -> None:
         """Asks for a graceful shutdown."""
@@ -124,17 +125,25 @@
         """Starts ``python -m module`` with `settings` written to a YAML file."""
         settings_path = self.directory / f"{name}.yaml"
         settings_path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        command = [sys.executable, "-m", module, *arguments, f"--settings={settings_path}"]
+        self._run(name, command)
+
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended once more, with the same settings."""
+        self._run(name, self.processes[name].command)
+
+    def _run(self, name: str, command: list[str]) -> None:
         log_path = self.directory / f"{name}.log"
         with log_path.open("ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments, f"--settings={settings_path}"],
+                command,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 # Ctrl-C reaches only the launcher, which ends the processes in order.
                 process_group=0,
             )
-        self.processes[name] = FleetProcess(name, process, log_path)
+        self.processes[name] = FleetProcess(name, process, log_path, command)
 
     def wait_for(self, name: str, url: str) -> None:
         """Waits until `url` answers 200.
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -68,12 +68,13 @@
 
 
 def baselines_of(name: str, figures: dict[str, float]) -> dict[str, float]:
-    """Returns the figures of the baselines, ``baseline.BASELINE.NAME``, by baseline."""
-    found = {}
-    for key, figure in figures.items():
-        if key.startswith("baseline.") and key.endswith(f".{name}"):
-            found[key.removeprefix("baseline.").removesuffix(f".{name}")] = figure
-    return found
+    """Returns the figures of the baselines of a goal, named ``GOAL.BASELINE``, by baseline."""
+    prefix = f"{name}."
+    return {
+        key.removeprefix(prefix): figure
+        for key, figure in figures.items()
+        if key.startswith(prefix)
+    }
 
 
 def format_table(figures: dict[str, float]) -> str:
@@ -89,9 +90,10 @@
         shown = ", ".join(f"{name} {value:.4g}" for name, value in baselines)
         lines.append(f"{goal.name:36}{target:>12}{figure:>14.6g}  {goal.verdict(figure):8}{shown}")
     goals = {goal.name for goal in _GOALS}
+    baseline_prefixes = tuple(f"{name}." for name in goals)
     lines.append("other figures")
     for name, figure in sorted(figures.items()):
-        if name not in goals and not name.startswith("baseline."):
+        if name not in goals and not name.startswith(baseline_prefixes):
             lines.append(f"  {name:46}{figure:>14.6g}")
     return "\n".join(lines)
 
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -78,6 +78,8 @@
     details += [f"cut by a planned stop: {item}" for item in cut]
     wrong = [item for item in report.failures if item.seen == Seen.WRONG.value]
     details += [f"wrong answer: {item}" for item in wrong]
+    ungraceful = [stop for stop in planned_stops if any(stop.statuses)]
+    details += [f"not a graceful stop: {stop}" for stop in ungraceful]
     late_work = _late_work(engines, services)
     details += late_work
     figures = {
@@ -96,7 +98,7 @@
         "cold_overruns_unseen": _total(engines, "cold_overruns_unseen"),
         "false_not_run": len(false_not_run),
         "lost_orders": len(lost),
-        "ungraceful_planned_stops": sum(1 for stop in planned_stops if any(stop.statuses)),
+        "ungraceful_planned_stops": len(ungraceful),
         "ticket_repeats_differing": report.counts["ticket_repeats_differing"],
     }
     return Verdict(figures, further, details)
