--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -156,14 +156,18 @@
         while time.monotonic() < deadline:
             if item.process.poll() is not None:
                 raise FleetError(f"{name} ended: {item.log_path.read_text()[-2000:]}")
-            try:
-                if self.pool.request("GET", url, timeout=1.0).status == 200:
-                    return
-            except HTTPError:
-                pass
+            if self.answers(url):
+                return
             time.sleep(_POLL_S)
         raise FleetError(f"{name} did not answer at {url}: {item.log_path.read_text()[-2000:]}")
 
+    def answers(self, url: str) -> bool:
+        """Returns whether `url` answers 200 now."""
+        try:
+            return self.pool.request("GET", url, timeout=1.0).status == 200
+        except HTTPError:
+            return False
+
     def start_platform(self, **settings: Any) -> None:
         """Starts the platform stand-in."""
         self.platform_address = free_address()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -30,6 +30,7 @@
 Usage: python -m tools.soak [--seconds=N] [--seed=N]"""
 
 _STOP_LIMIT_S = 20.0
+_START_LIMIT_S = 15.0
 _SETTLE_S = 2.0
 _LONGEST_STEP_S = 1.5
 _LOG_LINES = 15
@@ -108,7 +109,9 @@
             self._wait(self.chance.uniform(0.2, _LONGEST_STEP_S))
             if self.violations:
                 break
-        while self.due:
+        # The end of a stop and the start of a node come in several steps.
+        end_s = time.monotonic() + _STOP_LIMIT_S + _START_LIMIT_S
+        while self.due and time.monotonic() < end_s:
             item = min(self.due, key=lambda due: due.at_s)
             self.due.remove(item)
             item.undo()
@@ -180,6 +183,14 @@
         for name in names:
             self.fleet.restart(name)
             self.ended_on_purpose.discard(name)
+        self._wait_for_start(node)
+
+    def _wait_for_start(self, node: NodeAddresses) -> None:
+        """Leaves the node alone until it serves: a program that starts has no stop to observe."""
+        for address in node.callers:
+            if not self.fleet.answers(f"http://{address}/readyz"):
+                self.due.append(Due(time.monotonic() + 0.2, lambda: self._wait_for_start(node)))
+                return
         self.disturbed.discard(node.node_id)
 
     def _pause_process(self) -> None:
