--- a/src/tanagerworks/load/caller.py
+++ b/src/tanagerworks/load/caller.py
@@ -8,11 +8,14 @@
 from dataclasses import dataclass
 from typing import Any
 
+from tanagerworks.load.http_client import Call, CallBrokenError, CallNotSentError
 from tanagerworks.load.report import Failure, Report, Seen
 from tanagerworks.load.settings import LoadSettings
 
 # A node that refused a connection is not tried first for this time.
 _DOWN_S = 1.0
+_HEALTH_TIMEOUT_S = 0.5
+_HTTP_OK = 200
 _RETRIED_STATUSES = frozenset({429, 502, 503})
 
 
@@ -31,17 +34,22 @@
 
 
 class Balancer:
-    """Spreads calls over the nodes as a load balancer in front of them does."""
+    """Spreads calls over the ready nodes as a load balancer in front of them does."""
 
     def __init__(self, nodes: Sequence[str], chance: random.Random) -> None:
         self.nodes = nodes
         self.chance = chance
         self.down_until_s: dict[str, float] = {}
+        self.not_ready: set[str] = set()
 
     def choose(self, tried: Sequence[str] = ()) -> str:
         """Returns a node, preferably one that was neither tried nor found down."""
         now_s = time.monotonic()
-        up = [node for node in self.nodes if self.down_until_s.get(node, 0.0) <= now_s]
+        up = [
+            node
+            for node in self.nodes
+            if node not in self.not_ready and self.down_until_s.get(node, 0.0) <= now_s
+        ]
         fresh = [node for node in up if node not in tried]
         return self.chance.choice(fresh or up or self.nodes)
 
@@ -49,6 +57,31 @@
         """Avoids a node for a while."""
         self.down_until_s[node] = time.monotonic() + _DOWN_S
 
+    async def watch(self, period_s: float) -> None:
+        """Checks the health of all nodes until it is cancelled."""
+        while True:
+            await asyncio.gather(*(self._check(node) for node in self.nodes))
+            await asyncio.sleep(period_s)
+
+    async def _check(self, node: str) -> None:
+        if await _is_ready(node):
+            self.not_ready.discard(node)
+        else:
+            self.not_ready.add(node)
+
+
+async def _is_ready(node: str) -> bool:
+    try:
+        async with asyncio.timeout(_HEALTH_TIMEOUT_S):
+            call = await Call.connect(node)
+            try:
+                await call.send("GET", "/readyz", {})
+            finally:
+                call.close()
+    except (CallNotSentError, CallBrokenError, TimeoutError):
+        return False
+    return call.status == _HTTP_OK
+
 
 class Run:
     """State that the callers of one run share."""
--- a/src/tanagerworks/load/main.py
+++ b/src/tanagerworks/load/main.py
@@ -41,7 +41,12 @@
     for order in settings.orders:
         for number in range(order.callers):
             callers.append(_ramped(run, OrderCaller(run, order, number).send_orders(end_s)))
+    health = None
+    if settings.health_period_s > 0:
+        health = asyncio.create_task(run.balancer.watch(settings.health_period_s))
     await asyncio.gather(*callers)
+    if health is not None:
+        health.cancel()
     run.report.seconds = time.monotonic() - started_s
     return run.report
 
--- a/src/tanagerworks/load/settings.py
+++ b/src/tanagerworks/load/settings.py
@@ -52,6 +52,8 @@
 
     # Router addresses; callers spread over them as behind a load balancer.
     nodes: tuple[Address, ...] = Field(min_length=1)
+    # Nodes that are not ready get no new calls; 0 for targets without ``/readyz``.
+    health_period_s: float = Field(default=0.25, ge=0)
     seconds: float = Field(gt=0)
     seed: int = 1
     chats: tuple[ChatLoad, ...] = ()
--- a/tools/measure_speed.py
+++ b/tools/measure_speed.py
@@ -58,6 +58,7 @@
         settings: dict[str, Any] = {
             "nodes": list(chats.targets),
             "seconds": chats.seconds,
+            "health_period_s": 0,
             "seed": seed + number,
             "ramp_s": chats.ramp_s,
             "attempts": chats.attempts,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -388,7 +388,7 @@
         max_work_s=5.0,
         engine={"tokens_per_s": 60.0, "first_token_s": 0.03, "checks_fencing": True},
         rules={"max_lent_s": 2.0, "vm_damping_s": 0.5},
-        agent={"drain_limit_s": 12.0, "drain_notice_s": 0.5},
+        agent={"drain_limit_s": 12.0, "drain_notice_s": 1.0},
     )
 
 
