--- a/tools/socket_bytes.py
+++ b/tools/socket_bytes.py
@@ -28,7 +28,8 @@
     not counted any more.
     """
     totals: dict[int, int] = defaultdict(int)
-    for port, info in _established():
+    # gRPC listens on IPv6 sockets that also take IPv4 connections.
+    for port, info in [*_established(socket.AF_INET), *_established(socket.AF_INET6)]:
         if port not in ports or len(info) < _BYTES_SENT_OFFSET + _COUNT.size:
             continue
         (received,) = _COUNT.unpack_from(info, _BYTES_RECEIVED_OFFSET)
@@ -37,9 +38,9 @@
     return dict(totals)
 
 
-def _established() -> list[tuple[int, bytes]]:
+def _established(family: int) -> list[tuple[int, bytes]]:
     body = struct.pack(
-        "=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 1 << (_INET_DIAG_INFO - 1), 0, 1 << 1
+        "=BBBBI", family, socket.IPPROTO_TCP, 1 << (_INET_DIAG_INFO - 1), 0, 1 << 1
     ) + bytes(48)
     header = _HEADER.pack(_HEADER.size + len(body), _SOCK_DIAG_BY_FAMILY, _REQUEST_AND_DUMP, 1, 0)
     found: list[tuple[int, bytes]] = []
