Ask peers before the bound rises, and keep engines above a fallen bound free of new work

Cause: a claim whose first peer refused ignored all peers until its next try, and so raised the bound while slots below it were free. And an engine whose load stood above a bound that had fallen took new requests on its low slots, so its load fell only as its long requests ended.

Change: a refused wish excludes only its own engines; peers are asked whatever they reported before the bound rises and before a cached prefix is given up; claims without a cached prefix go to the emptiest engine; engines at the bound by the reported load get nothing; the bound keeps one request of headroom; Borrow and its answer carry running counts, which lag less than entries. The trace no longer resumes a chat while its last answer is still running.

--- a/src/tanagerworks/agent/explain.py
+++ b/src/tanagerworks/agent/explain.py
@@ -130,4 +130,4 @@
             stage, _, reason = step.partition(": ")
             self._stage(stage, passed, reason)
         if placement is not None:
-            self.way, self.engine_id = placement.way, placement.engine_id
+            self.way, self.engine_id = placement.way, placement.wishes[0][0]
--- a/src/tanagerworks/agent/slot_lending.py
+++ b/src/tanagerworks/agent/slot_lending.py
@@ -1,7 +1,7 @@
 """Lends slots to peers and borrows slots from them over gRPC."""
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import grpc
 from grpc.aio import ServicerContext
@@ -13,6 +13,7 @@
     BorrowReply,
     BorrowRequest,
     BorrowWish,
+    EngineCount,
     FreeSlots,
     ReturnReply,
     ReturnRequest,
@@ -40,6 +41,13 @@
         loan = self.state.lend(request.sender, request.incarnation, request.claim_id, wishes)
         reply = BorrowReply()
         now_s = self.state.clock()
+        if wishes:
+            counts = {item.engine_id: item.running for item in request.running}
+            scheduler = self.state.scheduler
+            scheduler.take_counts(request.sender, counts, request.stamp_s)
+            reply.running.extend(_counts(scheduler.pool_counts(wishes[0][0])))
+            self.state.counts_shared = True
+            reply.stamp_s = now_s
         for engine_id, _below_index in wishes:
             lowest = self.state.ledger.lowest_free(engine_id, now_s)
             if lowest is not None:
@@ -93,7 +101,10 @@
             claim_id=borrow_id,
             note_serial=self.state.ledger.serial,
             wishes=[BorrowWish(engine_id=e, below_index=below) for e, below in wishes],
+            running=_counts(self.state.scheduler.pool_counts(wishes[0][0])),
+            stamp_s=self.state.clock(),
         )
+        self.state.counts_shared = True
         try:
             reply = await stub.Borrow(request, timeout=BORROW_TIMEOUT_S)
         except grpc.RpcError as error:
@@ -105,6 +116,8 @@
             self.state.spawn(self._send_return(lender, ReturnRequest(claim_ids=[borrow_id])))
             return None
         free = {item.engine_id: (item.lowest, item.count) for item in reply.free}
+        counts = {item.engine_id: item.running for item in reply.running}
+        self.state.scheduler.take_counts(lender, counts, reply.stamp_s)
         self.state.scheduler.believe_free(lender, [e for e, _below in wishes], free)
         if reply.refusal:
             return None
@@ -129,3 +142,7 @@
                 "peer did not take back a slot",
                 extra={"peer": lender, "code": str(getattr(error, "code", lambda: "")())},
             )
+
+
+def _counts(running: Mapping[str, int]) -> list[EngineCount]:
+    return [EngineCount(engine_id=engine_id, running=count) for engine_id, count in running.items()]
--- a/src/tanagerworks/agent/state.py
+++ b/src/tanagerworks/agent/state.py
@@ -79,6 +79,11 @@
         self.stopping = asyncio.Event()
         self.changed = asyncio.Event()
         self.waiting: dict[str, asyncio.Future[Granted | Refused]] = {}
+        self.incarnations: dict[str, int] = {}
+        # Running counts as last put into the own entry, and whether a Borrow carried newer ones.
+        self.stamped_counts: dict[str, int] | None = None
+        self.stamped_at_s = 0.0
+        self.counts_shared = False
         self.tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -269,6 +274,7 @@
         """Writes the scheduler's part of this node's entry."""
         report = self.scheduler.report(self.clock(), max_exceptions)
         entry.note_serial = report.note_serial
+        entry.stamp_s = self._stamp_s(report)
         entry.drained_serial = report.drained_serial
         entry.all_drained_serial = report.all_drained_serial
         entry.running = sum(report.running.values())
@@ -282,8 +288,24 @@
             entry.warm.append(WarmAnswers(engine_id=engine_id, boot_id=boot_id, answers=answers))
         entry.exceptions.extend(_exceptions(report.exceptions))
 
+    def _stamp_s(self, report: NodeReport) -> float:
+        """Returns the time of the counts, which stays as long as the counts do.
+
+        An entry that differs in nothing else then needs no sending. Counts that a Borrow carried
+        in between are newer for the peer, so the entry needs a new time after them.
+        """
+        counts = dict(report.running)
+        if counts != self.stamped_counts or self.counts_shared:
+            self.stamped_counts, self.counts_shared = counts, False
+            self.stamped_at_s = report.stamp_s
+        return self.stamped_at_s
+
     def take_entry(self, entry: NodeEntry) -> None:
         """Takes the newest entry of a live peer."""
+        if self.incarnations.get(entry.node_id) != entry.incarnation:
+            # The clock of a new process may stand on a new VM, so its stamps start again.
+            self.scheduler.forget_node(entry.node_id)
+            self.incarnations[entry.node_id] = entry.incarnation
         running: dict[str, int] = {}
         # The counts are parallel to the engines of the sender's note.
         if self.note is not None and entry.note_serial == self.note.serial:
@@ -293,6 +315,7 @@
             running = self.scheduler.counts.by_node.get(entry.node_id, {})
         report = NodeReport(
             note_serial=entry.note_serial,
+            stamp_s=entry.stamp_s,
             drained_serial=entry.drained_serial,
             all_drained_serial=entry.all_drained_serial,
             running=running,
--- a/src/tanagerworks/routing/load_bound.py
+++ b/src/tanagerworks/routing/load_bound.py
@@ -11,9 +11,14 @@
     return sum(running.values()) / len(running)
 
 
-def index_bound(load_multiple: float, mean: float) -> int:
+def index_bound(load_multiple: float, mean: float, headroom: int = 0) -> int:
     """Returns the slot index below which slots may be used: at least 1."""
-    return max(1, math.ceil(load_multiple * mean))
+    return max(1, math.ceil(load_multiple * mean) - headroom)
+
+
+# Requests that the bound stays below the configured multiple. The mean can fall while requests
+# run, and the counts lag; without it 13% of the samples at 70% utilisation exceed the multiple.
+HEADROOM = 1
 
 
 class RunningCounts:
@@ -21,18 +26,34 @@
 
     def __init__(self) -> None:
         self.by_node: dict[str, dict[str, int]] = {}
+        self.stamps_s: dict[str, float] = {}
         self.totals: dict[str, int] = {}
 
-    def report(self, node_id: str, running: Mapping[str, int]) -> None:
-        """Replaces the counts of a node."""
+    def report(self, node_id: str, running: Mapping[str, int], stamp_s: float) -> None:
+        """Replaces the counts of a node; `stamp_s` orders them and is the node's own time."""
+        if stamp_s < self.stamps_s.get(node_id, -math.inf):
+            return
         self.forget(node_id)
+        self.stamps_s[node_id] = stamp_s
         counts = {engine_id: count for engine_id, count in running.items() if count}
         self.by_node[node_id] = counts
         for engine_id, count in counts.items():
             self.totals[engine_id] = self.totals.get(engine_id, 0) + count
 
+    def update(self, node_id: str, running: Mapping[str, int], stamp_s: float) -> None:
+        """Takes newer counts of some engines from a node."""
+        if stamp_s < self.stamps_s.get(node_id, -math.inf):
+            return
+        self.stamps_s[node_id] = stamp_s
+        counts = self.by_node.setdefault(node_id, {})
+        for engine_id, count in running.items():
+            change = count - counts.get(engine_id, 0)
+            self.totals[engine_id] = self.totals.get(engine_id, 0) + change
+            counts[engine_id] = count
+
     def forget(self, node_id: str) -> None:
         """Drops the counts of a node."""
+        self.stamps_s.pop(node_id, None)
         for engine_id, count in self.by_node.pop(node_id, {}).items():
             self.totals[engine_id] -= count
 
--- a/src/tanagerworks/routing/placement.py
+++ b/src/tanagerworks/routing/placement.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# Cost of asking peers in vain: a few round trips between zones.
+ASK_COST_S = 0.05
+
 
 class Way(Enum):
     """How a claim gets a slot."""
@@ -35,7 +38,9 @@
     """What is known of one candidate.
 
     `own_index` is the lowest free slot of the node itself, `peer_index` the lowest that a peer is
-    believed to have; `allowance` is the limit by capacity and warmth.
+    believed to have; `load` is the number of requests last reported by all nodes; `allowance` is
+    the limit by capacity and warmth. `ask` tells whether peers that report no free slot are still
+    worth asking: their reports may be outdated.
     """
 
     engine_id: str
@@ -44,42 +49,88 @@
     own_index: int | None
     peer_index: int | None
     expected_wait_s: float
+    load: int = 0
+    ask: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The way chosen, with the slot limit that applies and the reason."""
+    """The way chosen, with the reason.
+
+    `wishes` are (engine id, slot limit) in order of preference; the first names the engine of an
+    own slot or the one that is waited for. With `ask_all`, peers are asked whatever they report.
+    """
 
     way: Way
-    engine_id: str
-    below_index: int
+    wishes: tuple[tuple[str, int], ...]
     reason: str
+    ask_all: bool = False
 
 
-def place(choices: Sequence[Choice], bound: int, waited_s: float) -> Placement:
+def place(choices: Sequence[Choice], even: int, bound: int, waited_s: float) -> Placement:
     """Returns where a claim goes.
 
     `choices` are the eligible candidates in order of preference, at least one; `bound` is the
-    skew bound on the slot index; `waited_s` is how long the claim has waited already.
-
-    The engine that needs the least rebuilding is waited for as long as the expected wait, and the
-    wait so far, stay below the cost of rebuilding the prefix elsewhere. When nothing is free below
-    the bound at any candidate, the lowest free slot above it is used: the mean has grown.
+    skew bound on the slot index and `even` the index at which all engines have the same load;
+    `waited_s` is how long the claim has waited already.
+
+    The engine that has the prefix is used up to the bound, and waited for as long as the expected
+    wait, and the wait so far, stay below the cost of rebuilding the prefix elsewhere. A claim that
+    has nothing to lose, or loses it anyway, goes to its first choice only up to the even load and
+    then to the emptiest engine. When nothing is free below the bound at any candidate, the lowest
+    free slot above it is used: the mean has grown.
     """
-    first = choices[0]
-    for choice in choices:
-        extra_s = choice.rebuild_s - first.rebuild_s
-        if choice is not first and max(first.expected_wait_s, waited_s) < extra_s:
-            limit = min(bound, first.allowance)
-            return Placement(Way.WAIT, first.engine_id, limit, "waiting costs less than rebuilding")
-        limit = min(bound, choice.allowance)
-        if choice.own_index is not None and choice.own_index < limit:
-            return Placement(Way.OWN, choice.engine_id, limit, "own slot below the bound")
-        if choice.peer_index is not None and choice.peer_index < limit:
-            return Placement(Way.BORROW, choice.engine_id, limit, "a peer has a slot")
+    # An engine whose load is above a bound that fell gets no work, not even on a low slot: else
+    # its load would fall only as the requests on its high slots end.
+    below = [choice for choice in choices if choice.load < bound]
+    home = choices[0]
+    leaving_costs_s = choices[1].rebuild_s - home.rebuild_s if len(choices) > 1 else 0.0
+    limit = min(bound if leaving_costs_s > 0 else even, home.allowance)
+    if home.load >= bound:
+        limit = 0
+    wishes: tuple[tuple[str, int], ...] = ((home.engine_id, limit),)
+    if home.own_index is not None and home.own_index < limit:
+        return Placement(Way.OWN, wishes, "own slot of the first choice")
+    if home.peer_index is not None and home.peer_index < limit:
+        return Placement(Way.BORROW, wishes, "a peer has a slot of the first choice")
+    if limit and home.ask and leaving_costs_s > ASK_COST_S:
+        reason = "a peer may have a slot of the first choice"
+        return Placement(Way.BORROW, wishes, reason, ask_all=True)
+    if max(home.expected_wait_s, waited_s) < leaving_costs_s:
+        return Placement(Way.WAIT, wishes, "waiting costs less than rebuilding")
+    for level in (even, bound):
+        placement = _emptiest(below, level)
+        if placement is not None:
+            return placement
+    if any(choice.ask for choice in below):
+        wishes = tuple((choice.engine_id, min(bound, choice.allowance)) for choice in below)
+        return Placement(Way.BORROW, wishes, "asks before the bound rises", ask_all=True)
     return _above_bound(choices, bound)
 
 
+def _emptiest(choices: Sequence[Choice], level: int) -> Placement | None:
+    """Returns the lowest free slot below a level; low indexes mean little load."""
+    own = [
+        (choice.own_index, order)
+        for order, choice in enumerate(choices)
+        if choice.own_index is not None and choice.own_index < min(level, choice.allowance)
+    ]
+    if own:
+        choice = choices[min(own)[1]]
+        wishes = ((choice.engine_id, min(level, choice.allowance)),)
+        return Placement(Way.OWN, wishes, "own slot of an engine with little load")
+    peers = sorted(
+        (choice.peer_index, order)
+        for order, choice in enumerate(choices)
+        if choice.peer_index is not None and choice.peer_index < min(level, choice.allowance)
+    )
+    if not peers:
+        return None
+    asked = (choices[order] for _index, order in peers)
+    asked_for = tuple((choice.engine_id, min(level, choice.allowance)) for choice in asked)
+    return Placement(Way.BORROW, asked_for, "a peer has a slot of an engine with little load")
+
+
 def _above_bound(choices: Sequence[Choice], bound: int) -> Placement:
     best: tuple[int, int, Choice, Way] | None = None
     for order, choice in enumerate(choices):
@@ -90,6 +141,7 @@
                 best = (index, order, choice, way)
     if best is None:
         limit = min(bound, choices[0].allowance)
-        return Placement(Way.WAIT, choices[0].engine_id, limit, "no free slot")
+        return Placement(Way.WAIT, ((choices[0].engine_id, limit),), "no free slot")
     index, _order, choice, way = best
-    return Placement(way, choice.engine_id, index + 1, "bound raised: all are at the bound")
+    wishes = ((choice.engine_id, index + 1),)
+    return Placement(way, wishes, "bound raised: all are at the bound")
--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -18,7 +18,7 @@
 from tanagerworks.routing.admission import AdmissionQueue, CustomerLimits
 from tanagerworks.routing.exceptions import ExceptionMap
 from tanagerworks.routing.freshness import Freshness
-from tanagerworks.routing.load_bound import RunningCounts, index_bound, mean_running
+from tanagerworks.routing.load_bound import HEADROOM, RunningCounts, index_bound, mean_running
 from tanagerworks.routing.outliers import OutlierDetector
 from tanagerworks.routing.placement import Candidate, Choice, Placement, Way, place, prefer_cached
 from tanagerworks.routing.slots import Grant, LedgerError, Loan, SlotId, SlotLedger
@@ -31,6 +31,10 @@
 BORROW_RETRY_S = 0.1
 # Peers asked in a row for one claim before it waits.
 BORROW_ATTEMPTS = 4
+# Further peers asked although they report no free slot.
+ASK_ALL_ATTEMPTS = 4
+# Engines whose counts go with a Borrow: all of a small pool, a bounded part of a large one.
+POOL_COUNTS = 16
 # A borrowed slot with less time left than this goes back instead of to the next waiting claim.
 MIN_START_S = 1.0
 # Weight of the newest duration in the mean duration of an engine's requests.
@@ -52,10 +56,12 @@
     chat_hash: int = 0
     explain: bool = False
     borrows: int = 0
+    # Engines that no peer lent a slot of; asked again after `borrow_after_s`.
+    unlent: set[str] = field(default_factory=set)
     borrow_after_s: float = -math.inf
     borrowing: bool = False
     peers: list[str] = field(default_factory=list)
-    wish: tuple[str, int] = ("", 0)
+    wishes: tuple[tuple[str, int], ...] = ()
     trace: list[str] = field(default_factory=list)
 
     @property
@@ -139,6 +145,8 @@
     """What a node tells its peers about itself."""
 
     note_serial: int
+    # The node's own time; orders its reports of running requests.
+    stamp_s: float
     drained_serial: int
     all_drained_serial: int
     running: Mapping[str, int]
@@ -216,6 +224,7 @@
                 free[engine_id] = (lowest, self.ledger.free_count(engine_id, now_s))
         return NodeReport(
             note_serial=self.ledger.serial,
+            stamp_s=now_s,
             drained_serial=self.ledger.drained_serial(now_s),
             all_drained_serial=self.ledger.all_drained_serial,
             running=running,
@@ -232,7 +241,7 @@
         self.ledger.take_serials(
             node_id, report.note_serial, report.drained_serial, report.all_drained_serial
         )
-        self.counts.report(node_id, report.running)
+        self.counts.report(node_id, report.running, report.stamp_s)
         for engine_id, beliefs in self.peer_free.items():
             if engine_id not in report.free:
                 beliefs.pop(node_id, None)
@@ -359,12 +368,10 @@
         if placement is None:
             return self._refuse(claim, CapacityError, "no engine is in service")
         if placement.way is Way.OWN:
-            grant = self.ledger.claim(
-                placement.engine_id, placement.below_index, claim.holder, now_s
-            )
+            grant = self.ledger.claim(*placement.wishes[0], claim.holder, now_s)
             if grant is not None:
                 return self._granted(claim, grant, now_s)
-        if placement.way is Way.BORROW and now_s >= claim.borrow_after_s:
+        if placement.way is Way.BORROW:
             return self._borrow(claim, placement)
         return None
 
@@ -372,11 +379,11 @@
         choices = self._choices(claim, now_s)
         if not choices:
             return None
-        bound = self._bound(choices[0].engine_id, now_s)
-        placement = place(choices, bound, now_s - claim.arrived_at_s)
+        even, bound = self._levels(choices[0].engine_id, now_s)
+        placement = place(choices, even, bound, now_s - claim.arrived_at_s)
         claim.explain_step(
             "place",
-            f"{placement.way.value} {placement.engine_id} below {placement.below_index},"
+            f"{placement.way.value} {placement.wishes[0][0]} below {placement.wishes[0][1]},"
             f" bound {bound}: {placement.reason}",
         )
         return placement
@@ -393,7 +400,8 @@
     def _choices(self, claim: Claim, now_s: float) -> list[Choice]:
         assert self.note is not None
         choices = []
-        can_borrow = now_s >= claim.borrow_after_s
+        if now_s >= claim.borrow_after_s:
+            claim.unlent.clear()
         for candidate in claim.candidates:
             engine_id = candidate.engine_id
             engine = self.note.statement.engines.get(engine_id)
@@ -404,7 +412,7 @@
                 claim.explain_step("rank", f"{engine_id} gets no new work: {cause}")
                 continue
             peer_index = None
-            if can_borrow:
+            if engine_id not in claim.unlent:
                 beliefs = self.peer_free.get(engine_id, {}).values()
                 peer_index = min((lowest for lowest, count in beliefs if count > 0), default=None)
             allowance = self._allowance(engine_id, engine)
@@ -416,6 +424,8 @@
                     self.ledger.lowest_free(engine_id, now_s),
                     peer_index,
                     self._expected_wait_s(engine_id, allowance),
+                    load=self._load(engine_id),
+                    ask=bool(self.ledger.peers) and engine_id not in claim.unlent,
                 )
             )
         return choices
@@ -434,16 +444,22 @@
         duration_s = self.duration_s.get(engine_id, _FIRST_DURATION_S)
         return duration_s * (1 + self.waiting_for[engine_id]) / max(1, allowance)
 
-    def _bound(self, engine_id: str, now_s: float) -> int:
-        """Returns the skew bound for the engines that serve the same model version."""
+    def _load(self, engine_id: str) -> int:
+        """Returns the requests at an engine: the node's own, and those last reported by peers."""
+        return self.counts.total(engine_id) + self.ledger.running(engine_id)
+
+    def _levels(self, engine_id: str, now_s: float) -> tuple[int, int]:
+        """Returns the even load and the skew bound of the engines with the same model version."""
         assert self.note is not None
         statement = self.note.statement
         engine = statement.engines[engine_id]
         running = {}
         for other in self.pools[(engine.model, engine.version)]:
             if self.eligible(other, now_s):
-                running[other] = self.counts.total(other) + self.ledger.running(other)
-        return index_bound(statement.rules.load_multiple, mean_running(running))
+                running[other] = self._load(other)
+        mean = mean_running(running)
+        bound = index_bound(statement.rules.load_multiple, mean, HEADROOM)
+        return index_bound(1.0, mean), bound
 
     def eligible(self, engine_id: str, now_s: float) -> bool:
         """Returns whether an engine may receive new work."""
@@ -480,20 +496,30 @@
 
     # Borrowing and lending.
 
-    def _borrow(self, claim: Claim, placement: Placement) -> MustBorrow:
-        beliefs = self.peer_free[placement.engine_id]
-        fitting = []
-        for node_id, (lowest, count) in beliefs.items():
-            if count > 0 and lowest < placement.below_index:
-                # Peers with many free slots first: their reports are the least likely outdated.
-                fitting.append((-count, self.random.random(), node_id))
-        claim.peers = [node_id for _count, _tie, node_id in sorted(fitting)[:BORROW_ATTEMPTS]]
-        claim.wish = (placement.engine_id, placement.below_index)
+    def _borrow(self, claim: Claim, placement: Placement) -> MustBorrow | None:
+        fitting: Counter[str] = Counter()
+        for engine_id, below_index in placement.wishes:
+            for node_id, (lowest, count) in self.peer_free.get(engine_id, {}).items():
+                if lowest < below_index:
+                    fitting[node_id] += count
+        # Peers with many free slots first: their reports are the least likely outdated.
+        believed = sorted(fitting, key=lambda node: (-fitting[node], self.random.random()))
+        peers = believed[:BORROW_ATTEMPTS]
+        if placement.ask_all:
+            owners: set[str] = set()
+            for engine_id, below_index in placement.wishes:
+                owners.update(self.ledger.owners(engine_id)[:below_index])
+            others = sorted(owners - {self.node_id, *peers})
+            peers += self.random.sample(others, min(len(others), ASK_ALL_ATTEMPTS))
+        if not peers:
+            return None
+        claim.peers = peers
+        claim.wishes = placement.wishes
         claim.borrowing = True
         claim.borrows += 1
         self._keep_claim(claim)
         self.borrows[claim.borrow_id] = claim
-        return MustBorrow(claim, claim.borrow_id, tuple(claim.peers), (claim.wish,))
+        return MustBorrow(claim, claim.borrow_id, tuple(claim.peers), claim.wishes)
 
     def borrow_reply(
         self,
@@ -524,10 +550,10 @@
             return self._after_borrowing(claim, now_s), [ReturnSlot(lender, slot, loan_id)]
         if claim is None:
             return None, []
-        claim.explain_step("borrow", f"{lender} lends no slot of {claim.wish[0]}")
+        claim.explain_step("borrow", f"{lender} lends no slot of {claim.wishes[0][0]}")
         claim.peers = [peer for peer in claim.peers if peer != lender]
         if claim.peers and claim.deadline_s > now_s:
-            return MustBorrow(claim, borrow_id, tuple(claim.peers), (claim.wish,)), []
+            return MustBorrow(claim, borrow_id, tuple(claim.peers), claim.wishes), []
         self._end_borrowing(claim)
         return self._after_borrowing(claim, now_s), []
 
@@ -535,6 +561,22 @@
         claim.borrowing = False
         self.borrows.pop(claim.borrow_id, None)
 
+    def pool_counts(self, engine_id: str) -> dict[str, int]:
+        """Returns this node's running requests at the engines that serve like `engine_id`.
+
+        Borrow requests and answers carry them, since reports between nodes lag by seconds.
+        """
+        engine = self.note.statement.engines.get(engine_id) if self.note else None
+        if engine is None:
+            return {}
+        pool = self.pools[(engine.model, engine.version)][:POOL_COUNTS]
+        return {other: self.ledger.running(other) for other in pool}
+
+    def take_counts(self, node_id: str, counts: Mapping[str, int], stamp_s: float) -> None:
+        """Takes the counts that came with a Borrow or its answer."""
+        if node_id in self.live_peers:
+            self.counts.update(node_id, counts, stamp_s)
+
     def believe_free(
         self, node_id: str, engine_ids: Iterable[str], free: Mapping[str, tuple[int, int]]
     ) -> None:
@@ -547,7 +589,9 @@
                 beliefs.pop(node_id, None)
 
     def _after_borrowing(self, claim: Claim, now_s: float) -> Decision:
-        claim.borrow_after_s = now_s + BORROW_RETRY_S
+        if not claim.unlent:
+            claim.borrow_after_s = now_s + BORROW_RETRY_S
+        claim.unlent.update(engine_id for engine_id, _below in claim.wishes)
         decision = self._try(claim, now_s)
         return decision if decision is not None else self._enqueue(claim, now_s)
 
@@ -615,7 +659,7 @@
                 continue
             assert self.note is not None
             engine = self.note.statement.engines[slot.engine_id]
-            bound = self._bound(slot.engine_id, now_s)
+            _even, bound = self._levels(slot.engine_id, now_s)
             if slot.index >= min(bound, self._allowance(slot.engine_id, engine)):
                 return back
             again = self.ledger.grant_borrowed(
--- a/src/tanagerworks/routing/slots.py
+++ b/src/tanagerworks/routing/slots.py
@@ -120,6 +120,8 @@
         self.serial = 0
         self.max_lent_s = 0.0
         self.engines: dict[str, _EngineSlots] = {}
+        self.owners_of: dict[str, list[str]] = {}
+        self.node_ids: list[str] = []
         self.used: dict[SlotId, Grant] = {}
         self.lent: dict[SlotId, Loan] = {}
         self.loans_by_claim: dict[tuple[str, int, str], Loan] = {}
@@ -151,6 +153,8 @@
         self.serial = serial
         self.max_lent_s = statement.rules.max_lent_s
         self.peers = frozenset(statement.nodes) - {self.node_id}
+        self.owners_of = {}
+        self.node_ids = list(statement.nodes)
         for engine_id, engine in statement.engines.items():
             account = self.engines.get(engine_id)
             if account is None:
@@ -316,6 +320,15 @@
         account = self.engines.get(engine_id)
         return len(account.owned) if account else 0
 
+    def owners(self, engine_id: str) -> list[str]:
+        """Returns the nodes that own slots of an engine by the note in force."""
+        owners = self.owners_of.get(engine_id)
+        if owners is None:
+            account = self.engines.get(engine_id)
+            owners = slot_owners(engine_id, account.slots if account else 0, self.node_ids)
+            self.owners_of[engine_id] = owners
+        return owners
+
     def running(self, engine_id: str) -> int:
         """Returns the number of this node's requests at an engine, on own and borrowed slots."""
         account = self.engines.get(engine_id)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -105,18 +105,18 @@
 def test_long_drafts_wait_and_short_chats_move():
     """Guards against moving a chat whose prefix costs more than the wait, and the reverse."""
     draft = [_choice("m1"), _choice("m2", rebuild_s=8.0, own=0)]
-    assert place(draft, 4, 0.0).way is Way.WAIT
-    assert place(draft, 4, 8.0).engine_id == "m2"
+    assert place(draft, 4, 4, 0.0).way is Way.WAIT
+    assert place(draft, 4, 4, 8.0).wishes == (("m2", 4),)
     short = [_choice("m1"), _choice("m2", rebuild_s=0.2, own=0)]
-    assert place(short, 4, 0.0).engine_id == "m2"
+    assert place(short, 4, 4, 0.0).wishes == (("m2", 4),)
 
 
 def test_bound_rises_only_when_all_candidates_are_at_it():
     """Guards against skew while another engine has a slot below the bound."""
-    assert place([_choice("m1", own=5), _choice("m2", peer=3)], 4, 0.0).engine_id == "m2"
-    raised = place([_choice("m1", own=6), _choice("m2", own=5)], 4, 0.0)
-    assert (raised.engine_id, raised.below_index) == ("m2", 6)
-    assert place([_choice("m1", own=6, allowance=4)], 4, 0.0).way is Way.WAIT
+    assert place([_choice("m1", own=5), _choice("m2", peer=3)], 4, 4, 0.0).wishes == (("m2", 4),)
+    raised = place([_choice("m1", own=6), _choice("m2", own=5)], 4, 4, 0.0)
+    assert (raised.way, raised.wishes) == (Way.OWN, (("m2", 6),))
+    assert place([_choice("m1", own=6, allowance=4)], 4, 4, 0.0).way is Way.WAIT
 
 
 def test_exception_engine_comes_first():
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -14,7 +14,7 @@
 )
 
 from tanagerworks.note.model import Note
-from tanagerworks.routing.slots import Grant, SlotId, SlotLedger, owned_indexes
+from tanagerworks.routing.slots import Grant, LedgerError, SlotId, SlotLedger, owned_indexes
 from tests.builders import note_document
 
 SLOTS = 4
@@ -455,5 +455,6 @@
     more = settings(
         _SETTINGS, max_examples=1500, print_blob=False, phases=[Phase.generate], database=None
     )
-    with pytest.raises(AssertionError):
+    # The ledger's own check may see the fault before the engine has more work than slots.
+    with pytest.raises((AssertionError, LedgerError)):
         run_state_machine_as_test(BrokenMachine, settings=more)
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -406,9 +406,9 @@
         if isinstance(decision, MustBorrow):
             self.borrows += 1
             lender = self.by_id[decision.peers[0]]
-            self.events.after(
-                self._latency_s(), self._lend, lender, node, decision, self.events.now_s
-            )
+            counts = node.scheduler.pool_counts(decision.wishes[0][0])
+            arguments = (lender, node, decision, counts, self.events.now_s)
+            self.events.after(self._latency_s(), self._lend, *arguments)
             return
         _node, request = self.requests.pop(decision.claim.claim_id)
         if isinstance(decision, Refused):
@@ -416,9 +416,17 @@
             return
         self.events.after(self._latency_s(), self._send, node, request, decision)
 
-    def _lend(self, lender: _Node, node: _Node, wanted: MustBorrow, sent_at_s: float) -> None:
+    def _lend(
+        self,
+        lender: _Node,
+        node: _Node,
+        wanted: MustBorrow,
+        counts: dict[str, int],
+        sent_at_s: float,
+    ) -> None:
         now_s = self.events.now_s
         scheduler = lender.scheduler
+        scheduler.take_counts(node.node_id, counts, sent_at_s)
         loan = scheduler.lend(node.node_id, 1, wanted.borrow_id, wanted.wishes, now_s)
         answer = (loan.slot, loan.loan_id, loan.max_lent_s, loan.max_work_s) if loan else None
         free = {}
@@ -426,7 +434,8 @@
             lowest = scheduler.ledger.lowest_free(engine_id, now_s)
             if lowest is not None:
                 free[engine_id] = (lowest, scheduler.ledger.free_count(engine_id, now_s))
-        arguments = (node, lender.node_id, wanted, answer, free, sent_at_s)
+        counts = scheduler.pool_counts(wanted.wishes[0][0])
+        arguments = (node, lender.node_id, wanted, answer, free, counts, sent_at_s, now_s)
         self.events.after(self._latency_s(), self._lent, *arguments)
 
     def _lent(
@@ -436,8 +445,11 @@
         wanted: MustBorrow,
         answer: Any,
         free: dict[str, tuple[int, int]],
+        counts: dict[str, int],
         sent_at_s: float,
+        replied_at_s: float,
     ) -> None:
+        node.scheduler.take_counts(lender, counts, replied_at_s)
         node.scheduler.believe_free(lender, [engine for engine, _below in wanted.wishes], free)
         decision, effects = node.scheduler.borrow_reply(
             wanted.borrow_id, lender, answer, sent_at_s, self.events.now_s
--- a/tools/measure_routing.py
+++ b/tools/measure_routing.py
@@ -4,6 +4,7 @@
 modelled engines.
 """
 
+import heapq
 import sys
 import time
 from collections.abc import Callable
@@ -43,7 +44,8 @@
 }
 _DEADLINES_S = {"patient": 60.0, "counter": 15.0, "quick": 5.0}
 _RESUME_SHARE = 0.8
-_OPEN_CHATS = 400
+# Mean pause of a caller between an answer and the next turn.
+_PAUSE_S = 15.0
 
 RouterFactory = Callable[[World], Router]
 ROUTERS: dict[str, RouterFactory] = {
@@ -100,8 +102,8 @@
     random = Random(seed)
     rate = utilisation * ENGINES * SLOTS / _mean_work_s()
     trace: list[ModelRequest] = []
-    # Open chats of each customer and kind: chat number and tokens so far.
-    chats: dict[tuple[str, str], list[list[int]]] = {}
+    # Chats of each customer and kind that have ended their turn, by the time of the next one.
+    chats: dict[tuple[str, str], list[tuple[float, int, int]]] = {}
     names = [f"customer-{n}" for n in range(CUSTOMERS)]
     kinds, shares = list(_KINDS), [kind[0] for kind in _KINDS.values()]
     now_s = 0.0
@@ -116,31 +118,28 @@
             continue
         kind = random.choices(kinds, shares)[0]
         _share, first, more, answer = _KINDS[kind]
-        known = chats.setdefault((customer, kind), [])
-        if known and random.random() < _RESUME_SHARE:
-            # Recent chats are resumed more often than old ones.
-            back = min(len(known), 1 + int(random.expovariate(4.0 / _OPEN_CHATS * CUSTOMERS)))
-            chat = known.pop(len(known) - back)
+        idle = chats.setdefault((customer, kind), [])
+        if idle and idle[0][0] <= now_s and random.random() < _RESUME_SHARE:
+            _resumes_at_s, chat, prefix = heapq.heappop(idle)
         else:
             chat_count += 1
-            chat = [chat_count, 0]
-        prefix = chat[1]
+            chat, prefix = chat_count, 0
         grown = int(random.uniform(0.5, 1.5) * (more if prefix else first))
-        output = max(1, int(random.expovariate(1.0 / answer)))
-        chat[1] = prefix + grown + output
-        known.append(chat)
-        del known[: -_OPEN_CHATS // CUSTOMERS]
+        output = min(2000, 1 + int(random.expovariate(1.0 / answer)))
+        work_s = (first + grown) / PREFILL_TOKENS_PER_S + output / DECODE_TOKENS_PER_S
+        pause_s = random.expovariate(1.0 / _PAUSE_S)
+        heapq.heappush(idle, (now_s + 2.0 * work_s + pause_s, chat, prefix + grown + output))
         trace.append(
             ModelRequest(
                 number=len(trace),
                 at_s=now_s,
                 node=random.randrange(NODES),
-                chat=chat[0],
+                chat=chat,
                 customer=customer,
                 request_class=kind,
                 prefix_tokens=prefix,
                 prompt_tokens=prefix + grown,
-                output_tokens=min(output, 2000),
+                output_tokens=output,
                 deadline_s=_DEADLINES_S[kind],
             )
         )
