Send orders to engines that do not serve the stated version

A stated version reached no engine by itself. Agents with an orders section in their settings now compare what engines report with the note and send load_model. Orders and refusals stand in the audit trail.

--- a/src/tanagerworks/agent/node.py
+++ b/src/tanagerworks/agent/node.py
@@ -13,6 +13,7 @@
 from tanagerworks.agent.entry_bounds import EntryBounds, expand_counts
 from tanagerworks.agent.gossip import Gossip
 from tanagerworks.agent.note_keeper import NoteKeeper
+from tanagerworks.agent.order_sender import OrderSender
 from tanagerworks.agent.pauses import PauseGuard, PauseInterceptor
 from tanagerworks.agent.peer_exchange import PeerExchange, SurveyAnswer
 from tanagerworks.agent.peer_links import PeerLinks
@@ -118,6 +119,18 @@
             max_gap_s=settings.max_tick_gap_s,
             refresh_timeout_s=settings.refresh_timeout_s,
         )
+        self.orders: OrderSender | None = None
+        if settings.orders is not None:
+            self.orders = OrderSender(
+                settings.node_id,
+                settings.orders,
+                trail,
+                self.random,
+                clock=self.clock,
+                note=lambda: state.note,
+                incarnation=lambda: state.incarnation,
+                living=lambda: {settings.node_id, *self._living_nodes()},
+            )
         self.bounds = EntryBounds()
         state.lender = PeerSlots(state, self._stub_of)
         self.leaving_vms: frozenset[str] = frozenset()
@@ -155,6 +168,8 @@
         self._run("peers", self._run_peers())
         self._run("probes", self.prober.run())
         self._run("vm audit", self._watch_nodes())
+        if self.orders is not None:
+            self._run("orders", self.orders.run())
         if self.credentials is not None:
             watch = watch_credentials(self.credentials, self._credentials_changed)
             self._run("credentials", watch)
--- a/src/tanagerworks/settings/agent.py
+++ b/src/tanagerworks/settings/agent.py
@@ -5,6 +5,7 @@
 from tanagerworks.note.model import Address, Name
 from tanagerworks.settings.admin import AdminSettings
 from tanagerworks.settings.loader import SettingsModel
+from tanagerworks.settings.orders import OrderSettings
 
 
 class PeerTlsSettings(SettingsModel):
@@ -29,6 +30,8 @@
     peer_address: Address
     admin_address: Address
     admin: AdminSettings = AdminSettings()
+    # Sends orders to engines; none are sent without this section.
+    orders: OrderSettings | None = None
     platform_url: str = Field(pattern=r"^https?://")
     seed_peers: tuple[Address, ...] = ()
     peer_tls: PeerTlsSettings | None = None
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+import tanagerworks.agent.node
 import tanagerworks.ctl.main
 import tanagerworks.router.app
 import tanagerworks.tls.peer_credentials  # noqa: F401 - defines codes, as do the others
