Ask peers at growing intervals while a claim waits

Cause: under overload every waiting claim asked up to eight peers ten times a second, 160,000 requests between nine nodes in 40 s.

Change: rounds that ask peers whatever they report come at doubling intervals up to 5 s; a pool without any free slot ends the pass over the queue; 8 claims are tried per pass instead of 16. The central chooser tries 30 waiting requests after each end, which bounds its run time.

--- a/src/tanagerworks/routing/placement.py
+++ b/src/tanagerworks/routing/placement.py
@@ -65,6 +65,8 @@
     wishes: tuple[tuple[str, int], ...]
     reason: str
     ask_all: bool = False
+    # Nothing is free at any candidate.
+    full: bool = False
 
 
 def place(choices: Sequence[Choice], even: int, bound: int, waited_s: float) -> Placement:
@@ -141,7 +143,7 @@
                 best = (index, order, choice, way)
     if best is None:
         limit = min(bound, choices[0].allowance)
-        return Placement(Way.WAIT, ((choices[0].engine_id, limit),), "no free slot")
+        return Placement(Way.WAIT, ((choices[0].engine_id, limit),), "no free slot", full=True)
     index, _order, choice, way = best
     wishes = ((choice.engine_id, index + 1),)
     return Placement(way, wishes, "bound raised: all are at the bound")
--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -26,9 +26,13 @@
 from tanagerworks.routing.zones import Eligibility
 
 # Waiting claims tried per class after a change, so that a long queue does not block the node.
-QUEUE_TRIES = 16
+QUEUE_TRIES = 8
 # A waiting claim asks peers at most this often.
 BORROW_RETRY_S = 0.1
+# First interval between two rounds that ask peers whatever they report, and the longest one. A
+# queue under overload would otherwise ask all the time.
+ASK_RETRY_S = 0.2
+MAX_ASK_RETRY_S = 5.0
 # Peers asked in a row for one claim before it waits.
 BORROW_ATTEMPTS = 4
 # Further peers asked although they report no free slot.
@@ -59,6 +63,9 @@
     # Engines that no peer lent a slot of; asked again after `borrow_after_s`.
     unlent: set[str] = field(default_factory=set)
     borrow_after_s: float = -math.inf
+    # Peers that report no free slot are asked again after `ask_after_s`, at growing intervals.
+    ask_after_s: float = -math.inf
+    asks: int = 0
     borrowing: bool = False
     peers: list[str] = field(default_factory=list)
     wishes: tuple[tuple[str, int], ...] = ()
@@ -183,6 +190,8 @@
         self.waiting_for: Counter[str] = Counter()
         self.peer_free: dict[str, dict[str, tuple[int, int]]] = {}
         self.live_peers: set[str] = set()
+        # Pools in which the last claim found no free slot at all.
+        self.full_pools: set[tuple[str, str]] = set()
         self.pools: dict[tuple[str, str], list[str]] = {}
 
     # Notes and knowledge of the fleet.
@@ -372,7 +381,10 @@
             if grant is not None:
                 return self._granted(claim, grant, now_s)
         if placement.way is Way.BORROW:
-            return self._borrow(claim, placement)
+            return self._borrow(claim, placement, now_s)
+        pool = self._home_pool(claim)
+        if placement.full and pool is not None:
+            self.full_pools.add(pool)
         return None
 
     def _place(self, claim: Claim, now_s: float) -> Placement | None:
@@ -402,6 +414,7 @@
         choices = []
         if now_s >= claim.borrow_after_s:
             claim.unlent.clear()
+        may_ask = bool(self.ledger.peers) and now_s >= claim.ask_after_s
         for candidate in claim.candidates:
             engine_id = candidate.engine_id
             engine = self.note.statement.engines.get(engine_id)
@@ -425,7 +438,7 @@
                     peer_index,
                     self._expected_wait_s(engine_id, allowance),
                     load=self._load(engine_id),
-                    ask=bool(self.ledger.peers) and engine_id not in claim.unlent,
+                    ask=may_ask and engine_id not in claim.unlent,
                 )
             )
         return choices
@@ -496,7 +509,7 @@
 
     # Borrowing and lending.
 
-    def _borrow(self, claim: Claim, placement: Placement) -> MustBorrow | None:
+    def _borrow(self, claim: Claim, placement: Placement, now_s: float) -> MustBorrow | None:
         fitting: Counter[str] = Counter()
         for engine_id, below_index in placement.wishes:
             for node_id, (lowest, count) in self.peer_free.get(engine_id, {}).items():
@@ -506,6 +519,8 @@
         believed = sorted(fitting, key=lambda node: (-fitting[node], self.random.random()))
         peers = believed[:BORROW_ATTEMPTS]
         if placement.ask_all:
+            claim.asks += 1
+            claim.ask_after_s = now_s + min(MAX_ASK_RETRY_S, ASK_RETRY_S * 2.0**claim.asks)
             owners: set[str] = set()
             for engine_id, below_index in placement.wishes:
                 owners.update(self.ledger.owners(engine_id)[:below_index])
@@ -728,15 +743,23 @@
         effects: list[Effect] = []
         if not len(self.queue):
             return effects
+        self.full_pools.clear()
         for claim_id in list(self.queue.in_order(QUEUE_TRIES)):
             claim = self.claims[claim_id]
             if claim.borrowing or claim.deadline_s <= now_s:
                 continue
+            if self.full_pools and self._home_pool(claim) in self.full_pools:
+                continue
             decision = self._try(claim, now_s)
             if decision is not None:
                 effects.append(decision)
         return effects
 
+    def _home_pool(self, claim: Claim) -> tuple[str, str] | None:
+        assert self.note is not None
+        engine = self.note.statement.engines.get(claim.candidates[0].engine_id)
+        return (engine.model, engine.version) if engine else None
+
     def check(self) -> None:
         """Raises LedgerError if an invariant is broken."""
         self.ledger.check()
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -40,6 +40,8 @@
 CACHE_TOKENS = 400_000
 RETRY_S = 0.05
 MAX_TRIES = 20
+# Waiting requests that the central chooser tries after each end of a request.
+CENTRAL_TRIES = 30
 
 
 @dataclass(slots=True)
@@ -597,12 +599,14 @@
 
     def ended(self) -> None:
         """Serves what waits, in order."""
-        for _ in range(len(self.waiting)):
+        still_waiting = []
+        for _ in range(min(len(self.waiting), CENTRAL_TRIES)):
             request = self.waiting.popleft()
             if self.events.now_s > request.at_s + request.deadline_s:
                 self.world.counters.refused += 1
             elif not self._place(request):
-                self.waiting.append(request)
+                still_waiting.append(request)
+        self.waiting.extendleft(reversed(still_waiting))
 
     def _place(self, request: ModelRequest) -> bool:
         serving = self.world.serving()
