Write to callers without the library's buffered writer

Each piece went through several layers of Python code and each header was a packet of its own. The header is now held until the first piece of the body.

--- a/src/tanagerworks/router/caller_server.py
+++ b/src/tanagerworks/router/caller_server.py
@@ -121,6 +121,30 @@
         self.bytes_read = 0
 
 
+class _CallerWriter:
+    """Writes to a caller; a held header goes out together with the first piece of the body."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.holding = False
+        self.held = b""
+        self.bytes_written = 0
+
+    def write(self, data: bytes) -> int:
+        if self.holding:
+            self.held += data
+        elif self.held:
+            data, self.held = self.held + data, b""
+            self.sock.sendall(data)
+        else:
+            self.sock.sendall(data)
+        return len(data)
+
+    def flush(self) -> None:
+        if self.held:
+            self.write(b"")
+
+
 class CallerRequest(HTTPRequest):
     """One request; whatever is refused before the application gets a typed error."""
 
@@ -147,7 +171,17 @@
         if getattr(self.rfile, "remaining", 0):
             # The rest of a body that was not read must not be taken for the next request.
             self.close_connection = True
-        super().send_headers()
+        writer = self.conn.wfile
+        writer.holding = True
+        try:
+            super().send_headers()
+        finally:
+            writer.holding = False
+
+    def respond(self) -> None:
+        """Serves the request and writes the whole response."""
+        super().respond()
+        self.conn.wfile.flush()
 
     def simple_response(self, status: Any, msg: Any = "") -> None:
         """Sends a typed error in place of the server's plain text."""
@@ -192,6 +226,8 @@
         super().__init__(server, sock, *arguments)
         self.raw = _DeadlineIO(sock)
         self.rfile = _DeadlineReader(self.raw, io.DEFAULT_BUFFER_SIZE)
+        # The writer of the library copies each piece through several layers of Python code.
+        self.wfile = _CallerWriter(sock)
         self.waited = False
 
     def communicate(self) -> bool:
