--- a/src/tanagerworks/load/http_client.py
+++ b/src/tanagerworks/load/http_client.py
@@ -1,7 +1,6 @@
 """Asynchronous HTTP/1.1 client of the load tool, on h11 and one connection for each call."""
 
 import asyncio
-import json
 from collections.abc import Mapping
 from typing import Any
 
@@ -104,13 +103,3 @@
     def close(self) -> None:
         """Ends the connection at once."""
         self.writer.close()
-
-
-async def fetch_json(address: str, path: str, headers: Mapping[str, str]) -> Any:
-    """Returns the JSON document at a path."""
-    call = await Call.connect(address)
-    try:
-        await call.send("GET", path, headers)
-        return json.loads(await call.read_all())
-    finally:
-        call.close()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -25,16 +25,26 @@
 # All processes together; those that still run are then killed.
 _EXIT_TIMEOUT_S = 5.0
 
+_returned_ports: set[int] = set()
+
 
 class FleetError(Exception):
     """A process of the fleet did not start, or ended early."""
 
 
 def free_port() -> int:
-    """Returns a loopback port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Returns a loopback port that nothing listens on and that was not returned before.
+
+    The kernel may give the same free port again before a process listens on it. A release note
+    with 36 nodes then had two of them at one address.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = int(probe.getsockname()[1])
+        if port not in _returned_ports:
+            _returned_ports.add(port)
+            return port
 
 
 def free_address() -> str:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -12,12 +12,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from tools.measure_control import measure_control
+from tools.measure_outcomes import measure_outcomes
+from tools.measure_routing import measure_routing
 from tools.measure_speed import measure_speed
 
 _BUILD = Path("build")
 _SEED = 20261
 
-_MEASUREMENTS: tuple[Callable[[int], dict[str, float]], ...] = (measure_speed,)
+_MEASUREMENTS: tuple[Callable[[int], dict[str, float]], ...] = (
+    measure_routing,
+    measure_outcomes,
+    measure_control,
+    measure_speed,
+)
 
 
 @dataclass(frozen=True)
--- a/tools/measure_speed.py
+++ b/tools/measure_speed.py
@@ -169,7 +169,8 @@
 
     def _memory(self) -> None:
         """Compares the memory of agent and routers before and after a thousand rounds."""
-        names = [item.name for item in self.deployment.fleet.node_processes(self._node())]
+        node = self.deployment.nodes[0]
+        names = [item.name for item in self.deployment.fleet.node_processes(node)]
         rounds = Chats("rounds-0", self.routers, 8, 1.5, 1, streamed=False)
         self._load(rounds)
         before_mb = _resident_mb(self.deployment.fleet, names)
@@ -181,11 +182,9 @@
             done += self._load(load).counts[Seen.WHOLE.value]
         after_mb = _resident_mb(self.deployment.fleet, names)
         self.figures["speed.memory_mb"] = after_mb
+        self.figures["speed.memory_agent_mb"] = _resident_mb(self.deployment.fleet, names[:1])
         self.figures["speed.memory_growth_mb_per_1000"] = (after_mb - before_mb) * 1000 / done
 
-    def _node(self) -> Any:
-        return self.deployment.nodes[0]
-
     def _requests_per_s(self) -> None:
         seconds = 4.0
         one = Chats("rate-one", self.routers[:1], 32, seconds, 1, 2, streamed=False)
