--- a/src/tanagerworks/agent/peer_exchange.py
+++ b/src/tanagerworks/agent/peer_exchange.py
@@ -20,7 +20,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 _MAX_EXCHANGES = 4
-_MAX_SURVEYS = 16
+_MAX_SURVEYS = 4
 _RETRY_S = 0.2
 _MAX_RETRY_S = 5.0
 # A peer's note is a whole one; the platform's delta is smaller, so it gets a head start.
@@ -123,10 +123,18 @@
 
         async def ask(name: str) -> None:
             async with limit:
+                address = self.gossip.addresses.get(name)
+                if address is None:
+                    return
+                had_link = address in self.links.channels
                 try:
-                    known[name], _serial = await self._survey(self.gossip.addresses[name])
-                except (KeyError, PeerError):
+                    known[name], _serial = await self._survey(address)
+                except PeerError:
                     return
+                finally:
+                    # The survey asks every node once; the exchange needs few connections.
+                    if not had_link and name not in self.rotation.peers:
+                        self.links.close_one(address)
 
         while True:
             if any(answer.unclean_predecessor for answer in known.values()):
--- a/src/tanagerworks/agent/peer_links.py
+++ b/src/tanagerworks/agent/peer_links.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Collection
 
 import grpc
 from grpc.aio import Channel, insecure_channel, secure_channel
@@ -66,11 +65,10 @@
         for address in list(self.channels):
             self._close(address)
 
-    def keep_only(self, addresses: Collection[str]) -> None:
-        """Closes connections to all other addresses."""
-        for address in list(self.channels):
-            if address not in addresses:
-                self._close(address)
+    def close_one(self, address: str) -> None:
+        """Closes the connection to `address`, if there is one."""
+        if address in self.channels:
+            self._close(address)
 
     def _close(self, address: str) -> None:
         channel = self.channels.pop(address)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -12,6 +12,7 @@
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 from types import TracebackType
 from typing import Any
 
@@ -21,30 +22,36 @@
 
 _START_TIMEOUT_S = 30.0
 _POLL_S = 0.05
+# Not seeded, so that runs side by side choose different ports.
+_RANDOM = SystemRandom()
 _STOP_TIMEOUT_S = 10.0
 # All processes together; those that still run are then killed.
 _EXIT_TIMEOUT_S = 5.0
 
-_returned_ports: set[int] = set()
-
 
 class FleetError(Exception):
     """A process of the fleet did not start, or ended early."""
 
 
-def free_port() -> int:
-    """Returns a loopback port that nothing listens on and that was not returned before.
+# Ports below the range from which the kernel takes those of outgoing connections: a port from that
+# range may be taken between its choice here and the start of the process that listens on it.
+_PORTS = range(10_000, 32_000)
+_given_ports: set[int] = set()
 
-    The kernel may give the same free port again before a process listens on it. A release note
-    with 36 nodes then had two of them at one address.
-    """
+
+def free_port() -> int:
+    """Returns a loopback port that nothing listens on and that was not returned before."""
     while True:
+        port = _RANDOM.choice(_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = int(probe.getsockname()[1])
-        if port not in _returned_ports:
-            _returned_ports.add(port)
-            return port
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 def free_address() -> str:
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -66,7 +66,7 @@
     memory_mb: float
 
 
-class _Engines:
+class EngineAnswers:
     """Answers probes for many engines from one thread."""
 
     def __init__(self, count: int) -> None:
@@ -108,7 +108,7 @@
     ) -> None:
         self.fleet = fleet
         self.nodes = [new_node(f"n{number:03}", _ZONE, routers=0) for number in range(count)]
-        self.document = _note_document(self.nodes, engines)
+        self.document = note_document(self.nodes, engines)
         fleet.start_platform()
         fleet.publish(self.document)
         nowhere = f"http://{free_address()}"
@@ -128,18 +128,24 @@
 
     def cpu_s(self) -> float:
         """Returns the CPU time of all agents."""
-        ticks = 0
-        for pid in self.pids:
-            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-            ticks += int(fields[11]) + int(fields[12])
-        return ticks / _CLOCK_TICKS_PER_S
+        return cpu_seconds(self.pids)
 
     def memory_mb(self) -> float:
         """Returns the mean resident memory of an agent."""
-        return sum(_resident_mb(pid) for pid in self.pids) / len(self.pids)
+        return sum(resident_mb(pid) for pid in self.pids) / len(self.pids)
 
 
-def _note_document(nodes: Sequence[NodeAddresses], engines: Sequence[str]) -> dict[str, Any]:
+def cpu_seconds(pids: Sequence[int]) -> float:
+    """Returns the CPU time that processes have used."""
+    ticks = 0
+    for pid in pids:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / _CLOCK_TICKS_PER_S
+
+
+def note_document(nodes: Sequence[NodeAddresses], engines: Sequence[str]) -> dict[str, Any]:
+    """Returns a full note with the nodes, and an engine for every address."""
     return {
         "serial": 1,
         "statement": {
@@ -162,20 +168,21 @@
     }
 
 
-def _resident_mb(pid: int) -> float:
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) * 1024 / _MB
     raise MeasureError(f"process {pid} has no memory")
 
 
-def _base_memory_mb() -> float:
+def base_memory_mb() -> float:
     """Returns the memory of an interpreter that has only imported the agent."""
     code = "import tanagerworks.agent.main, time; print(flush=True); time.sleep(60)"
     with subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE) as process:
         assert process.stdout is not None
         process.stdout.readline()
-        memory_mb = _resident_mb(process.pid)
+        memory_mb = resident_mb(process.pid)
         process.kill()
     return memory_mb
 
@@ -185,6 +192,7 @@
 
     def __init__(self, agents: _Agents, random: Random) -> None:
         self.random = random
+        self.fleet = agents.fleet
         self.statement = Note.model_validate(agents.document).statement
         self.channels = [grpc.aio.insecure_channel(node.router_link) for node in agents.nodes]
         self.stubs = {
@@ -227,7 +235,9 @@
             if all(number == serial for number in served):
                 return elapsed_s, reversions
             if elapsed_s > limit_s:
-                raise MeasureError(f"serials {served} after {elapsed_s:.0f} s, wanted {serial}")
+                late = [name for name, has in zip(self.stubs, served, strict=True) if has != serial]
+                log = self.fleet.processes[f"{late[0]}-agent"].log_path.read_text()[-2000:]
+                raise MeasureError(f"{late} not at serial {serial}; {late[0]}: {log}")
             await asyncio.sleep(0.05)
 
     async def work(self) -> None:
@@ -322,8 +332,8 @@
     """Returns the measured points, the fitted slopes and the values at the target size."""
     random = Random(seed)
     authority = Authority()
-    engines = _Engines(2 * max(SIZES)).addresses
-    result: dict[str, float] = {"control.memory_base_mb": _base_memory_mb()}
+    engines = EngineAnswers(2 * max(SIZES)).addresses
+    result: dict[str, float] = {"control.memory_base_mb": base_memory_mb()}
     points = []
     for size in SIZES:
         cut_off = CUT_OFF_NODES if size == CONFIG_SIZE else 0
