--- a/src/tanagerworks/agent/operations.py
+++ b/src/tanagerworks/agent/operations.py
@@ -180,10 +180,18 @@
         def records(_options: CallbackOptions) -> list[Observation]:
             return [Observation(self.trail.head_sequence)]
 
-        meter.create_observable_gauge("tanager_note_serial", [serial])
-        meter.create_observable_gauge("tanager_node_ready", [ready])
-        meter.create_observable_gauge("tanager_slots_used", [used])
-        meter.create_observable_counter("tanager_audit_records", [records])
+        meter.create_observable_gauge(
+            "tanager_note_serial", [serial], description="Serial of the note in force."
+        )
+        meter.create_observable_gauge(
+            "tanager_node_ready", [ready], description="1 while this node takes callers."
+        )
+        meter.create_observable_gauge(
+            "tanager_slots_used", [used], description="Slots in use by this node's routers."
+        )
+        meter.create_observable_counter(
+            "tanager_audit_records", [records], description="Audit records of this process."
+        )
 
     def _note_in_force(self) -> Note:
         if self.state.note is None:
