--- a/src/tanagerworks/ctl/exits.py
+++ b/src/tanagerworks/ctl/exits.py
@@ -14,7 +14,7 @@
     REFUSED = 5
 
 
-EXIT_STATUS_HELP = """Exit statuses:
+EXIT_STATUS_HELP = """Exit statuses; the highest one that applies is used:
   0  done, nothing to report
   1  finding: the note cannot be accepted, statements differ, serials differ between nodes,
      the chat would not be served, or a trail does not verify
