--- a/src/tanagerworks/router/relay.py
+++ b/src/tanagerworks/router/relay.py
@@ -89,8 +89,8 @@
         now_s = time.monotonic()
         exchange = Exchange(request, engine, grant, connection, now_s, now_s + grant.max_work_s)
         self.exchanges[id(exchange)] = exchange
-        self.watch.add(exchange, request.caller)
         try:
+            self.watch.add(exchange, request.caller)
             return self._send(exchange)
         except TanagerError as error:
             exchange.failure = error
