Send each process one signal in the demo, and keep the demo's logs

The launcher signalled a node once to stop it and once more while it waited, and a second signal ends a graceful shutdown early. Logs and settings of the newest run stay in build/demo-logs.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import shutil
 import signal
 import sys
 import threading
@@ -12,7 +13,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
-from tempfile import TemporaryDirectory
 from types import FrameType
 from typing import Any
 
@@ -27,6 +27,8 @@
 LOAD_S = 30.0
 _SEED = 7
 _BUILD = Path("build")
+# Settings and logs of all processes of the newest run.
+_LOGS = _BUILD / "demo-logs"
 _SAMPLE_PERIOD_S = 0.25
 _STOP_LIMIT_S = 12.0
 _ZONE = "sfax-thyna"
@@ -231,8 +233,9 @@
     started_s = time.monotonic()
     _BUILD.mkdir(exist_ok=True)
     try:
-        with TemporaryDirectory(prefix="tanager-demo-") as directory:
-            verdict, report, story = run_demo(Path(directory))
+        shutil.rmtree(_LOGS, ignore_errors=True)
+        _LOGS.mkdir()
+        verdict, report, story = run_demo(_LOGS)
     except KeyboardInterrupt:
         print("interrupted", file=sys.stderr)
         return 130
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -72,10 +72,12 @@
     process: subprocess.Popen[bytes]
     log_path: Path
     command: list[str]
+    terminated: bool = False
 
     def terminate(self) -> None:
-        """Asks for a graceful shutdown."""
-        if self.process.poll() is None:
+        """Asks for a graceful shutdown, once: a second signal would end it early."""
+        if self.process.poll() is None and not self.terminated:
+            self.terminated = True
             self.process.send_signal(signal.SIGTERM)
 
     def stop(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
