Check invariants inside the router

The setting `invariants` of the router had no effect. With it the router now ends with a typed error when a slot is granted while it is in use, when a call that is not repeatable goes twice, or when a request of which bytes were sent is reported as not run.

--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -25,6 +25,12 @@
             self.outcome = outcome
 
 
+class InvariantError(TanagerError):
+    """A condition that must always hold does not; only raised with the setting ``invariants``."""
+
+    code = "invariant_violated"
+
+
 class SettingsError(TanagerError):
     """A settings file that cannot be used; gives the file, the key path and the reason."""
 
--- a/src/tanagerworks/router/agent_link.py
+++ b/src/tanagerworks/router/agent_link.py
@@ -17,6 +17,7 @@
     RequestError,
 )
 from tanagerworks.note.model import Statement
+from tanagerworks.router.invariants import Invariants
 from tanagerworks.router.slot_book import Grant, SlotBook
 from tanagerworks.router.view import RouterView, next_view
 from tanagerworks.rpc.tanager_pb2 import (
@@ -59,6 +60,7 @@
         max_view_age_s: float = 2.0,
         agent_loss_grace_s: float = 5.0,
         now: Callable[[], float] = boot_time_s,
+        invariants: Invariants | None = None,
     ) -> None:
         self.router_id = router_id
         self.instance_id = uuid.uuid4().hex
@@ -74,7 +76,7 @@
         ]
         self.channel = grpc.insecure_channel(agent_address, options=options)
         self.stub = NodeAgentStub(self.channel)
-        self.book = SlotBook()
+        self.book = SlotBook(invariants)
         self.view = RouterView()
         self.view_lock = threading.Lock()
         self.refresh_lock = threading.Lock()
--- /dev/null
+++ b/src/tanagerworks/router/invariants.py
@@ -0,0 +1,26 @@
+"""Invariants that a router checks while it runs; switched by the setting ``invariants``."""
+
+import logging
+from collections.abc import Callable
+
+from tanagerworks.errors import InvariantError
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Invariants:
+    """Checks conditions that must always hold; `on_violation` runs before the error is raised."""
+
+    def __init__(
+        self, enabled: bool = False, on_violation: Callable[[], None] = lambda: None
+    ) -> None:
+        self.enabled = enabled
+        self.on_violation = on_violation
+
+    def require(self, holds: bool, reason: str) -> None:
+        """Raises InvariantError with `reason` unless the condition holds."""
+        if holds or not self.enabled:
+            return
+        _LOGGER.critical("invariant violated", extra={"reason": reason})
+        self.on_violation()
+        raise InvariantError(reason)
--- a/src/tanagerworks/router/main.py
+++ b/src/tanagerworks/router/main.py
@@ -13,6 +13,7 @@
 from tanagerworks.router.backend import BackendConnections
 from tanagerworks.router.caller_server import CallerServer
 from tanagerworks.router.engine_client import EngineClient
+from tanagerworks.router.invariants import Invariants
 from tanagerworks.router.metrics import RouterMetrics
 from tanagerworks.router.pipeline import Budgets, chat_stages
 from tanagerworks.router.relay import EngineRelay
@@ -38,12 +39,14 @@
     def __init__(self, settings: RouterSettings, metrics: RouterMetrics) -> None:
         self.settings = settings
         self.metrics = metrics
+        invariants = Invariants(settings.invariants, _end_process)
         self.link = AgentLink(
             settings.router_id,
             settings.agent_address,
             settings.forward_address,
             max_view_age_s=settings.max_view_age_s,
             agent_loss_grace_s=settings.agent_loss_grace_s,
+            invariants=invariants,
         )
         self.connections = BackendConnections(settings.connect_timeout_s)
         random = SystemRandom()
@@ -63,6 +66,7 @@
                 random,
                 max_answer_bytes=settings.max_answer_bytes,
                 check_view=self._check_view,
+                invariants=invariants,
             ),
             TicketDesk(
                 self.link.instance_id,
@@ -166,6 +170,12 @@
         self.forward_server.stop()
 
 
+def _end_process() -> None:
+    """Ends the process at once, so that a violation is seen and not served on."""
+    logging.shutdown()
+    os._exit(EXIT_FAILED)
+
+
 def serve(settings: RouterSettings) -> int:
     """Serves callers until a signal; returns the exit status."""
     stopping, hurry = threading.Event(), threading.Event()
--- a/src/tanagerworks/router/services.py
+++ b/src/tanagerworks/router/services.py
@@ -21,6 +21,7 @@
 from tanagerworks.router.answer import Answer
 from tanagerworks.router.backend import BackendConnections
 from tanagerworks.router.http_rules import passed_answer_headers
+from tanagerworks.router.invariants import Invariants
 from tanagerworks.routing.retries import MAX_ATTEMPTS, RecentFailures, backoff_s, may_retry
 from tanagerworks.wsgi import Response
 
@@ -90,6 +91,7 @@
         now: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
         check_view: Callable[[], None] = lambda: None,
+        invariants: Invariants | None = None,
     ) -> None:
         self.connections = connections
         self.budget = budget
@@ -100,6 +102,7 @@
         self.sleep = sleep
         # Last check before bytes are sent; raises an error with the outcome NOT_RUN.
         self.check_view = check_view
+        self.invariants = invariants or Invariants()
         self.lock = threading.Lock()
         self.open_calls: Counter[str] = Counter()
         self.failures = RecentFailures()
@@ -124,6 +127,9 @@
             elif not self.budget.take_retry(address):
                 raise failure
             tried.append(address)
+            self.invariants.require(
+                call.repeatable or len(tried) == 1, "a call that is not repeatable went twice"
+            )
             try:
                 answer = self._attempt(call, address, deadline_s)
                 self._record(address, failed=False)
@@ -184,6 +190,13 @@
                 call.method, call.target, call.body, call.headers, deadline_s
             )
             return self._read(call, answer)
+        except BackendError as error:
+            unsent = connection.counted.bytes_written == 0
+            self.invariants.require(
+                unsent or error.outcome is not Outcome.NOT_RUN or call.trust_refusal,
+                "a request of which bytes were sent is reported as not run",
+            )
+            raise
         except TimeoutError as error:
             raise BackendTimeoutError("no whole answer in time", outcome=_known(answer)) from error
         except OSError as error:
--- a/src/tanagerworks/router/slot_book.py
+++ b/src/tanagerworks/router/slot_book.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from tanagerworks.router.invariants import Invariants
 from tanagerworks.rpc.tanager_pb2 import Ended, Evidence, Slot
 
 _NO_LIMIT_S = float("inf")
@@ -48,7 +49,8 @@
     Grants that ended stay here until `acknowledge`, so a release is never lost.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, invariants: Invariants | None = None) -> None:
+        self.invariants = invariants or Invariants()
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.in_use: dict[tuple[str, int, int], Grant] = {}
@@ -74,9 +76,18 @@
                 self.pending.append(Ended(slot=grant.slot))
                 self.changed.notify_all()
                 return False
+            self._check_unused(grant)
             self.in_use[grant.key] = grant
             return True
 
+    def _check_unused(self, grant: Grant) -> None:
+        if not self.invariants.enabled:
+            return
+        slot = (grant.slot.engine_id, grant.slot.index)
+        held = [*self.in_use.values(), *self.kept]
+        unused = all((item.slot.engine_id, item.slot.index) != slot for item in held)
+        self.invariants.require(unused, f"slot {slot} was granted while it is in use")
+
     def end(self, grant: Grant, evidence: Evidence | None, keep: bool = False) -> None:
         """Ends the use of a grant; a second call has no effect.
 
--- a/src/tanagerworks/settings/router.py
+++ b/src/tanagerworks/settings/router.py
@@ -15,6 +15,7 @@
     # Other nodes forward tickets of this process to it.
     forward_address: Address
     agent_address: Address
+    # Checks the invariants inside the program; a violation ends the process.
     invariants: bool = False
     max_streams: int = Field(default=400, ge=1)
     max_header_bytes: int = Field(default=32_768, ge=1024)
--- a/tests/test_agent_link.py
+++ b/tests/test_agent_link.py
@@ -7,7 +7,8 @@
 import pytest
 
 from tanagerworks.clock import boot_time_s
-from tanagerworks.errors import DeadlineError
+from tanagerworks.errors import DeadlineError, InvariantError
+from tanagerworks.router.invariants import Invariants
 from tanagerworks.router.slot_book import Grant, SlotBook
 from tanagerworks.rpc.tanager_pb2 import Candidate, ClaimRequest, Slot
 from tests.builders import router_note
@@ -193,6 +194,17 @@
     assert not book.report()
 
 
+def test_slot_that_is_granted_twice_is_seen():
+    """Guards against an agent that grants a slot again while its request is running."""
+    violations = []
+    book = SlotBook(Invariants(True, lambda: violations.append(1)))
+    assert book.add(_grant(1), book.epoch)
+    again = Grant(Slot(engine_id="m1", index=1, grant_id=7), BOOT_ID)
+    with pytest.raises(InvariantError):
+        book.add(again, book.epoch)
+    assert violations == [1]
+
+
 def test_delayed_end_waits_for_the_longest_work():
     """Guards against a free slot while its request may still be at the engine."""
     book = SlotBook()
--- /dev/null
+++ b/tests/test_router_invariants.py
@@ -0,0 +1,58 @@
+"""Invariants that the router checks while it runs."""
+
+import socket
+from random import Random
+
+import pytest
+
+from tanagerworks.errors import BackendError, InvariantError
+from tanagerworks.note.model import ServiceServer
+from tanagerworks.outcome import Outcome
+from tanagerworks.router.backend import BackendConnection, BackendConnections
+from tanagerworks.router.invariants import Invariants
+from tanagerworks.router.services import ServiceCall, ServiceCaller
+
+
+class _NoRetries:
+    def record_request(self, backend):
+        pass
+
+    def take_retry(self, backend):
+        return False
+
+
+def _call(invariants):
+    near, far = socket.socketpair()
+    with near, far:
+        # The peer takes the request and ends the connection without an answer.
+        far.shutdown(socket.SHUT_WR)
+        caller = ServiceCaller(
+            BackendConnections(1.0, connect=lambda *_arguments: near),
+            _NoRetries(),
+            "z1",
+            Random(1),
+            invariants=invariants,
+        )
+        call = ServiceCall("r1", "orders", "POST", "/bookings", {}, b"x", repeatable=False)
+        server = ServiceServer(address="127.0.0.1:1", zone="z1")
+        caller.call(call, {"d1": server})
+
+
+def test_true_outcome_passes():
+    """Guards against a check that fails for a router without fault."""
+    with pytest.raises(BackendError) as caught:
+        _call(Invariants(True))
+    assert caught.value.outcome is Outcome.UNKNOWN
+
+
+def test_false_not_run_is_seen(monkeypatch):
+    """Guards against a request that was sent and is reported as not run."""
+    monkeypatch.setattr(
+        BackendConnection,
+        "_failure",
+        lambda _self, _error: BackendError("failed", outcome=Outcome.NOT_RUN),
+    )
+    with pytest.raises(InvariantError):
+        _call(Invariants(True))
+    with pytest.raises(BackendError):
+        _call(Invariants(False))
