--- a/tools/demo.py
+++ b/tools/demo.py
@@ -163,6 +163,9 @@
     story.planned_stops.append(stop)
     took_s = exited_s - signalled_s
     story.tell(f"node {node.node_id} ended after {took_s:.1f} s, exit statuses {statuses}")
+    for item, status in zip(deployment.fleet.node_processes(node), statuses, strict=True):
+        if status != 0:
+            story.tell(f"last log lines of {item.name}: {item.log_path.read_text()[-1500:]}")
 
 
 def _sleep_until(story: Story, seconds: float) -> None:
