--- a/tests/test_agent_claims.py
+++ b/tests/test_agent_claims.py
@@ -64,18 +64,21 @@
         state.lender = PeerSlots(state, peers.get)
         tickers.append(asyncio.create_task(state.run_ticks()))
     states = [state for state, _stub in agents.values()]
-    for state in states:
-        state.accept(_note(names, slots))
-        state.confirm_start()
-    _exchange(states)
-    _exchange(states)
-    yield agents
-    for ticker in tickers:
-        ticker.cancel()
-    for channel in channels:
-        await channel.close()
-    for server in servers:
-        await server.stop(None)
+    try:
+        for state in states:
+            state.accept(_note(names, slots))
+            state.confirm_start()
+        _exchange(states)
+        _exchange(states)
+        yield agents
+    finally:
+        # A server that is left running after a failure blocks the end of the test run.
+        for ticker in tickers:
+            ticker.cancel()
+        for channel in channels:
+            await channel.close()
+        for server in servers:
+            await server.stop(None)
 
 
 def _exchange(states):
