Send no partial running counts of large pools with a Borrow

Cause: large fleets exchange totals by pool, and exact counts of the pool's first 16 engines beside them distort the sum from which the skew bound is computed.

Change: a Borrow carries counts only for pools of at most 16 engines.

--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -37,7 +37,7 @@
 BORROW_ATTEMPTS = 4
 # Further peers asked although they report no free slot.
 ASK_ALL_ATTEMPTS = 4
-# Engines whose counts go with a Borrow: all of a small pool, a bounded part of a large one.
+# Largest pool whose running counts go with a Borrow.
 POOL_COUNTS = 16
 # A borrowed slot with less time left than this goes back instead of to the next waiting claim.
 MIN_START_S = 1.0
@@ -584,7 +584,10 @@
         engine = self.note.statement.engines.get(engine_id) if self.note else None
         if engine is None:
             return {}
-        pool = self.pools[(engine.model, engine.version)][:POOL_COUNTS]
+        pool = self.pools[(engine.model, engine.version)]
+        if len(pool) > POOL_COUNTS:
+            # Large fleets exchange totals by pool, and counts of some engines would distort them.
+            return {}
         return {other: self.ledger.running(other) for other in pool}
 
     def take_counts(self, node_id: str, counts: Mapping[str, int], stamp_s: float) -> None:
