Spend less on slots and beliefs of large fleets; split claim types from the scheduler

Cause: at 350 nodes and 710 engines the ledger looked at every engine ten times a second, a peer's report at every engine that any peer had reported, and a new note ranked all nodes for every engine with logarithms, which blocked the event loop for 1.5 to 2.4 s. Change: the ledger keeps the engines with waiting or ending slots; beliefs about peers are indexed by peer; owners are ranked by digest, which is the same order. The claim types have a module of their own.

--- a/src/tanagerworks/agent/explain.py
+++ b/src/tanagerworks/agent/explain.py
@@ -6,9 +6,10 @@
 from tanagerworks.errors import ModelNotFoundError
 from tanagerworks.note.model import Customer, Note
 from tanagerworks.router.view import ModelChoice, NoteIndex
+from tanagerworks.routing.claims import Claim
 from tanagerworks.routing.placement import Candidate, Way
 from tanagerworks.routing.ranking import chat_hash, rank_engines
-from tanagerworks.routing.scheduler import Claim, NodeScheduler
+from tanagerworks.routing.scheduler import NodeScheduler
 from tanagerworks.routing.zones import Ineligible
 
 
--- a/src/tanagerworks/agent/router_service.py
+++ b/src/tanagerworks/agent/router_service.py
@@ -8,8 +8,8 @@
 
 from tanagerworks.agent.state import AgentState
 from tanagerworks.errors import NotReadyError
+from tanagerworks.routing.claims import Claim, Evidence, Refused
 from tanagerworks.routing.placement import Candidate
-from tanagerworks.routing.scheduler import Claim, Evidence, Refused
 from tanagerworks.routing.slots import SlotId
 from tanagerworks.rpc.tanager_pb2 import (
     ClaimReply,
--- a/src/tanagerworks/agent/state.py
+++ b/src/tanagerworks/agent/state.py
@@ -10,7 +10,7 @@
 from tanagerworks.clock import boot_time_s
 from tanagerworks.note.model import Note, ZoneState
 from tanagerworks.program import EXIT_FAILED
-from tanagerworks.routing.scheduler import (
+from tanagerworks.routing.claims import (
     Claim,
     Decision,
     Effect,
@@ -18,10 +18,10 @@
     Granted,
     MustBorrow,
     NodeReport,
-    NodeScheduler,
     Refused,
     ReturnSlot,
 )
+from tanagerworks.routing.scheduler import NodeScheduler
 from tanagerworks.routing.slots import LedgerError, Loan, SlotId, SlotLedger
 from tanagerworks.rpc.tanager_pb2 import (
     ChatException,
--- a/src/tanagerworks/routing/ranking.py
+++ b/src/tanagerworks/routing/ranking.py
@@ -7,7 +7,8 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from heapq import nlargest
 
 from xxhash import xxh3_64_intdigest
 
@@ -19,6 +20,16 @@
     return xxh3_64_intdigest(chat_key.encode())
 
 
+def rank_equally(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the first `count` names of the ranking with equal weights.
+
+    Without weights the order of the digests is the order of the scores, which spares the
+    logarithms and the full sort: a large note ranks all nodes for every engine.
+    """
+    suffix = f"\0{key}"
+    return nlargest(count, names, key=lambda name: xxh3_64_intdigest(f"{name}{suffix}".encode()))
+
+
 def rank_engines(chat_key: str, weights: Mapping[str, float]) -> list[str]:
     """Returns engine ids, the chat's first choice first.
 
--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -1,9 +1,7 @@
 """All scheduling decisions of one node, combined: slots, bounds, warmth, admission, placement."""
 
-import math
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Mapping
 from random import Random
 
 from tanagerworks.errors import (
@@ -16,11 +14,24 @@
 )
 from tanagerworks.note.model import Engine, Note, Statement
 from tanagerworks.routing.admission import AdmissionQueue, CustomerLimits
+from tanagerworks.routing.claims import (
+    Claim,
+    Decision,
+    Effect,
+    Evidence,
+    Granted,
+    MustBorrow,
+    NodeReport,
+    Queued,
+    Refused,
+    ReturnSlot,
+)
 from tanagerworks.routing.exceptions import ExceptionMap
 from tanagerworks.routing.freshness import Freshness
 from tanagerworks.routing.load_bound import HEADROOM, RunningCounts, index_bound, mean_running
 from tanagerworks.routing.outliers import OutlierDetector
-from tanagerworks.routing.placement import Candidate, Choice, Placement, Way, place, prefer_cached
+from tanagerworks.routing.peer_slots import PeerFreeSlots
+from tanagerworks.routing.placement import Choice, Placement, Way, place, prefer_cached
 from tanagerworks.routing.slots import Grant, LedgerError, Loan, SlotId, SlotLedger
 from tanagerworks.routing.warmth import Warmth, in_time
 from tanagerworks.routing.zones import Eligibility
@@ -46,125 +57,6 @@
 _FIRST_DURATION_S = 1.0
 
 
-@dataclass(slots=True)
-class Claim:
-    """A request for a slot; times are on the node's CLOCK_BOOTTIME."""
-
-    claim_id: str
-    holder: str
-    customer: str
-    request_class: str
-    deadline_s: float
-    candidates: Sequence[Candidate]
-    arrived_at_s: float
-    chat_hash: int = 0
-    explain: bool = False
-    borrows: int = 0
-    # Engines that no peer lent a slot of; asked again after `borrow_after_s`.
-    unlent: set[str] = field(default_factory=set)
-    borrow_after_s: float = -math.inf
-    # Peers that report no free slot are asked again after `ask_after_s`, at growing intervals.
-    ask_after_s: float = -math.inf
-    asks: int = 0
-    borrowing: bool = False
-    peers: list[str] = field(default_factory=list)
-    wishes: tuple[tuple[str, int], ...] = ()
-    trace: list[str] = field(default_factory=list)
-
-    @property
-    def borrow_id(self) -> str:
-        """Name of the current attempt to borrow."""
-        return f"{self.claim_id}#{self.borrows}"
-
-    def explain_step(self, stage: str, reason: str) -> None:
-        """Adds a stage to the trace, if the caller wants one."""
-        if self.explain:
-            self.trace.append(f"{stage}: {reason}")
-
-
-@dataclass(frozen=True, slots=True)
-class Granted:
-    """The claim has a slot. `cold` slots need no proof of the boot id."""
-
-    claim: Claim
-    grant: Grant
-    boot_id: str
-    cold: bool
-
-
-@dataclass(frozen=True, slots=True)
-class MustBorrow:
-    """The claim needs a slot of a peer; `peers` in the order in which to ask them."""
-
-    claim: Claim
-    # Names this attempt to the lenders, so that a repeated request gets the same slot.
-    borrow_id: str
-    peers: Sequence[str]
-    wishes: Sequence[tuple[str, int]]
-
-
-@dataclass(frozen=True, slots=True)
-class Queued:
-    """The claim waits in the admission queue."""
-
-    claim: Claim
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The claim is refused; nothing ran."""
-
-    claim: Claim
-    error: type[TanagerError]
-    reason: str
-    retry_after_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class ReturnSlot:
-    """A borrowed slot that goes back to its owner."""
-
-    lender: str
-    slot: SlotId
-    loan_id: int
-
-
-Decision = Granted | MustBorrow | Queued | Refused
-Effect = Granted | MustBorrow | Refused | ReturnSlot
-
-
-@dataclass(frozen=True, slots=True)
-class Evidence:
-    """What a router saw of an engine while it served one request."""
-
-    engine_id: str
-    boot_id: str = ""
-    whole: bool = False
-    first_token_s: float = 0.0
-    expected_first_token_s: float = 0.0
-    failure: str = ""
-    chat_hash: int = 0
-    first_choice: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class NodeReport:
-    """What a node tells its peers about itself."""
-
-    note_serial: int
-    # The node's own time; orders its reports of running requests.
-    stamp_s: float
-    drained_serial: int
-    all_drained_serial: int
-    running: Mapping[str, int]
-    # Engine id -> (lowest free index, number of free slots).
-    free: Mapping[str, tuple[int, int]]
-    # (engine id, boot id, answers seen by the node).
-    warm: Sequence[tuple[str, str, int]]
-    # (chat hash, engine id); an empty engine id means the first choice again.
-    exceptions: Sequence[tuple[int, str]]
-
-
 class NodeScheduler:
     """Decides for one node; every method that can free slots returns the effects on claims."""
 
@@ -188,7 +80,7 @@
         self.started_at_s: dict[int, float] = {}
         self.duration_s: dict[str, float] = {}
         self.waiting_for: Counter[str] = Counter()
-        self.peer_free: dict[str, dict[str, tuple[int, int]]] = {}
+        self.peer_free = PeerFreeSlots()
         self.live_peers: set[str] = set()
         # Pools in which the last claim found no free slot at all.
         self.full_pools: set[tuple[str, str]] = set()
@@ -251,11 +143,7 @@
             node_id, report.note_serial, report.drained_serial, report.all_drained_serial
         )
         self.counts.report(node_id, report.running, report.stamp_s)
-        for engine_id, beliefs in self.peer_free.items():
-            if engine_id not in report.free:
-                beliefs.pop(node_id, None)
-        for engine_id, free in report.free.items():
-            self.peer_free.setdefault(engine_id, {})[node_id] = free
+        self.peer_free.report(node_id, report.free)
         for engine_id, boot_id, answers in report.warm:
             self.warmth.merge(node_id, engine_id, boot_id, answers)
         for chat_hash, engine_id in report.exceptions:
@@ -267,8 +155,7 @@
         """Drops what a dead or withdrawn node reported."""
         self.live_peers.discard(node_id)
         self.counts.forget(node_id)
-        for beliefs in self.peer_free.values():
-            beliefs.pop(node_id, None)
+        self.peer_free.forget(node_id)
 
     def set_leaving(self, engine_ids: Collection[str], now_s: float) -> list[Effect]:
         """Takes the engines whose VM is leaving."""
@@ -426,8 +313,7 @@
                 continue
             peer_index = None
             if engine_id not in claim.unlent:
-                beliefs = self.peer_free.get(engine_id, {}).values()
-                peer_index = min((lowest for lowest, count in beliefs if count > 0), default=None)
+                peer_index = self.peer_free.lowest(engine_id)
             allowance = self._allowance(engine_id, engine)
             choices.append(
                 Choice(
@@ -512,7 +398,7 @@
     def _borrow(self, claim: Claim, placement: Placement, now_s: float) -> MustBorrow | None:
         fitting: Counter[str] = Counter()
         for engine_id, below_index in placement.wishes:
-            for node_id, (lowest, count) in self.peer_free.get(engine_id, {}).items():
+            for node_id, (lowest, count) in self.peer_free.of_engine(engine_id).items():
                 if lowest < below_index:
                     fitting[node_id] += count
         # Peers with many free slots first: their reports are the least likely outdated.
@@ -599,12 +485,7 @@
         self, node_id: str, engine_ids: Iterable[str], free: Mapping[str, tuple[int, int]]
     ) -> None:
         """Takes the free slots that a lender reported with its answer."""
-        for engine_id in engine_ids:
-            beliefs = self.peer_free.setdefault(engine_id, {})
-            if engine_id in free:
-                beliefs[node_id] = free[engine_id]
-            else:
-                beliefs.pop(node_id, None)
+        self.peer_free.update(node_id, engine_ids, free)
 
     def _after_borrowing(self, claim: Claim, now_s: float) -> Decision:
         if not claim.unlent:
--- a/src/tanagerworks/routing/slots.py
+++ b/src/tanagerworks/routing/slots.py
@@ -14,7 +14,7 @@
 
 from tanagerworks.errors import TanagerError
 from tanagerworks.note.model import Statement
-from tanagerworks.routing.ranking import rank_engines
+from tanagerworks.routing.ranking import rank_equally
 
 # Up to this many nodes every node owns slots of every engine.
 ALL_OWNERS_LIMIT = 16
@@ -88,10 +88,10 @@
 
 def slot_owners(engine_id: str, slots: int, node_ids: Collection[str]) -> list[str]:
     """Returns the owners of an engine's slots; slot *i* belongs to owner ``i % len(owners)``."""
-    ranked = rank_engines(engine_id, dict.fromkeys(node_ids, 1.0))
-    if len(ranked) <= ALL_OWNERS_LIMIT:
-        return ranked
-    return ranked[: max(MIN_OWNERS, math.ceil(slots / SLOTS_PER_OWNER))]
+    owners = len(node_ids)
+    if owners > ALL_OWNERS_LIMIT:
+        owners = max(MIN_OWNERS, math.ceil(slots / SLOTS_PER_OWNER))
+    return rank_equally(engine_id, node_ids, owners)
 
 
 def owned_indexes(node_id: str, engine_id: str, slots: int, node_ids: Collection[str]) -> set[int]:
@@ -130,6 +130,9 @@
         self.leftovers: dict[SlotId, int] = {}
         # Own notes may count as drained from these times on: (serial, time).
         self.withdrawn_holds: list[tuple[int, float]] = []
+        # Engines with gained slots that wait, and engines that leave once their work has ended.
+        self.opening: set[str] = set()
+        self.ending: set[str] = set()
         self.confirmed = False
         self.hold_until_s = math.inf
         self.peers: frozenset[str] = frozenset()
@@ -161,10 +164,12 @@
                 account = self.engines[engine_id] = _EngineSlots(engine.slots, engine.max_work_s)
             account.slots = engine.slots
             account.max_work_s = engine.max_work_s
+            self.ending.discard(engine_id)
             owned = owned_indexes(self.node_id, engine_id, engine.slots, statement.nodes)
             self._set_owned(engine_id, account, owned, serial)
         for engine_id in self.engines.keys() - statement.engines.keys():
             self.engines[engine_id].slots = 0
+            self.ending.add(engine_id)
             self._set_owned(engine_id, self.engines[engine_id], set(), serial)
         for slot, lost_serial in self.leftovers.items():
             self.leftovers[slot] = lost_serial or serial
@@ -197,6 +202,10 @@
             # Reported by a router before any note was in force.
             if self.leftovers.get(slot) == 0:
                 del self.leftovers[slot]
+        if account.pending:
+            self.opening.add(engine_id)
+        else:
+            self.opening.discard(engine_id)
         if owned != account.owned:
             account.owned = owned
             self._rebuild_free(engine_id, account)
@@ -250,17 +259,24 @@
             self._end_loan(loan)
         for grant in [grant for grant in self.used.values() if grant.ends_by_s <= now_s]:
             self._end_grant(grant)
-        for engine_id in [e for e, a in self.engines.items() if not a.slots and not a.running]:
+        for engine_id in [e for e in self.ending if not self.engines[e].running]:
+            self.ending.remove(engine_id)
             del self.engines[engine_id]
         self.withdrawn_holds = [hold for hold in self.withdrawn_holds if now_s < hold[1]]
-        drained = [self.drained.get(peer, 0) for peer in self.peers]
-        drained.append(self.drained_serial(now_s))
-        # A report counts only for the note in force: its node list is the one that was checked.
-        if min(drained) >= self.serial:
-            self.all_drained_serial = max(self.all_drained_serial, self.serial)
-        for engine_id, account in self.engines.items():
-            if account.pending and self._open_pending(account):
+        if self.all_drained_serial < self.serial and self._all_drained(now_s):
+            self.all_drained_serial = self.serial
+        for engine_id in list(self.opening):
+            account = self.engines[engine_id]
+            if self._open_pending(account):
                 self._rebuild_free(engine_id, account)
+            if not account.pending:
+                self.opening.remove(engine_id)
+
+    def _all_drained(self, now_s: float) -> bool:
+        if self.drained_serial(now_s) < self.serial:
+            return False
+        # A report counts only for the note in force: its node list is the one that was checked.
+        return all(self.drained.get(peer, 0) >= self.serial for peer in self.peers)
 
     def _open_pending(self, account: _EngineSlots) -> bool:
         if self.newest_serial > self.serial:
@@ -362,7 +378,10 @@
                 known.holder = holder
                 known.ends_by_s = known.start_by_s + known.max_work_s + HOLD_MARGIN_S
             return known
-        account = self.engines.setdefault(slot.engine_id, _EngineSlots(0, UNKNOWN_MAX_WORK_S))
+        account = self.engines.get(slot.engine_id)
+        if account is None:
+            account = self.engines[slot.engine_id] = _EngineSlots(0, UNKNOWN_MAX_WORK_S)
+            self.ending.add(slot.engine_id)
         if slot.index in account.owned:
             if slot.index in account.free:
                 account.free.remove(slot.index)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,6 +9,7 @@
 from tanagerworks.routing.load_bound import index_bound
 from tanagerworks.routing.outliers import EJECTION_S, FAILURES_TO_EJECT, OutlierDetector
 from tanagerworks.routing.placement import Candidate, Choice, Way, place, prefer_cached
+from tanagerworks.routing.ranking import rank_engines, rank_equally
 from tanagerworks.routing.warmth import Warmth
 from tanagerworks.routing.zones import Eligibility, Ineligible
 from tests.builders import statement_document
@@ -175,3 +176,11 @@
     chats.served(3, "m1", "m1")
     assert chats.get(3) is None
     assert chats.newest(2) == [(3, ""), (2, "m2")]
+
+
+@given(st.sets(st.text("abcdef0123456789", min_size=1, max_size=6), min_size=1), st.text())
+def test_equal_ranking_is_the_weighted_one_with_equal_weights(names, key):
+    """Guards against owners of slots that differ from the ranking that other nodes compute."""
+    ranked = rank_engines(key, dict.fromkeys(names, 1.0))
+    assert rank_equally(key, names, len(names)) == ranked
+    assert rank_equally(key, names, 2) == ranked[:2]
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -13,10 +13,7 @@
 from typing import Any, Protocol
 
 from tanagerworks.note.model import Note
-from tanagerworks.routing.load_bound import index_bound, mean_running
-from tanagerworks.routing.placement import Candidate
-from tanagerworks.routing.ranking import chat_hash, rank_engines
-from tanagerworks.routing.scheduler import (
+from tanagerworks.routing.claims import (
     Claim,
     Decision,
     Effect,
@@ -24,10 +21,13 @@
     Granted,
     MustBorrow,
     NodeReport,
-    NodeScheduler,
     Queued,
     Refused,
 )
+from tanagerworks.routing.load_bound import index_bound, mean_running
+from tanagerworks.routing.placement import Candidate
+from tanagerworks.routing.ranking import chat_hash, rank_engines
+from tanagerworks.routing.scheduler import NodeScheduler
 
 MODEL = "wax"
 LATENCY_S = 0.001
