--- a/tools/measure.py
+++ b/tools/measure.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from tools.measure_control import measure_control
+from tools.measure_full_size import measure_full_size
 from tools.measure_outcomes import measure_outcomes
 from tools.measure_routing import measure_routing
 from tools.measure_speed import measure_speed
@@ -24,6 +25,7 @@
     measure_routing,
     measure_outcomes,
     measure_control,
+    measure_full_size,
     measure_speed,
 )
 
@@ -65,6 +67,9 @@
     Goal("control.bytes_per_s_at_350", "<=", 6000),
     Goal("control.core_share_at_350", "<=", 0.034),
     Goal("control.memory_mb_at_350", "<=", 64),
+    Goal("full_size.bytes_per_s", "<=", 6000),
+    Goal("full_size.core_share", "<=", 0.034),
+    Goal("full_size.memory_mb", "<=", 64),
     Goal("config.seconds_to_all", "<=", 12),
     Goal("config.reversions", "=", 0),
     Goal("speed.token_delay_p95_ms_1000", "<", 5),
--- a/tools/measure_relay.py
+++ b/tools/measure_relay.py
@@ -20,6 +20,7 @@
 from hdrh.histogram import HdrHistogram
 
 from tools.fleet import Fleet, free_address, key_sha256, new_node
+from tools.measure_control import resident_mb
 
 _KEY = "key-of-the-measurement"
 _SENT = re.compile(rb'"sent_s":([0-9.]+)')
@@ -199,7 +200,9 @@
         direct = asyncio.run(_run_streams(engines, streams, tokens))
         pids = [item.process.pid for name, item in fleet.processes.items() if "-router-" in name]
         before_s = sum(_cpu_s(pid) for pid in pids)
+        before_mb = sum(resident_mb(pid) for pid in pids)
         routed = asyncio.run(_run_streams(node.callers, streams, tokens))
+        grown_mb = sum(resident_mb(pid) for pid in pids) - before_mb
         cpu_s = sum(_cpu_s(pid) for pid in pids) - before_s
     added_us = routed_single.get_value_at_percentile(50) - direct_single.get_value_at_percentile(50)
     added_first_us = routed.first.get_value_at_percentile(
@@ -216,6 +219,8 @@
         "direct.request_p50_ms": direct_single.get_value_at_percentile(50) / 1000,
         "speed.added_p50_ms": added_us / 1000,
         "router.cpu_us_per_event": cpu_s * 1e6 / (streams * tokens),
+        "router.start_mb": before_mb,
+        "router.grown_mb": grown_mb,
         "machine.load_average_1min": os.getloadavg()[0],
     }
 
