--- a/tools/measure_routing.py
+++ b/tools/measure_routing.py
@@ -145,13 +145,18 @@
         )
 
 
-def _play(
+def play(
     name: str,
     seed: int,
     until_s: float,
     events: list[tuple[float, str, Any]] | None = None,
     **traits: Any,
 ) -> Counters:
+    """Returns what the modelled engines counted while a router of `ROUTERS` served a trace.
+
+    `events` are (seconds, ``restart``, engine id) or (seconds, zone state, zone); `traits` go to
+    `make_trace`.
+    """
     world = World(model_note(), seed)
     world.measure_from_s = WARM_UP_S
     for engine in world.engines.values():
@@ -170,7 +175,7 @@
     return world.play(router, make_trace(seed, until_s=until_s, **traits), until_s)
 
 
-def _churn_events(seed: int, until_s: float) -> list[tuple[float, str, Any]]:
+def churn_events(seed: int, until_s: float) -> list[tuple[float, str, Any]]:
     """Returns engine restarts, and a zone that leaves and returns."""
     random = Random(seed + 1)
     events: list[tuple[float, str, Any]] = []
@@ -189,13 +194,13 @@
     def put(figure: str, name: str, value: float) -> None:
         figures[f"{figure}.{name}" if name else figure] = value
 
-    steady = {name: _play(name, seed, 80.0, utilisation=0.7) for name in ROUTERS}
-    events = _churn_events(seed, 100.0)
-    churn = {name: _play(name, seed, 100.0, events, utilisation=0.5) for name in ROUTERS}
-    full = {name: _play(name, seed, 50.0, utilisation=1.3) for name in ROUTERS}
-    calm = {name: _play(name, seed, 60.0, utilisation=0.5) for name in ROUTERS}
+    steady = {name: play(name, seed, 80.0, utilisation=0.7) for name in ROUTERS}
+    events = churn_events(seed, 100.0)
+    churn = {name: play(name, seed, 100.0, events, utilisation=0.5) for name in ROUTERS}
+    full = {name: play(name, seed, 50.0, utilisation=1.3) for name in ROUTERS}
+    calm = {name: play(name, seed, 60.0, utilisation=0.5) for name in ROUTERS}
     surge = {
-        name: _play(name, seed, 60.0, utilisation=0.5, surge=20.0, surge_from_s=WARM_UP_S)
+        name: play(name, seed, 60.0, utilisation=0.5, surge=20.0, surge_from_s=WARM_UP_S)
         for name in ROUTERS
     }
     for name in ROUTERS:
