--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,11 @@
 
 env: $(STAMP)
 
-$(STAMP): requirements.lock
+$(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation --editable .
 	touch $(STAMP)
 
 demo: env
