--- a/src/tanagerworks/agent/explain.py
+++ b/src/tanagerworks/agent/explain.py
@@ -4,8 +4,8 @@
 
 from tanagerworks.agent.admin_models import ExplainReport, ExplainStage
 from tanagerworks.errors import ModelNotFoundError
+from tanagerworks.note.index import ModelChoice, NoteIndex
 from tanagerworks.note.model import Customer, Note
-from tanagerworks.router.view import ModelChoice, NoteIndex
 from tanagerworks.routing.claims import Claim
 from tanagerworks.routing.placement import Candidate, Way
 from tanagerworks.routing.ranking import chat_hash, rank_engines
--- a/src/tanagerworks/router/request.py
+++ b/src/tanagerworks/router/request.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tanagerworks.note.index import NoteIndex
 from tanagerworks.note.model import Customer, Engine
 from tanagerworks.router.slot_book import Grant
-from tanagerworks.router.view import NoteIndex, RouterView
+from tanagerworks.router.view import RouterView
 from tanagerworks.wsgi import Response
 
 
--- a/tools/outcome_world.py
+++ b/tools/outcome_world.py
@@ -13,13 +13,14 @@
 from typing import Any
 
 from tanagerworks.errors import TanagerError
+from tanagerworks.note.index import NoteIndex
 from tanagerworks.note.model import Note
 from tanagerworks.router.answer import Socket
 from tanagerworks.router.backend import BackendConnections
 from tanagerworks.router.service_endpoint import ServiceEndpoint
 from tanagerworks.router.services import ServiceCaller
 from tanagerworks.router.ticket_desk import TicketDesk, TicketForwarder
-from tanagerworks.router.view import NoteIndex, RouterView
+from tanagerworks.router.view import RouterView
 from tanagerworks.routing.retries import RetryBudget
 from tanagerworks.wsgi import Environ, Response, error_response
 
