Keep new calls from service servers whose VM is leaving

Cause: the platform's VM list was applied to engines only, so a leaving order or booking server went on getting new calls. Change: the view that routers get leaves out servers that the list marks as leaving. The new test failed before (both addresses stood in the view) and passes.

--- a/src/tanagerworks/agent/node.py
+++ b/src/tanagerworks/agent/node.py
@@ -254,6 +254,7 @@
     def _apply_vms(self) -> None:
         if self.state.note is None:
             return
+        self.state.leaving_servers = self.leaving_vms
         engines = self.leaving_vms & self.state.note.statement.engines.keys()
         self.state.apply(self.state.scheduler.set_leaving(engines, self.clock()))
         self.state.notify()
--- a/src/tanagerworks/agent/state.py
+++ b/src/tanagerworks/agent/state.py
@@ -76,6 +76,8 @@
         self.draining = False
         # Set while an operator keeps new work from this node.
         self.closed = False
+        # Names in the platform's VM list that are marked as leaving.
+        self.leaving_servers: frozenset[str] = frozenset()
         self.stopping = asyncio.Event()
         self.changed = asyncio.Event()
         self.waiting: dict[str, asyncio.Future[Granted | Refused]] = {}
@@ -141,8 +143,9 @@
         for name, service in self.note.statement.services.items():
             addresses = [
                 server.address
-                for server in service.servers.values()
-                if self.note.statement.zones[server.zone].state is ZoneState.IN
+                for server_name, server in service.servers.items()
+                if server_name not in self.leaving_servers
+                and self.note.statement.zones[server.zone].state is ZoneState.IN
             ]
             view.services.append(ServiceView(service=name, addresses=addresses))
         view.exceptions.extend(_exceptions(self.scheduler.exceptions.newest(64)))
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -18,6 +18,7 @@
 from tanagerworks.agent.platform_client import PlatformClient, PlatformValue
 from tanagerworks.agent.platform_follower import DELTA_KEY, FULL_KEY, Backoff, PlatformFollower
 from tanagerworks.agent.probes import EngineProber, EngineReport, assigned_engines
+from tanagerworks.agent.state import AgentState
 from tanagerworks.errors import BackendError, PlatformError
 from tanagerworks.note.model import MAX_NOTE_BYTES, Engine, Note
 from tanagerworks.rpc.tanager_pb2 import ExchangeRequest, NodeEntry
@@ -425,3 +426,21 @@
         else:
             fleet.processes["n1-agent"].kill()
         assert ask(survey, timeout=WAIT_S).unclean_predecessor is not clean
+
+
+def test_leaving_service_server_gets_no_new_calls():
+    """Guards against bookings at a server whose VM the platform marks as leaving."""
+
+    async def scenario():
+        servers = {
+            name: {"address": f"127.0.0.1:{port}", "zone": "sfax-medina"}
+            for name, port in (("d1", 8101), ("d2", 8102))
+        }
+        document = note_document(1, services={"orders": {"servers": servers}})
+        state = AgentState("n1")
+        state.accept(Note.model_validate(document))
+        assert list(state.view(0).services[0].addresses) == ["127.0.0.1:8101", "127.0.0.1:8102"]
+        state.leaving_servers = frozenset({"d1"})
+        assert list(state.view(0).services[0].addresses) == ["127.0.0.1:8102"]
+
+    asyncio.run(scenario())
