--- /dev/null
+++ b/tests/small_fleet.py
@@ -0,0 +1,23 @@
+"""A platform, one engine and one node as processes, for tests of the whole path."""
+
+from contextlib import contextmanager
+
+from tests.builders import note_document
+from tools.fleet import Fleet, free_address, new_node
+
+
+@contextmanager
+def small_fleet(directory, **agent_settings):
+    """Yields the fleet, its node and the engine's address."""
+    engine_address = free_address()
+    node = new_node("n1", "sfax-medina")
+    document = note_document(nodes={"n1": {"zone": "sfax-medina", "peer_address": node.peer}})
+    document["statement"]["engines"]["m1"]["address"] = engine_address
+    with Fleet(directory) as fleet:
+        fleet.start_platform()
+        fleet.start_engine("m1", engine_address, tokens_per_s=500.0)
+        fleet.wait_for("m1", f"http://{engine_address}/v1/boot")
+        fleet.publish(document)
+        fleet.start_node(node, [], **agent_settings)
+        fleet.wait_for_node(node)
+        yield fleet, node, engine_address
--- a/tests/test_operator_path.py
+++ b/tests/test_operator_path.py
@@ -9,24 +9,14 @@
 from tanagerworks.ctl.exits import ExitStatus
 from tanagerworks.ctl.main import main
 from tests.admin_builders import ACT_KEY, admin_settings
-from tests.builders import CUSTOMER_KEY, note_document
-from tools.fleet import Fleet, free_address, new_node
+from tests.builders import CUSTOMER_KEY
+from tests.small_fleet import small_fleet
 
 
 @pytest.fixture(name="running")
 def running_fleet(tmp_path):
-    engine_address = free_address()
-    node = new_node("n1", "sfax-medina")
-    document = note_document(nodes={"n1": {"zone": "sfax-medina", "peer_address": node.peer}})
-    document["statement"]["engines"]["m1"]["address"] = engine_address
-    with Fleet(tmp_path) as fleet:
-        fleet.start_platform()
-        fleet.start_engine("m1", engine_address, tokens_per_s=500.0)
-        fleet.wait_for("m1", f"http://{engine_address}/v1/boot")
-        fleet.publish(document)
-        keys = admin_settings().model_dump(mode="json")["keys"]
-        fleet.start_node(node, [], admin={"keys": keys}, drain_notice_s=0.0)
-        fleet.wait_for_node(node)
+    keys = admin_settings().model_dump(mode="json")["keys"]
+    with small_fleet(tmp_path, admin={"keys": keys}, drain_notice_s=0.0) as (fleet, node, _engine):
         yield fleet, node
 
 
