Split the audit records of a note by kind

One function compared zones, VMs and keys in three loops that each wrote records. Each kind now has a generator of its changes and one loop writes them; the records and their order stay the same.

--- a/src/tanagerworks/audit/changes.py
+++ b/src/tanagerworks/audit/changes.py
@@ -1,11 +1,11 @@
 """What differs between two notes, and the audit records of a note that comes into force."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from tanagerworks.audit.trail import AuditTrail, EventKind, bounded_text
-from tanagerworks.note.model import Note
+from tanagerworks.note.model import Note, Statement
 
 _ABSENT = ""
 
@@ -70,56 +70,53 @@
         before="" if old is None else f"{old.serial} {old.digest()}",
         after=f"{new.serial} {new.digest()}",
     )
-    was = old.statement if old is not None else None
-    now = new.statement
-    for name in sorted(now.zones.keys() | (was.zones.keys() if was else set())):
-        zone_before = was.zones.get(name) if was else None
-        zone_after = now.zones.get(name)
-        before = zone_before.state.value if zone_before else _ABSENT
-        after = zone_after.state.value if zone_after else _ABSENT
-        if before == after:
-            continue
+    was, now = old.statement if old is not None else None, new.statement
+    changes = [*_zone_changes(was, now), *_vm_changes(was, now), *_key_rotations(was, now)]
+    for kind, change in changes:
         trail.record(
-            EventKind.ZONE_CHANGED,
+            kind,
             who=source,
-            subject=f"zones.{name}",
+            subject=change.place,
             serial=serial,
-            before=before,
-            after=after,
+            before=change.before,
+            after=change.after,
             reason="release note",
         )
+
+
+def _zone_changes(was: Statement | None, now: Statement) -> Iterator[tuple[EventKind, Change]]:
+    zones_before = was.zones if was is not None else {}
+    for name in sorted(zones_before.keys() | now.zones.keys()):
+        before, after = (
+            zones[name].state.value if name in zones else _ABSENT
+            for zones in (zones_before, now.zones)
+        )
+        if before != after:
+            yield EventKind.ZONE_CHANGED, Change(f"zones.{name}", before, after)
+
+
+def _vm_changes(was: Statement | None, now: Statement) -> Iterator[tuple[EventKind, Change]]:
+    if was is None:
+        return
     for section in ("nodes", "engines"):
-        if was is None:
-            break
-        members_before = getattr(was, section)
-        members_after = getattr(now, section)
+        members_before, members_after = getattr(was, section), getattr(now, section)
         for name in sorted(members_before.keys() | members_after.keys()):
             before = _describe_member(members_before.get(name))
             after = _describe_member(members_after.get(name))
-            if before == after:
-                continue
-            trail.record(
-                EventKind.VM_CHANGED,
-                who=source,
-                subject=f"{section}.{name}",
-                serial=serial,
-                before=before,
-                after=after,
-                reason="release note",
-            )
+            if before != after:
+                yield EventKind.VM_CHANGED, Change(f"{section}.{name}", before, after)
+
+
+def _key_rotations(was: Statement | None, now: Statement) -> Iterator[tuple[EventKind, Change]]:
     for name, customer in sorted(now.customers.items()):
-        known = was.customers.get(name) if was else None
+        known = was.customers.get(name) if was is not None else None
         if known is None or known.key_sha256 == customer.key_sha256:
             continue
-        trail.record(
-            EventKind.KEY_ROTATED,
-            who=source,
-            subject=f"customers.{name}",
-            serial=serial,
-            before=" ".join(digest[:8] for digest in known.key_sha256),
-            after=" ".join(digest[:8] for digest in customer.key_sha256),
-            reason="release note",
+        before, after = (
+            " ".join(digest[:8] for digest in keys)
+            for keys in (known.key_sha256, customer.key_sha256)
         )
+        yield EventKind.KEY_ROTATED, Change(f"customers.{name}", before, after)
 
 
 def record_note_refused(
