Run on the users' platform as one edge process per VM

One asyncio process per VM follows the published store, finds its peers from the seeds, chooses backend servers and relays requests. platform/ translates settings, store, entries, configuration and HTTP headers.

--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,12 @@
 	PYTHONPATH=src:. $(PYTHON) -m pytest
 
 lint: env
-	$(PYTHON) -m black --check --quiet src tools tests
-	$(PYTHON) -m ruff check --quiet src tools tests
+	$(PYTHON) -m black --check --quiet src tools tests platform
+	$(PYTHON) -m ruff check --quiet src tools tests platform
 
 format: env
-	$(PYTHON) -m black --quiet src tools tests
-	$(PYTHON) -m ruff check --fix --quiet src tools tests
+	$(PYTHON) -m black --quiet src tools tests platform
+	$(PYTHON) -m ruff check --fix --quiet src tools tests platform
 
 types: env
 	$(PYTHON) -m mypy --no-error-summary
--- /dev/null
+++ b/src/tanagerworks/dispatch/directory.py
@@ -0,0 +1,101 @@
+"""All backend servers that a node knows, kept from published entries and peers' loads."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from tanagerworks.dispatch.server_state import PeerLoad, ServerState
+from tanagerworks.published.model import ServerEntry
+
+# Entries that expired while the store was down are written again within this time of its return.
+# Until then a missing entry is no proof that its server is gone.
+REAPPEAR_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldDeletion:
+    server_id: str
+    until_s: float
+
+
+class Directory:
+    """Backend servers by id, and availability zones that are out of service."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, ServerState] = {}
+        self.by_service: dict[str, list[ServerState]] = {}
+        self.zones_out: set[str] = set()
+        self.held: dict[str, _HeldDeletion] = {}
+        self.hold_until_s = float("-inf")
+
+    def store_returned(self, now_s: float) -> None:
+        """Starts the time in which deletions are held back after an outage of the store."""
+        self.hold_until_s = now_s + REAPPEAR_S
+
+    def put(self, entry: ServerEntry, now_s: float) -> str:
+        """Takes in a published entry; returns what changed as one word for the log."""
+        self.held.pop(entry.server_id, None)
+        known = self.servers.get(entry.server_id)
+        if known is not None and known.entry.started_ms == entry.started_ms:
+            moved = known.entry.service != entry.service
+            was_leaving = known.entry.leaving
+            if entry.cold_s > 0.0 and entry.cold_s != known.entry.cold_s:
+                known.cold_until_s = now_s + entry.cold_s
+            known.entry = entry
+            known.gone = False
+            if moved:
+                self._index()
+            return "leaving" if entry.leaving and not was_leaving else "updated"
+        state = ServerState(entry, now_s + entry.cold_s, now_s)
+        if known is not None:
+            state.peers = known.peers
+            known.gone = True
+        self.servers[entry.server_id] = state
+        self._index()
+        return "new" if known is None else "restarted"
+
+    def delete(self, server_id: str, now_s: float) -> str:
+        """Takes in the deletion of an entry; returns what changed as one word for the log."""
+        if server_id not in self.servers:
+            return "unknown"
+        if now_s < self.hold_until_s:
+            self.held[server_id] = _HeldDeletion(server_id, self.hold_until_s)
+            return "held"
+        self._remove(server_id)
+        return "gone"
+
+    def expire_held(self, now_s: float) -> list[str]:
+        """Removes servers whose held deletion is due; returns their ids."""
+        due = [held.server_id for held in self.held.values() if now_s >= held.until_s]
+        for server_id in due:
+            del self.held[server_id]
+            self._remove(server_id)
+        return due
+
+    def _remove(self, server_id: str) -> None:
+        self.servers.pop(server_id).gone = True
+        self._index()
+
+    def _index(self) -> None:
+        self.by_service = {}
+        for state in self.servers.values():
+            self.by_service.setdefault(state.entry.service, []).append(state)
+
+    def set_peer_loads(self, peer: str, loads: Mapping[str, PeerLoad]) -> None:
+        """Replaces what `peer` has in progress; an empty mapping forgets the peer."""
+        for server_id, state in self.servers.items():
+            load = loads.get(server_id)
+            if load is None:
+                state.peers.pop(peer, None)
+            else:
+                state.peers[peer] = load
+
+    def usable(self, service: str, now_s: float) -> Iterator[ServerState]:
+        """Yields the servers of a service that may get new work, apart from their load."""
+        for state in self.by_service.get(service, ()):
+            if state.entry.leaving or state.gone:
+                continue
+            if state.entry.zone in self.zones_out:
+                continue
+            if state.is_set_aside(now_s):
+                continue
+            yield state
--- /dev/null
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -0,0 +1,126 @@
+"""What one node believes about one incarnation of a backend server."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from tanagerworks.published.model import ServerEntry
+
+# Weight of the newest answer in the moving averages. A tenth follows a change within some ten
+# answers and does not jump at a single slow one.
+_NEWEST_WEIGHT = 0.1
+# Service time assumed before the first answer: between the two plain services of today.
+_FIRST_SERVICE_TIME_S = 0.05
+# A load that a server stated in an answer is used this long: an answer a second old says little
+# about a server whose requests take a second.
+REPORT_MAX_AGE_S = 0.5
+# Failures in a row that set a server aside. One happens by chance; three do not.
+FAILURES_TO_SET_ASIDE = 3
+# Time for which a server is first set aside; it doubles up to the maximum while probes fail.
+FIRST_SET_ASIDE_S = 0.5
+MAX_SET_ASIDE_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What one peer has in progress at a server."""
+
+    running: int
+    # Prompt tokens sent there that the server had not begun to answer.
+    prefill_tokens: int
+
+
+@dataclass(slots=True)
+class ServerState:
+    """One incarnation of a backend server; all counts start at zero."""
+
+    entry: ServerEntry
+    cold_until_s: float
+    first_seen_s: float
+    # Set when the published entry disappeared; the server gets no new work.
+    gone: bool = False
+    running: int = 0
+    prefill_tokens: int = 0
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    reported_running: int = 0
+    reported_at_s: float = float("-inf")
+    service_time_s: float = _FIRST_SERVICE_TIME_S
+    failure_share: float = 0.0
+    failures_in_row: int = 0
+    set_aside_until_s: float = float("-inf")
+    set_aside_s: float = 0.0
+    probing: bool = False
+    last_sent_s: float = float("-inf")
+
+    @property
+    def server_id(self) -> str:
+        """Id under which the server registered itself."""
+        return self.entry.server_id
+
+    @property
+    def total_running(self) -> int:
+        """Requests in progress there, own and of the peers."""
+        return self.running + sum(peer.running for peer in self.peers.values())
+
+    @property
+    def total_prefill_tokens(self) -> int:
+        """Prompt tokens waiting there to be read, own and of the peers."""
+        return self.prefill_tokens + sum(peer.prefill_tokens for peer in self.peers.values())
+
+    def load(self, now_s: float) -> int:
+        """Returns the requests in progress there, by counts or by the server's own fresh word."""
+        if now_s - self.reported_at_s > REPORT_MAX_AGE_S:
+            return self.total_running
+        return max(self.total_running, self.reported_running)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Whether the server is still in its cold start."""
+        return now_s < self.cold_until_s
+
+    def is_set_aside(self, now_s: float) -> bool:
+        """Whether the server gets no work now because it failed several times in a row."""
+        if self.failures_in_row < FAILURES_TO_SET_ASIDE:
+            return False
+        return now_s < self.set_aside_until_s or self.probing
+
+    def begin(self, prefill_tokens: int, now_s: float) -> None:
+        """Counts a request that is about to be sent."""
+        self.running += 1
+        self.prefill_tokens += prefill_tokens
+        self.last_sent_s = now_s
+        if self.failures_in_row >= FAILURES_TO_SET_ASIDE:
+            self.probing = True
+
+    def end(self) -> None:
+        """Takes back the count of a request that has ended."""
+        self.running -= 1
+        self.probing = False
+
+    def answer_began(self, prefill_tokens: int) -> None:
+        """Takes back the prompt tokens of a request whose answer began or that has ended."""
+        self.prefill_tokens -= prefill_tokens
+
+    def succeeded(self, service_time_s: float) -> None:
+        """Records a whole answer that took `service_time_s`."""
+        self.service_time_s += _NEWEST_WEIGHT * (service_time_s - self.service_time_s)
+        self.failure_share -= _NEWEST_WEIGHT * self.failure_share
+        self.failures_in_row = 0
+        self.set_aside_s = 0.0
+
+    def failed(self, now_s: float) -> bool:
+        """Records a failure; returns whether the server is set aside by it."""
+        self.failure_share += _NEWEST_WEIGHT * (1.0 - self.failure_share)
+        self.failures_in_row += 1
+        if self.failures_in_row < FAILURES_TO_SET_ASIDE:
+            return False
+        self.set_aside_s = min(MAX_SET_ASIDE_S, max(FIRST_SET_ASIDE_S, 2.0 * self.set_aside_s))
+        self.set_aside_until_s = now_s + self.set_aside_s
+        return True
+
+
+def running_counts(states: Iterator[ServerState]) -> dict[str, PeerLoad]:
+    """Returns this node's own part of the load of each server that has any, by server id."""
+    return {
+        state.server_id: PeerLoad(state.running, state.prefill_tokens)
+        for state in states
+        if state.running
+    }
--- /dev/null
+++ b/src/tanagerworks/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The edge process: one per VM, between callers and backend servers, without local state."""
--- /dev/null
+++ b/src/tanagerworks/edge/event_stream.py
@@ -0,0 +1,39 @@
+"""Whole events of a `text/event-stream` body, for streams that may go on at another server."""
+
+import re
+
+from tanagerworks.errors import BackendProtocolError
+
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
+_EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_MAX_EVENT_BYTES = 1_000_000
+
+
+class EventSplitter:
+    """Cuts a body into whole events and remembers the id of the last one."""
+
+    def __init__(self, last_event_id: str | None) -> None:
+        self.last_event_id = last_event_id
+        self.rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the whole events that `data` completes.
+
+        Raises:
+            BackendProtocolError: an event is too long.
+        """
+        buffered = self.rest + data
+        end = 0
+        for match in _EVENT_END.finditer(buffered):
+            end = match.end()
+        events, self.rest = buffered[:end], buffered[end:]
+        if len(self.rest) > _MAX_EVENT_BYTES:
+            raise BackendProtocolError("an event of the stream is too long")
+        ids = _EVENT_ID.findall(events)
+        if ids:
+            self.last_event_id = ids[-1].decode("latin-1")
+        return events
+
+    def restart(self) -> None:
+        """Drops the broken event at the end of a stream that goes on elsewhere."""
+        self.rest = b""
--- /dev/null
+++ b/src/tanagerworks/edge/http_client.py
@@ -0,0 +1,57 @@
+"""Small reads from one HTTP address over a kept connection."""
+
+import asyncio
+
+import h11
+
+from tanagerworks.edge.backend_connection import BackendConnection, connect
+from tanagerworks.edge.http_messages import RequestHead
+from tanagerworks.errors import BackendError, PublishedStoreError
+
+
+class HttpReader:
+    """Sends GET requests to one address, one at a time on a kept connection."""
+
+    def __init__(self, address: str) -> None:
+        host, _colon, port = address.rpartition(":")
+        self.host = host
+        self.port = int(port)
+        self.connection: BackendConnection | None = None
+
+    async def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
+        """Returns the status and the body of the answer.
+
+        Raises:
+            PublishedStoreError: no whole answer within `timeout_s` seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._get(target)
+        except (BackendError, TimeoutError) as error:
+            self._close()
+            raise PublishedStoreError(f"{self.host}:{self.port}: {error or 'timed out'}") from error
+        except BaseException:
+            self._close()
+            raise
+
+    async def _get(self, target: str) -> tuple[int, bytes]:
+        if self.connection is None or not self.connection.reusable():
+            self._close()
+            self.connection = await connect(self.host, self.port, 1.0)
+        host = f"{self.host}:{self.port}".encode()
+        head = RequestHead(b"GET", target.encode(), [], has_body=False)
+        self.connection.send(head, [(b"host", host)], b"")
+        response = await self.connection.next_event()
+        assert isinstance(response, h11.Response)
+        body = bytearray()
+        while True:
+            event = await self.connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return response.status_code, bytes(body)
+            assert isinstance(event, h11.Data)
+            body += event.data
+
+    def _close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- /dev/null
+++ b/src/tanagerworks/edge/http_server.py
@@ -0,0 +1,347 @@
+"""HTTP/1.1 server connections on asyncio and h11.
+
+A handler gets the whole request and a `Responder`. When the caller leaves, the handler's task is
+cancelled at once, also before the first byte of the answer.
+"""
+
+import asyncio
+import contextlib
+import json
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import h11
+
+from tanagerworks.edge.http_messages import HeaderList, RequestHead
+from tanagerworks.errors import TanagerError
+from tanagerworks.published.model import CallerLimits
+
+_LOGGER = logging.getLogger(__name__)
+
+# Bytes read ahead from a caller while its request is being answered.
+_READ_AHEAD_BYTES = 65_536
+# Bytes waiting for a slow caller before the answer is read no further from the server.
+_WRITE_BUFFER_BYTES = 262_144
+# How long input is discarded after an answer that closes the connection: closing with unread
+# input would reset it, and the caller could lose the answer.
+_LINGER_S = 1.0
+_CHUNKED = (b"transfer-encoding", b"chunked")
+_CLOSE = (b"connection", b"close")
+
+
+class Responder:
+    """Writes one answer to one request."""
+
+    def __init__(self, connection: "HttpServerConnection") -> None:
+        self.connection = connection
+        self.started = False
+        self.finished = False
+
+    def start(self, status: int, headers: HeaderList, length: int | None) -> None:
+        """Sends the head; `length` None means chunks."""
+        framing = _CHUNKED if length is None else (b"content-length", b"%d" % length)
+        closing = [_CLOSE] if self.connection.closing_after_answer() else []
+        self.started = True
+        self.connection.send(
+            h11.Response(status_code=status, headers=[*headers, framing, *closing])
+        )
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        if data:
+            self.connection.send(h11.Data(data=data))
+
+    async def drain(self) -> None:
+        """Waits while the caller reads too slowly."""
+        await self.connection.can_write.wait()
+
+    def finish(self) -> None:
+        """Marks the answer as complete."""
+        self.finished = True
+        self.connection.send(h11.EndOfMessage())
+
+    def send_whole(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Sends a complete answer."""
+        self.start(status, headers, len(body))
+        self.write(body)
+        self.finish()
+
+    def send_error(self, error: TanagerError) -> None:
+        """Sends the answer that says why a request has failed."""
+        headers: HeaderList = [(b"content-type", b"application/json")]
+        if error.retry_after_s is not None:
+            headers.append((b"retry-after", b"%.3f" % error.retry_after_s))
+        detail = {"code": error.code, "message": error.message, "outcome": error.outcome.value}
+        self.send_whole(error.status, headers, json.dumps({"error": detail}).encode())
+
+    def abort(self) -> None:
+        """Ends the answer so that it cannot look complete."""
+        self.finished = True
+        self.connection.abort()
+
+
+Handler = Callable[[RequestHead, bytes, Responder], Awaitable[None]]
+
+
+class HttpServerConnection(asyncio.Protocol):
+    """One connection of a caller; answers one request at a time."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.server = server
+        self.limits = server.limits()
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes + 1024
+        )
+        self.transport: asyncio.Transport | None = None
+        self.head: RequestHead | None = None
+        self.body = bytearray()
+        self.task: asyncio.Task[None] | None = None
+        self.can_write = asyncio.Event()
+        self.can_write.set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.lingering = False
+        self.ahead_bytes = 0
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to wait for the first request."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.server.connections.add(self)
+        self._arm(self.limits.idle_timeout_s, self.close)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; input during an answer waits."""
+        if self.lingering:
+            return
+        self.http.receive_data(data)
+        if self.task is not None:
+            self.ahead_bytes += len(data)
+            if self.ahead_bytes > _READ_AHEAD_BYTES and self.transport is not None:
+                self.transport.pause_reading()
+            return
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """The caller has left; ends its request."""
+        self._cancel()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the request of the connection."""
+        self.server.connections.discard(self)
+        self.can_write.set()
+        self._disarm()
+        self._cancel()
+        self.transport = None
+
+    def pause_writing(self) -> None:
+        """The caller reads too slowly."""
+        self.can_write.clear()
+
+    def resume_writing(self) -> None:
+        """The caller has caught up."""
+        self.can_write.set()
+
+    # Requests
+
+    def _advance(self) -> None:
+        try:
+            while self.task is None and self.transport is not None and self._next_event():
+                pass
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            _LOGGER.info("request cannot be parsed", extra={"reason": str(error)})
+            self._refuse(status if status in (408, 413, 431, 501) else 400)
+
+    def _next_event(self) -> bool:
+        event = self.http.next_event()
+        if event is h11.NEED_DATA:
+            if self.http.they_are_waiting_for_100_continue:
+                self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            if self.head is None and self.http.trailing_data[0]:
+                self._arm(self.limits.header_timeout_s, self._header_timeout)
+            return False
+        if event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Request):
+            return self._begin(event)
+        if isinstance(event, h11.Data):
+            self.body += event.data
+            if len(self.body) > self.limits.max_body_bytes:
+                self._refuse(413)
+                return False
+            return True
+        if isinstance(event, h11.EndOfMessage):
+            self._disarm()
+            assert self.head is not None
+            self.task = asyncio.get_running_loop().create_task(self._run(self.head))
+            return False
+        return False
+
+    def _begin(self, event: h11.Request) -> bool:
+        headers = list(event.headers)
+        names = [key for key, _value in headers]
+        chunked = b"transfer-encoding" in names
+        if chunked and b"content-length" in names:
+            # Two framings of one body are how requests are smuggled.
+            self._refuse(400)
+            return False
+        has_body = chunked or b"content-length" in names
+        self.head = RequestHead(event.method, event.target, headers, has_body)
+        self.body = bytearray()
+        self._arm(self.limits.idle_timeout_s, self._body_timeout)
+        return True
+
+    async def _run(self, head: RequestHead) -> None:
+        responder = Responder(self)
+        try:
+            await self.server.handler(head, bytes(self.body), responder)
+        except asyncio.CancelledError:
+            if self.transport is not None:
+                self.transport.abort()
+            raise
+        except TanagerError as error:
+            if not responder.started:
+                responder.send_error(error)
+            elif not responder.finished:
+                responder.abort()
+        except Exception:
+            _LOGGER.exception("request handler failed")
+            if responder.started:
+                responder.abort()
+            else:
+                responder.send_error(TanagerError("internal error"))
+        self._end_cycle()
+
+    def _end_cycle(self) -> None:
+        self.task = None
+        self.head = None
+        self.body = bytearray()
+        self.ahead_bytes = 0
+        if self.transport is None:
+            return
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            self._linger()
+            return
+        self.http.start_next_cycle()
+        self._arm(self.limits.idle_timeout_s, self.close)
+        self.transport.resume_reading()
+        self._advance()
+
+    def closing_after_answer(self) -> bool:
+        """Whether the answer that begins now is the last of the connection."""
+        return self.server.stopping
+
+    # Output and ends
+
+    def send(self, event: h11.Event) -> None:
+        """Writes an event unless the connection has ended."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        data = self.http.send(event)
+        if data:
+            self.transport.write(data)
+
+    def _refuse(self, status: int) -> None:
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"content-length", b"0"), _CLOSE]
+            self.send(h11.Response(status_code=status, headers=headers))
+            self.send(h11.EndOfMessage())
+        self._linger()
+
+    def _linger(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.lingering = True
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.transport.resume_reading()
+        self._arm(_LINGER_S, self.close)
+
+    def _header_timeout(self) -> None:
+        self._refuse(408)
+
+    def _body_timeout(self) -> None:
+        self._refuse(408)
+
+    def abort(self) -> None:
+        """Resets the connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Closes the connection after what has been written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def close_if_idle(self) -> bool:
+        """Closes the connection unless it carries a request; returns whether it did."""
+        if self.task is not None or self.head is not None:
+            return False
+        self.close()
+        return True
+
+    def _cancel(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    def _arm(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._disarm()
+        self.timer = asyncio.get_running_loop().call_later(delay_s, action)
+
+    def _disarm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+class HttpServer:
+    """One listening address and its connections."""
+
+    def __init__(self, handler: Handler, limits: Callable[[], CallerLimits]) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[HttpServerConnection] = set()
+        self.stopping = False
+        self.listener: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int, backlog: int) -> None:
+        """Starts to accept connections.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: HttpServerConnection(self), host, port, backlog=backlog, reuse_address=True
+        )
+
+    def close_listener(self) -> None:
+        """Stops accepting connections."""
+        if self.listener is not None:
+            self.listener.close()
+
+    def close_idle(self) -> None:
+        """Closes the connections that carry no request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    async def wait_closed(self, timeout_s: float) -> int:
+        """Waits until no connection is left; returns how many still are after `timeout_s`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.connections:
+                    await asyncio.sleep(0.05)
+        return len(self.connections)
+
+
+def json_body(value: Any) -> bytes:
+    """Returns `value` as JSON."""
+    return json.dumps(value).encode()
--- /dev/null
+++ b/src/tanagerworks/edge/process.py
@@ -0,0 +1,192 @@
+"""One edge process: its ports, its tasks, its shutdown."""
+
+import asyncio
+import gc
+import logging
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tanagerworks import __version__
+from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
+from tanagerworks.edge.follower import Beliefs, StoreFollower
+from tanagerworks.edge.http_messages import RequestHead
+from tanagerworks.edge.http_server import HttpServer, Responder
+from tanagerworks.edge.peers import PeerExchange
+from tanagerworks.edge.pipeline import Pipeline
+from tanagerworks.edge.seams import BackendDialect, CallerDialect, PeerFinder, PublishedStore
+from tanagerworks.edge.telemetry import EdgeMetrics
+from tanagerworks.membership.roster import Roster
+from tanagerworks.published.model import CallerLimits
+from tanagerworks.settings.edge import EdgeSettings
+from tanagerworks.telemetry.metrics import METRICS_CONTENT_TYPE, create_meter, render_metrics
+
+_LOGGER = logging.getLogger(__name__)
+
+_BACKLOG = 512
+# Time from the stop signal until callers' idle connections are closed: the balancer asks for
+# readiness once a second and looks away after two misses.
+_NOTICE_S = 2.6
+# Time kept at the end of the stop limit to write the last bytes and exit.
+_EXIT_MARGIN_S = 0.7
+_HOUSEKEEPING_S = 0.25
+_TRIM_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """The platform's side of an edge process."""
+
+    store: PublishedStore
+    callers: CallerDialect
+    backends: BackendDialect
+    peers: PeerFinder
+
+
+class EdgeProcess:
+    """Wires the parts of one process together."""
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        adapter: Adapter,
+        reload_settings: Callable[[], EdgeSettings],
+    ) -> None:
+        self.settings = settings
+        self.reload_settings = reload_settings
+        started_s = time.monotonic()
+        bounds = settings.bounds
+        self.metrics = EdgeMetrics(create_meter("tanager-edge"))
+        self.dispatcher = Dispatcher(
+            settings.node,
+            FleetBounds(
+                bounds.repeat_ratio,
+                bounds.repeat_minimum,
+                bounds.repeat_window_s,
+                bounds.cold_factor,
+                bounds.cold_extra,
+            ),
+            Roster(started_s),
+        )
+        self.beliefs = Beliefs(adapter.store, self.dispatcher)
+        store = settings.store
+        self.follower = StoreFollower(
+            adapter.store, self.beliefs, self.metrics, store.wait_s, store.timeout_s
+        )
+        self.pipeline = Pipeline(
+            self.dispatcher, adapter.callers, adapter.backends, settings.zone, self.metrics
+        )
+        self.beliefs.changed = self.pipeline.wake_all
+        self.exchange = PeerExchange(
+            settings.node,
+            settings.addresses.peers,
+            settings.zone,
+            time.time_ns(),
+            self.dispatcher,
+            self.beliefs,
+            adapter.peers,
+        )
+        self.exchange.changed = self.pipeline.wake_all
+        self.callers = HttpServer(self.pipeline.handle, self._limits)
+        self.readiness = HttpServer(self._answer_readiness, CallerLimits)
+        self.metrics_port = HttpServer(self._answer_metrics, CallerLimits)
+        self.stop_requested = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def _limits(self) -> CallerLimits:
+        configuration = self.dispatcher.configuration
+        return configuration.limits if configuration is not None else CallerLimits()
+
+    async def run(self) -> int:
+        """Serves until a stop signal; returns the exit status."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        addresses = self.settings.addresses
+        peers_host, peers_port = _split(addresses.peers)
+        await loop.create_datagram_endpoint(
+            lambda: self.exchange, local_addr=(peers_host, peers_port)
+        )
+        copies = await asyncio.start_server(self.exchange.serve_copy, peers_host, peers_port)
+        await self.readiness.listen(*_split(addresses.readiness), _BACKLOG)
+        await self.callers.listen(*_split(addresses.callers), _BACKLOG)
+        await self.metrics_port.listen(*_split(addresses.metrics), _BACKLOG)
+        for work in (
+            self.follower.run(),
+            self.exchange.run(),
+            self._keep_house(),
+            self.pipeline.trim_connections(_TRIM_S),
+        ):
+            self.tasks.append(loop.create_task(work))
+        _LOGGER.info("started", extra={"node": self.settings.node, "version": __version__})
+        # What start-up has made lives as long as the process: collections need not visit it.
+        gc.collect()
+        gc.freeze()
+        await self.stop_requested.wait()
+        await self._stop()
+        copies.close()
+        return 0
+
+    def ready(self) -> bool:
+        """Whether the balancer may send new connections here."""
+        return self.beliefs.complete and not self.stop_requested.is_set()
+
+    async def _answer_readiness(self, head: RequestHead, body: bytes, responder: Responder) -> None:
+        responder.send_whole(200 if self.ready() else 503, [], b"")
+
+    async def _answer_metrics(self, head: RequestHead, body: bytes, responder: Responder) -> None:
+        content_type = METRICS_CONTENT_TYPE.encode()
+        responder.send_whole(200, [(b"content-type", content_type)], render_metrics())
+
+    async def _keep_house(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            for server_id in self.dispatcher.directory.expire_held(loop.time()):
+                _LOGGER.info("server entry", extra={"server": server_id, "event": "gone"})
+            self.pipeline.wake_all()
+
+    def _reload(self) -> None:
+        try:
+            settings = self.reload_settings()
+        except Exception as error:
+            _LOGGER.error("settings not reloaded", extra={"reason": str(error)})
+            return
+        self.settings = settings
+        bounds = settings.bounds
+        self.dispatcher.bounds = FleetBounds(
+            bounds.repeat_ratio,
+            bounds.repeat_minimum,
+            bounds.repeat_window_s,
+            bounds.cold_factor,
+            bounds.cold_extra,
+        )
+        _LOGGER.info("settings reloaded")
+
+    async def _stop(self) -> None:
+        """Ends all work inside the stop limit, in an orderly way."""
+        loop = asyncio.get_running_loop()
+        stop_by_s = loop.time() + self.settings.bounds.stop_limit_s - _EXIT_MARGIN_S
+        _LOGGER.info("stopping", extra={"active": self.pipeline.active})
+        self.callers.stopping = True
+        self.pipeline.stop_by_s = stop_by_s
+        self.exchange.stopping = True
+        self.exchange.announce()
+        await asyncio.sleep(_NOTICE_S)
+        self.callers.close_idle()
+        while loop.time() < stop_by_s and self.callers.connections:
+            self.callers.close_idle()
+            await asyncio.sleep(0.1)
+        self.callers.close_listener()
+        left = len(self.callers.connections)
+        for task in self.tasks:
+            task.cancel()
+        level = logging.WARNING if left else logging.INFO
+        _LOGGER.log(level, "stopped", extra={"connections_left": left})
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _colon, port = address.rpartition(":")
+    return host, int(port)
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -300,3 +300,56 @@
 
     code = "peer_unavailable"
     status = 503
+
+
+class NoConfigurationError(NotReadyError):
+    """The process knows no configuration yet."""
+
+    code = "no_configuration"
+    retry_after_s = 0.2
+
+
+class StoppingError(NotReadyError):
+    """The process is shutting down and could not finish the request in time."""
+
+    code = "stopping"
+    # Another node takes the repeat at once, since callers repeat on a new connection.
+    retry_after_s = 0.05
+
+
+class BadCallError(RequestError):
+    """A header of the request that must be understood cannot be read."""
+
+    code = "bad_call"
+
+
+class NoServerError(CapacityError):
+    """The service has no backend server that may get new work."""
+
+    code = "no_server"
+    retry_after_s = 0.5
+
+
+class RouteTimeoutError(BackendTimeoutError):
+    """The route's timeout has passed before the answer was complete."""
+
+    code = "route_timeout"
+
+
+class CallerLeftError(TanagerError):
+    """The caller closed its connection before the answer was complete."""
+
+    code = "caller_left"
+    status = 499
+
+
+class PublishedStoreError(PlatformError):
+    """The published store gave no usable answer."""
+
+    code = "store_unavailable"
+
+
+class HistoryLostError(PublishedStoreError):
+    """The store has dropped the changes after the revision that was asked for."""
+
+    code = "store_history_lost"
--- /dev/null
+++ b/src/tanagerworks/published/replica.py
@@ -0,0 +1,71 @@
+"""A node's copy of the published store, ordered by the store's revision.
+
+A revision counts every change of the store, so two copies compare by one number, and a node may
+take over a peer's copy whenever that one is newer. Nothing here can go back.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One key as it was written at a revision; `value` is None for a deletion."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Replica:
+    """All items of the store as of `revision`; 0 before the first listing."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, Change] = {}
+
+    def apply(self, changes: Iterable[Change], revision: int) -> list[Change]:
+        """Applies changes that lead up to `revision`; returns those that were news.
+
+        Changes may arrive again or out of order: per key the highest revision stays.
+        """
+        news = []
+        for change in changes:
+            known = self.items.get(change.key)
+            if known is not None and known.revision >= change.revision:
+                continue
+            if known is None and change.revision <= self.revision:
+                # A deletion that this copy has already passed.
+                continue
+            if change.value is None:
+                self.items.pop(change.key, None)
+            else:
+                self.items[change.key] = change
+            if known is not None or change.value is not None:
+                news.append(change)
+        self.revision = max(self.revision, revision)
+        return news
+
+    def replace(self, items: Iterable[Change], revision: int) -> list[Change]:
+        """Takes over a whole listing as of `revision`; returns what differs from before.
+
+        A listing older than this copy is ignored. Items that the listing lacks are deleted,
+        except those that were written after it.
+        """
+        if revision < self.revision:
+            return []
+        listed = {item.key: item for item in items}
+        news = []
+        for key, known in list(self.items.items()):
+            if key in listed or known.revision > revision:
+                continue
+            del self.items[key]
+            news.append(Change(key, revision, None))
+        for key, item in listed.items():
+            known_item = self.items.get(key)
+            if known_item is not None and known_item.revision >= item.revision:
+                continue
+            self.items[key] = item
+            news.append(item)
+        self.revision = revision
+        return news
