Choose model servers by the tokens that they would have to read

Cause: shared parts were read again because rendezvous hashing moved a part to each new server and passed over loaded ones.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -1,13 +1,14 @@
 """Chooses the backend server for one request.
 
-Both choosers look at the same candidates. Requests with prompts go where the deepest shared part
-of their prompt is read already; plain requests go where they wait least.
+Both choosers look at the same candidates. Requests with prompts go where most of their prompt
+is read already and little waits to be read; plain requests go where they wait least.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
+from tanagerworks.dispatch.holders import PartHolders
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.published.model import Service
 from tanagerworks.routing.ranking import rank_equally
@@ -16,6 +17,15 @@
 # few requests in progress do not count as skew. Both lie below the operators' bound.
 _MEAN_MULTIPLE = 1.5
 _MEAN_EXTRA = 2.0
+# Weight of a token that a server has to read for this request against one that it reads for
+# others: reading it again delays all requests there and takes memory from other parts.
+_READ_WEIGHT = 3.0
+# A running request slows a server's steps; measured as a step of 4 ms that reads some 270 tokens.
+_TOKENS_PER_RUNNING = 300.0
+# Small against a part, so that it only decides between servers that are otherwise alike.
+_TOKENS_PER_RANK = 200.0
+# How much worse a server that fails all requests looks than one that fails none.
+_FAILURE_WEIGHT = 4.0
 # Requests that a plain server may hold beyond its slots, so that a slot that becomes free is
 # filled before the next message between nodes.
 _PLAIN_EXTRA = 2
@@ -29,6 +39,8 @@
 
     part_id: str
     tokens: int
+    # Names the part for a model, in `PartHolders` and between nodes.
+    key: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +56,11 @@
         """Length of the whole prompt."""
         return sum(part.tokens for part in self.parts)
 
+    @property
+    def keys(self) -> tuple[int, ...]:
+        """Keys of the parts, in the order of the prompt."""
+        return tuple(part.key for part in self.parts)
+
     @property
     def shared_key(self) -> str:
         """The deepest part that other requests share, or the only part."""
@@ -81,34 +98,39 @@
     """Behaviour that differs between services with prompts and plain ones."""
 
     def choose(
-        self, service: Service, candidates: Sequence[Candidate], prompt: Prompt | None, zone: str
+        self,
+        service: Service,
+        candidates: Sequence[Candidate],
+        prompt: Prompt | None,
+        zone: str,
+        now_s: float,
     ) -> Choice:
         """Returns the server for one request."""
 
 
 class PromptChooser:
-    """Follows the rank of the shared part; passes over servers above the load bound."""
+    """Weighs what a server would have to read against what it has to do already.
+
+    Scores are in prompt tokens, the unit in which a model server's time to the first token is
+    spent. Unknown parts follow a rank that all nodes compute alike.
+    """
+
+    def __init__(self, holders: PartHolders) -> None:
+        self.holders = holders
 
     def choose(
-        self, service: Service, candidates: Sequence[Candidate], prompt: Prompt | None, zone: str
+        self,
+        service: Service,
+        candidates: Sequence[Candidate],
+        prompt: Prompt | None,
+        zone: str,
+        now_s: float,
     ) -> Choice:
-        """Returns the first server of the rank that has room."""
+        """Returns the server with the lowest score that has room."""
         if not candidates:
             return Choice(None, "no server")
-        by_id = {candidate.state.server_id: candidate for candidate in candidates}
         mean = sum(candidate.load for candidate in candidates) / len(candidates)
         bound = _MEAN_MULTIPLE * mean + _MEAN_EXTRA
-        key = prompt.shared_key if prompt is not None else ""
-        tokens = prompt.tokens if prompt is not None else 0
-        own = prompt.own_tokens if prompt is not None else 0
-        for place, server_id in enumerate(rank_equally(key, by_id, len(by_id))):
-            candidate = by_id[server_id]
-            if candidate.closed or candidate.load >= candidate.state.entry.slots:
-                continue
-            if candidate.load + 1 > bound:
-                continue
-            reason = "home" if place == 0 else f"rank {place + 1}"
-            return Choice(candidate.state, reason, own if place == 0 else tokens)
         open_ones = [
             candidate
             for candidate in candidates
@@ -116,15 +138,46 @@
         ]
         if not open_ones:
             return Choice(None, "all full")
-        least = min(open_ones, key=lambda candidate: candidate.load)
-        return Choice(least.state, "least loaded", tokens)
+        within = [candidate for candidate in open_ones if candidate.load + 1 <= bound]
+        if not within:
+            within = [min(open_ones, key=lambda candidate: candidate.load)]
+        return self._best(within, prompt or Prompt("", (), 0), now_s)
+
+    def _best(self, candidates: Sequence[Candidate], prompt: Prompt, now_s: float) -> Choice:
+        ids = [candidate.state.server_id for candidate in candidates]
+        ranked = rank_equally(prompt.shared_key, ids, len(ids))
+        place = {server_id: number for number, server_id in enumerate(ranked)}
+        best: ServerState | None = None
+        best_score = float("inf")
+        best_missing = 0
+        for candidate in candidates:
+            state = candidate.state
+            missing = self._missing_tokens(prompt, state, now_s)
+            score = _READ_WEIGHT * missing + state.total_prefill_tokens
+            score += _TOKENS_PER_RUNNING * candidate.load
+            score += _TOKENS_PER_RANK * place[state.server_id]
+            score *= 1.0 + _FAILURE_WEIGHT * state.failure_share
+            if score < best_score:
+                best, best_score, best_missing = state, score, missing
+        assert best is not None
+        reason = "holds the prompt" if best_missing <= prompt.own_tokens else "reads the prompt"
+        return Choice(best, reason, best_missing)
+
+    def _missing_tokens(self, prompt: Prompt, state: ServerState, now_s: float) -> int:
+        held = self.holders.held_parts(prompt.keys, state.server_id, now_s)
+        return sum(part.tokens for part in prompt.parts[held:])
 
 
 class PlainChooser:
     """Takes the server with the least expected time to the answer."""
 
     def choose(
-        self, service: Service, candidates: Sequence[Candidate], prompt: Prompt | None, zone: str
+        self,
+        service: Service,
+        candidates: Sequence[Candidate],
+        prompt: Prompt | None,
+        zone: str,
+        now_s: float,
     ) -> Choice:
         """Returns the server where a request probably ends first."""
         if not candidates:
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
     ServerChooser,
 )
 from tanagerworks.dispatch.directory import Directory
+from tanagerworks.dispatch.holders import PartHolders
 from tanagerworks.dispatch.rates import ColdRate, RepeatBudget
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.dispatch.waiting import WaitingRequests
@@ -69,13 +70,21 @@
         self.waiting: dict[str, WaitingRequests] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.cold_rates: dict[str, ColdRate] = {}
-        self.prompt_chooser: ServerChooser = PromptChooser()
+        self.holders = PartHolders()
+        # Where this node has sent parts since it last told its peers.
+        self.untold: dict[str, set[int]] = {}
+        self.prompt_chooser: ServerChooser = PromptChooser(self.holders)
         self.plain_chooser: ServerChooser = PlainChooser()
 
     def adopt(self, configuration: Configuration) -> None:
         """Takes a newer configuration into force."""
         self.configuration = configuration
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self.configuration.version if self.configuration is not None else 0
+
     def service(self, name: str) -> Service | None:
         """Returns a service of the configuration in force."""
         if self.configuration is None:
@@ -133,17 +142,25 @@
             return Choice(None, "no such service")
         chooser = self.plain_chooser if service.engine is None else self.prompt_chooser
         found = self.candidates(demand, service, now_s)
-        return chooser.choose(service, found, demand.prompt, demand.zone)
+        return chooser.choose(service, found, demand.prompt, demand.zone, now_s)
 
     def begin(self, demand: Demand, choice: Choice, now_s: float) -> None:
         """Counts a request that is about to be sent to the chosen server."""
         assert choice.state is not None
         state = choice.state
         state.begin(choice.prefill_tokens, now_s)
+        if demand.prompt is not None and demand.prompt.parts:
+            self.holders.record(demand.prompt.keys, state.server_id, now_s)
+            self.untold.setdefault(state.server_id, set()).update(demand.prompt.keys)
         rate = self.cold_rates.get(state.server_id)
         if rate is not None and state.is_cold(now_s):
             rate.take()
 
+    def take_untold(self) -> dict[str, set[int]]:
+        """Returns where parts were sent since the last call, by server id."""
+        untold, self.untold = self.untold, {}
+        return untold
+
     def room(self, service: str) -> WaitingRequests:
         """Returns the requests that wait for a service."""
         return self.waiting.setdefault(service, WaitingRequests())
--- /dev/null
+++ b/src/tanagerworks/dispatch/holders.py
@@ -0,0 +1,53 @@
+"""Which model servers have read which parts of prompts, by what all nodes have sent them.
+
+Nodes tell each other where they sent the parts of a prompt, a few bytes for each request. The
+servers' own cache events would say more, but late and at a price for each call.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+# A part that no request has used for this long counts as evicted.
+KEPT_S = 120.0
+# Parts remembered; the least recently used go first. One takes some 300 bytes.
+MAX_PARTS = 20_000
+# Servers remembered for one part; a hot part has as many as it needs.
+_MAX_HOLDERS = 16
+
+
+def part_key(model: str, part_id: str) -> int:
+    """Returns the 64-bit key under which nodes speak of a part."""
+    return xxh3_64_intdigest(f"{model}\0{part_id}".encode())
+
+
+class PartHolders:
+    """Servers that hold each part, with the time of the last use there."""
+
+    def __init__(self) -> None:
+        self.parts: OrderedDict[int, dict[str, float]] = OrderedDict()
+
+    def record(self, keys: Iterable[int], server_id: str, now_s: float) -> None:
+        """Notes that a server reads or has read all of the parts."""
+        for key in keys:
+            holders = self.parts.setdefault(key, {})
+            holders[server_id] = now_s
+            self.parts.move_to_end(key)
+            if len(holders) > _MAX_HOLDERS:
+                del holders[min(holders, key=lambda held: holders[held])]
+        while len(self.parts) > MAX_PARTS:
+            self.parts.popitem(last=False)
+
+    def held_parts(self, keys: Sequence[int], server_id: str, now_s: float) -> int:
+        """Returns how many leading parts of a prompt the server holds."""
+        for place, key in enumerate(keys):
+            used_s = self.parts.get(key, {}).get(server_id)
+            if used_s is None or now_s - used_s > KEPT_S:
+                return place
+        return len(keys)
+
+    def drop_server(self, server_id: str) -> None:
+        """Forgets what a server held, since its process has ended."""
+        for holders in self.parts.values():
+            holders.pop(server_id, None)
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -77,6 +77,8 @@
         elif isinstance(value, ServerEntry):
             self.servers_of_key[change.key] = value.server_id
             event = directory.put(value, now_s)
+            if event == "restarted":
+                self.dispatcher.holders.drop_server(value.server_id)
             if event != "updated":
                 _LOGGER.info(
                     "server entry",
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -57,6 +57,7 @@
         self.beliefs = beliefs
         self.finder = finder
         self.sequence = 0
+        self.told_once: dict[str, set[int]] = {}
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
         self.learned: set[str] = set()
@@ -109,6 +110,8 @@
             load.server_id: PeerLoad(load.running, load.prefill_tokens) for load in state.loads
         }
         self.dispatcher.directory.set_peer_loads(state.name, loads)
+        for placement in state.placements:
+            self.dispatcher.holders.record(placement.parts, placement.server_id, now_s)
         self.changed()
 
     # Sending
@@ -159,6 +162,12 @@
             state.loads.add(
                 server_id=server_id, running=load.running, prefill_tokens=load.prefill_tokens
             )
+        placements = self.dispatcher.take_untold()
+        # Each placement is told twice, since a datagram may be lost.
+        for told_placements in (placements, self.told_once):
+            for server_id, parts in told_placements.items():
+                state.placements.add(server_id=server_id, parts=parts)
+        self.told_once = placements
         data = state.SerializeToString()
         for target in targets:
             host, _colon, port = target.rpartition(":")
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -255,6 +255,7 @@
                 choice.state, choice.prefill_tokens, asyncio.get_running_loop().time()
             )
             request.server = choice.state.server_id
+            self._log_choice(request, choice)
             try:
                 return await self._attempt(request, attempt)
             except BackendError as error:
@@ -618,6 +619,29 @@
                 )
         self.wake(request.service)
 
+    def _log_choice(self, request: RequestState, choice: Choice) -> None:
+        state = choice.state
+        assert state is not None
+        now_s = asyncio.get_running_loop().time()
+        prompt = request.call.prompt
+        _LOGGER.info(
+            "server chosen",
+            extra={
+                "call": request.call.call_id,
+                "route": request.route.name,
+                "version": self.dispatcher.version,
+                "server": state.server_id,
+                "why": choice.reason,
+                "part": prompt.shared_key if prompt is not None else None,
+                "tokens": prompt.tokens if prompt is not None else None,
+                "load": state.load(now_s),
+                "running": state.running,
+                "peers_running": state.total_running - state.running,
+                "reported_age_s": round(min(now_s - state.reported_at_s, 999.0), 2),
+                "waited_ms": round((now_s - request.arrived_s) * 1000, 1),
+            },
+        )
+
     def _log_failure(self, request: RequestState, error: BackendError, reason: str | None) -> None:
         _LOGGER.warning(
             "attempt failed",
