Recover cache contents after a start; send callers away from isolated nodes

New processes now ask an older peer, or list each server once; Retry-After without a configuration is 1 to 3 s; a node without the store and without any peer of another zone is not ready; connecting times out after 0.15 s; the metrics SDK loads after the start.

--- a/src/tanagerworks/dispatch/holders.py
+++ b/src/tanagerworks/dispatch/holders.py
@@ -47,6 +47,14 @@
                 return place
         return len(keys)
 
+    def by_server(self) -> dict[str, list[int]]:
+        """Returns the parts that each server holds."""
+        found: dict[str, list[int]] = {}
+        for key, holders in self.parts.items():
+            for server_id in holders:
+                found.setdefault(server_id, []).append(key)
+        return found
+
     def drop_server(self, server_id: str) -> None:
         """Forgets what a server held, since its process has ended."""
         for holders in self.parts.values():
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -20,6 +20,8 @@
 _MAX_RETRY_S = 0.5
 # The store counts as lost when it has not answered for this long; entries may have expired.
 _OUTAGE_S = 1.0
+# Wait of a read that only finds out whether the store answers.
+_CHECK_WAIT_S = 0.05
 
 
 class Beliefs:
@@ -123,13 +125,21 @@
         self.connected = False
         self.listed = False
         self.random = random.Random()
+        self.reading: asyncio.Task[None] | None = None
+        self.checking = False
+
+    def check_soon(self) -> None:
+        """Makes the follower find out at once whether the store still answers."""
+        if self.connected and not self.checking and self.reading is not None:
+            self.checking = True
+            self.reading.cancel()
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
         retry_s = _FIRST_RETRY_S
         while True:
             try:
-                await self._read_once()
+                await self._read_interruptibly()
                 retry_s = _FIRST_RETRY_S
                 continue
             except HistoryLostError:
@@ -147,15 +157,25 @@
             await asyncio.sleep(retry_s * self.random.uniform(0.7, 1.3))
             retry_s = min(_MAX_RETRY_S, 2.0 * retry_s)
 
+    async def _read_interruptibly(self) -> None:
+        self.reading = asyncio.get_running_loop().create_task(self._read_once())
+        try:
+            await asyncio.wait([self.reading])
+        finally:
+            self.reading.cancel()
+        if self.reading.cancelled():
+            return
+        self.reading.result()
+        self.checking = False
+
     async def _read_once(self) -> None:
         if not self.listed:
             await self._list()
         else:
             revision = self.beliefs.replica.revision
             self.metrics.store_calls.add(1, {"call": "changes"})
-            found = await self.store.changes_after(
-                revision, self.wait_s, self.wait_s + self.timeout_s
-            )
+            wait_s = _CHECK_WAIT_S if self.checking else self.wait_s
+            found = await self.store.changes_after(revision, wait_s, wait_s + self.timeout_s)
             self._answered()
             self.beliefs.apply(found.changes, found.revision, "store")
 
@@ -187,6 +207,7 @@
         self.answered_s = now_s
 
     def _lost(self, reason: str) -> None:
+        self.checking = False
         if self.connected:
             _LOGGER.warning("store does not answer", extra={"reason": reason})
         self.connected = False
--- a/src/tanagerworks/edge/http_client.py
+++ b/src/tanagerworks/edge/http_client.py
@@ -18,6 +18,10 @@
         self.port = int(port)
         self.connection: BackendConnection | None = None
 
+    def close(self) -> None:
+        """Closes the kept connection."""
+        self._close()
+
     async def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
         """Returns the status and the body of the answer.
 
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -237,7 +237,7 @@
 
     def closing_after_answer(self) -> bool:
         """Whether the answer that begins now is the last of the connection."""
-        return self.server.stopping
+        return self.server.closing_connections
 
     # Output and ends
 
@@ -309,7 +309,8 @@
         self.handler = handler
         self.limits = limits
         self.connections: set[HttpServerConnection] = set()
-        self.stopping = False
+        # Answers say that their connection ends, as before a stop.
+        self.closing_connections = False
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int, backlog: int) -> None:
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -222,6 +222,8 @@
         copy = StoreCopy(revision=replica.revision)
         for item in replica.items.values():
             copy.items.add(key=item.key, revision=item.revision, value=item.value or b"")
+        for server_id, parts in self.dispatcher.holders.by_server().items():
+            copy.placements.add(server_id=server_id, parts=parts)
         data = copy.SerializeToString()
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT_S):
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -49,8 +49,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# A new connection takes two crossings of a zone; this is long enough for one lost packet.
-_CONNECT_TIMEOUT_S = 0.5
+# A new connection takes two crossings of a zone, some 2 ms. A lost opening packet is sent again
+# after a second, so a new try elsewhere is sooner.
+_CONNECT_TIMEOUT_S = 0.15
 # Answers of plain services up to this size are read whole before the caller sees their status,
 # so that a broken one can be repeated.
 _WHOLE_ANSWER_BYTES = 262_144
@@ -65,6 +66,9 @@
 _RETURN_S = 0.005
 # Retry-After of a refusal for lack of places: spread, so that callers do not come back together.
 _RETRY_AFTER_SPREAD = (0.5, 1.5)
+# Retry-After while the node has no configuration: the store that it waits for may be out for
+# seconds, and a caller that comes back too soon is refused once more.
+_NO_CONFIGURATION_RETRY_S = (1.0, 3.0)
 
 
 @dataclass(slots=True)
@@ -175,7 +179,9 @@
     ) -> RequestState:
         configuration = self.dispatcher.configuration
         if configuration is None:
-            raise NoConfigurationError("no configuration is known yet")
+            error = NoConfigurationError("no configuration is known yet")
+            error.retry_after_s = self.random.uniform(*_NO_CONFIGURATION_RETRY_S)
+            raise error
         call = self.callers.read_call(head)
         route = configuration.find_route(call.host, call.path)
         if route is None:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from opentelemetry.metrics import get_meter
+
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
 from tanagerworks.edge.follower import Beliefs, StoreFollower
@@ -15,12 +17,12 @@
 from tanagerworks.edge.http_server import HttpServer, Responder
 from tanagerworks.edge.peers import PeerExchange
 from tanagerworks.edge.pipeline import Pipeline
+from tanagerworks.edge.recovery import CacheRecovery
 from tanagerworks.edge.seams import BackendDialect, CallerDialect, PeerFinder, PublishedStore
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.membership.roster import Roster
 from tanagerworks.published.model import CallerLimits
 from tanagerworks.settings.edge import EdgeSettings
-from tanagerworks.telemetry.metrics import METRICS_CONTENT_TYPE, create_meter, render_metrics
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -32,6 +34,12 @@
 _EXIT_MARGIN_S = 0.7
 _HOUSEKEEPING_S = 0.25
 _TRIM_S = 1.0
+_HOUSEKEEPING_TASK = 0
+# Time after the start in which callers that waited for it are served first.
+_METRICS_DELAY_S = 1.0
+# A node that cannot reach anything outside its zone for this long sends callers elsewhere.
+_ISOLATED_S = 1.5
+PROGRAM = "tanager-edge"
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +65,7 @@
         self.reload_settings = reload_settings
         started_s = time.monotonic()
         bounds = settings.bounds
-        self.metrics = EdgeMetrics(create_meter("tanager-edge"))
+        self.metrics = EdgeMetrics(get_meter(PROGRAM))
         self.dispatcher = Dispatcher(
             settings.node,
             FleetBounds(
@@ -88,6 +96,9 @@
             adapter.peers,
         )
         self.exchange.changed = self.pipeline.wake_all
+        self.recovery = CacheRecovery(
+            settings.node, self.exchange.incarnation, self.dispatcher, adapter.backends
+        )
         self.callers = HttpServer(self.pipeline.handle, self._limits)
         self.readiness = HttpServer(self._answer_readiness, CallerLimits)
         self.metrics_port = HttpServer(self._answer_metrics, CallerLimits)
@@ -114,10 +125,12 @@
         await self.callers.listen(*_split(addresses.callers), _BACKLOG)
         await self.metrics_port.listen(*_split(addresses.metrics), _BACKLOG)
         for work in (
+            self._keep_house(),
             self.follower.run(),
             self.exchange.run(),
-            self._keep_house(),
             self.pipeline.trim_connections(_TRIM_S),
+            self.recovery.run(),
+            self._install_metrics(),
         ):
             self.tasks.append(loop.create_task(work))
         _LOGGER.info("started", extra={"node": self.settings.node, "version": __version__})
@@ -131,14 +144,41 @@
 
     def ready(self) -> bool:
         """Whether the balancer may send new connections here."""
-        return self.beliefs.complete and not self.stop_requested.is_set()
+        if self.stop_requested.is_set() or not self.beliefs.complete:
+            return False
+        return not self.isolated()
+
+    def isolated(self) -> bool:
+        """Whether the store and all peers of other zones have been silent for a while.
+
+        The balancer then sends callers to nodes that reach more backend servers.
+        """
+        now_s = asyncio.get_running_loop().time()
+        outside = [
+            peer
+            for peer in self.dispatcher.roster.peers.values()
+            if peer.zone != self.settings.zone
+        ]
+        if not outside or any(now_s - peer.heard_s < _ISOLATED_S for peer in outside):
+            return False
+        self.follower.check_soon()
+        return not self.follower.connected
 
     async def _answer_readiness(self, head: RequestHead, body: bytes, responder: Responder) -> None:
         responder.send_whole(200 if self.ready() else 503, [], b"")
 
     async def _answer_metrics(self, head: RequestHead, body: bytes, responder: Responder) -> None:
-        content_type = METRICS_CONTENT_TYPE.encode()
-        responder.send_whole(200, [(b"content-type", content_type)], render_metrics())
+        from tanagerworks.telemetry.metrics import METRICS_CONTENT_TYPE, render_metrics
+
+        headers = [(b"content-type", METRICS_CONTENT_TYPE.encode())]
+        responder.send_whole(200, headers, render_metrics())
+
+    async def _install_metrics(self) -> None:
+        """Loads the metrics SDK once callers are served: it takes a tenth of the start."""
+        await asyncio.sleep(_METRICS_DELAY_S)
+        from tanagerworks.telemetry.metrics import install_provider
+
+        install_provider(PROGRAM)
 
     async def _keep_house(self) -> None:
         loop = asyncio.get_running_loop()
@@ -147,6 +187,8 @@
             for server_id in self.dispatcher.directory.expire_held(loop.time()):
                 _LOGGER.info("server entry", extra={"server": server_id, "event": "gone"})
             self.pipeline.wake_all()
+            # Callers on kept connections are not moved by the balancer.
+            self.callers.closing_connections = self.beliefs.complete and self.isolated()
 
     def _reload(self) -> None:
         try:
@@ -170,7 +212,8 @@
         loop = asyncio.get_running_loop()
         stop_by_s = loop.time() + self.settings.bounds.stop_limit_s - _EXIT_MARGIN_S
         _LOGGER.info("stopping", extra={"active": self.pipeline.active})
-        self.callers.stopping = True
+        self.callers.closing_connections = True
+        self.tasks[_HOUSEKEEPING_TASK].cancel()
         self.pipeline.stop_by_s = stop_by_s
         self.exchange.stopping = True
         self.exchange.announce()
--- a/src/tanagerworks/edge/seams.py
+++ b/src/tanagerworks/edge/seams.py
@@ -119,6 +119,17 @@
     def answer_headers(self, headers: HeaderList) -> HeaderList:
         """Returns the headers of an answer that a caller gets, without those of its framing."""
 
+    @property
+    def cache_listing_target(self) -> str:
+        """The target of a GET request for the parts of prompts that a server keeps."""
+
+    def read_cache_listing(self, body: bytes) -> list[int]:
+        """Returns the keys of the parts in a listing.
+
+        Raises:
+            BackendProtocolError: the listing cannot be read.
+        """
+
 
 class PeerFinder(Protocol):
     """Names addresses at which other nodes may be; some may be down or wrong."""
