--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from heapq import nsmallest
 from typing import Protocol
 
 from tanagerworks.dispatch.holders import PartHolders
@@ -99,6 +100,27 @@
     prefill_tokens: int = 0
     # Another server from which it can copy what that one has read.
     copy_from: ServerState | None = None
+    # The best candidates by score, the chosen one first; empty when none could be chosen.
+    considered: tuple["Considered", ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Considered:
+    """A candidate as it was weighed; a lower score is better."""
+
+    server_id: str
+    score: float
+    load: int
+    # Prompt tokens that it does not hold; 0 for plain services.
+    missing_tokens: int
+
+
+# Candidates that a choice tells of.
+_TOLD_CANDIDATES = 3
+
+
+def _best_considered(considered: list[Considered]) -> tuple[Considered, ...]:
+    return tuple(nsmallest(_TOLD_CANDIDATES, considered, key=lambda weighed: weighed.score))
 
 
 class ServerChooser(Protocol):
@@ -167,6 +189,7 @@
         place = {server_id: number for number, server_id in enumerate(ranked)}
         source = self._best_source(sources, prompt, now_s)
         source_missing = self._missing_tokens(prompt, source, now_s) if source else prompt.tokens
+        considered: list[Considered] = []
         best: Choice | None = None
         best_score = float("inf")
         for candidate in candidates:
@@ -180,6 +203,7 @@
             score += _TOKENS_PER_RUNNING * candidate.load
             score += _TOKENS_PER_RANK * place[state.server_id]
             score *= 1.0 + _FAILURE_WEIGHT * state.failure_share
+            considered.append(Considered(state.server_id, score, candidate.load, missing))
             if score >= best_score:
                 continue
             best_score = score
@@ -188,7 +212,7 @@
                 reason = "copies the prompt"
             best = Choice(state, reason, read, source if copied else None)
         assert best is not None
-        return best
+        return replace(best, considered=_best_considered(considered))
 
     def _best_source(
         self, sources: Sequence[ServerState], prompt: Prompt, now_s: float
@@ -222,6 +246,7 @@
         """Returns the server where a request probably ends first."""
         if not candidates:
             return Choice(None, "no server")
+        considered: list[Considered] = []
         best: ServerState | None = None
         best_s = float("inf")
         for candidate in candidates:
@@ -236,8 +261,10 @@
             expected_s *= 1.0 + 2.0 * state.failure_share
             if state.entry.zone != zone:
                 expected_s += _OTHER_ZONE_S
+            considered.append(Considered(state.server_id, expected_s, candidate.load, 0))
             if expected_s < best_s:
                 best, best_s = state, expected_s
         if best is None:
             return Choice(None, "all full")
-        return Choice(best, f"expected {best_s * 1000:.0f} ms")
+        reason = f"expected {best_s * 1000:.0f} ms"
+        return Choice(best, reason, considered=_best_considered(considered))
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -644,6 +644,11 @@
                 "version": self.dispatcher.version,
                 "server": state.server_id,
                 "why": choice.reason,
+                "copy_from": choice.copy_from.server_id if choice.copy_from else None,
+                "considered": [
+                    [told.server_id, round(told.score, 3), told.load, told.missing_tokens]
+                    for told in choice.considered
+                ],
                 "part": prompt.shared_key if prompt is not None else None,
                 "tokens": prompt.tokens if prompt is not None else None,
                 "load": state.load(now_s),
