Let two nodes of a zone read the store and the others follow them

Nodes of other zones are now told in turn, peers say how often they speak, copies hold only changes where they can and are compressed, and a part that nobody holds stays with its first rank.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -29,8 +29,12 @@
 # A running request delays a first token hardly (it lengthens a step of 4 ms by 0.02 ms), so it
 # only spreads requests whose parts no server holds. A higher weight moved parts for nothing.
 _TOKENS_PER_RUNNING = 60.0
-# Small against a part, so that it only decides between servers that are otherwise alike.
-_TOKENS_PER_RANK = 200.0
+# Part of the shared tokens that no server holds which a lower rank costs, and a little that
+# decides between equal servers: nodes that meet a part at the same time read it at one server
+# unless that one has a long queue.
+_RANK_WEIGHT = 0.25
+_TOKENS_PER_RANK = 20.0
+_MAX_RANK = 2
 # How much worse a server that fails all requests looks than one that fails none.
 _FAILURE_WEIGHT = 4.0
 # Requests that a plain server may hold beyond its slots, so that a slot that becomes free is
@@ -190,6 +194,8 @@
         place = {server_id: number for number, server_id in enumerate(ranked)}
         source = self._best_source(sources, prompt, now_s)
         source_missing = self._missing_tokens(prompt, source, now_s) if source else prompt.tokens
+        unknown = max(0, source_missing - prompt.own_tokens)
+        rank_tokens = _RANK_WEIGHT * unknown + _TOKENS_PER_RANK
         considered: list[Considered] = []
         best: Choice | None = None
         best_score = float("inf")
@@ -202,7 +208,7 @@
             read = missing - copied
             score = _READ_WEIGHT * read + _COPY_WEIGHT * copied + state.total_prefill_tokens
             score += _TOKENS_PER_RUNNING * candidate.load
-            score += _TOKENS_PER_RANK * place[state.server_id]
+            score += rank_tokens * min(place[state.server_id], _MAX_RANK)
             score *= 1.0 + _FAILURE_WEIGHT * state.failure_share
             considered.append(Considered(state.server_id, score, candidate.load, missing))
             if score >= best_score:
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -21,8 +21,12 @@
 _MAX_RETRY_S = 0.5
 # The store counts as lost when it has not answered for this long; entries may have expired.
 _OUTAGE_S = 1.0
+# The source of changes that did not come from a peer.
+STORE = "store"
 # Wait of a read that only finds out whether the store answers.
 _CHECK_WAIT_S = 0.05
+# How often a node that follows peers looks whether it has to read the store itself.
+_ROLE_CHECK_S = 0.1
 
 
 class Beliefs:
@@ -36,6 +40,8 @@
         self.zones_of_key: dict[str, str] = {}
         # Called after beliefs have changed.
         self.changed: Callable[[], None] = lambda: None
+        # Called after the store has told something new.
+        self.advanced: Callable[[], None] = lambda: None
 
     @property
     def complete(self) -> bool:
@@ -57,8 +63,11 @@
             except Exception:
                 # One bad value must not keep the node from following the others.
                 _LOGGER.exception("published value cannot be applied", extra={"key": change.key})
-        if news:
-            self.changed()
+        if not news:
+            return
+        self.changed()
+        if source == STORE:
+            self.advanced()
 
     def _take_in_one(self, change: Change, source: str) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -116,12 +125,16 @@
         metrics: EdgeMetrics,
         wait_s: float,
         timeout_s: float,
+        needed: Callable[[], bool],
     ) -> None:
         self.store = store
         self.beliefs = beliefs
         self.metrics = metrics
         self.wait_s = wait_s
         self.timeout_s = timeout_s
+        # Whether this node has to read the store; others follow peers.
+        self.needed = needed
+        self.reads = False
         self.answered_s = float("-inf")
         self.connected = False
         self.listed = False
@@ -139,6 +152,10 @@
         """Follows the store until cancelled."""
         retry_s = _FIRST_RETRY_S
         while True:
+            self.reads = not self.listed or self.needed()
+            if not self.reads:
+                await asyncio.sleep(_ROLE_CHECK_S)
+                continue
             try:
                 await self._read_interruptibly()
                 retry_s = _FIRST_RETRY_S
@@ -178,7 +195,7 @@
             wait_s = _CHECK_WAIT_S if self.checking else self.wait_s
             found = await self.store.changes_after(revision, wait_s, wait_s + self.timeout_s)
             self._answered()
-            self.beliefs.apply(found.changes, found.revision, "store")
+            self.beliefs.apply(found.changes, found.revision, STORE)
 
     async def _list(self) -> None:
         items: list[Change] = []
@@ -194,7 +211,7 @@
                 break
             after_key = page.items[-1].key
         self._answered()
-        self.beliefs.replace(items, first_revision, "store")
+        self.beliefs.replace(items, first_revision, STORE)
         self.listed = True
 
     def _answered(self) -> None:
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import logging
+import math
 import random
 import struct
+import zlib
+from collections import deque
 from collections.abc import Callable
 from typing import cast
 
@@ -16,22 +19,26 @@
 from tanagerworks.errors import PeerError
 from tanagerworks.membership.roster import Peer, Roster
 from tanagerworks.published.replica import Change
-from tanagerworks.rpc.edge_pb2 import NodeState, StoreCopy
+from tanagerworks.rpc.edge_pb2 import NodeState, StoreCopy, StoreCopyRequest, StoreItem
 
 _LOGGER = logging.getLogger(__name__)
 
-# Time between two messages to each peer in a small fleet. Requests last a tenth of a second and
-# more, so a load is known before most of the requests in it have ended.
+# Time between two messages to each peer of the own zone, and in a small fleet to all. Requests
+# last a tenth of a second and more, so a load is known before most of those in it have ended.
 _INTERVAL_S = 0.2
-# Datagrams that a node sends in a second at the most; a larger fleet hears each peer more seldom.
-_DATAGRAMS_PER_S = 60.0
-# Peers' addresses in one message.
+# Datagrams that a node sends in a second to other zones at the most; in a larger fleet it tells
+# each of their nodes more seldom.
+_DATAGRAMS_OUTSIDE_PER_S = 40.0
+# Peers' addresses in one message, and the part of the messages that bear any.
 _ADDRESSES_TOLD = 8
-# A peer that knows a newer revision for this long has what the store does not tell this node.
+_ADDRESSES_EVERY = 5
+# A node that reads the store itself gives it this long before it believes a newer peer.
 _BEHIND_S = 0.3
 _FETCH_TIMEOUT_S = 1.0
 # A copy of the store holds a configuration and all servers; values hold at most 1 MB.
 _MAX_COPY_BYTES = 32_000_000
+# Datagrams that are larger could be split on the way and lost as a whole.
+_MAX_DATAGRAM_BYTES = 1_400
 _LENGTH = struct.Struct("!I")
 
 
@@ -57,7 +64,11 @@
         self.beliefs = beliefs
         self.finder = finder
         self.sequence = 0
-        self.told_once: dict[str, set[int]] = {}
+        self.reads_store: Callable[[], bool] = lambda: False
+        # Placements with the time at which they were made, the latest last.
+        self.placements: deque[tuple[float, dict[str, set[int]]]] = deque()
+        self.outside_turn = 0
+        self.fetching: asyncio.Task[None] | None = None
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
         self.learned: set[str] = set()
@@ -98,6 +109,8 @@
             now_s,
             state.revision,
             state.stopping,
+            state.follows_store,
+            state.interval_ms / 1000,
         )
         event = self.roster.hear(peer)
         if event == "old":
@@ -112,6 +125,8 @@
         self.dispatcher.directory.set_peer_loads(state.name, loads)
         for placement in state.placements:
             self.dispatcher.holders.record(placement.parts, placement.server_id, now_s)
+        if state.revision > self.beliefs.replica.revision:
+            self._check_revision(now_s)
         self.changed()
 
     # Sending
@@ -120,33 +135,46 @@
         """Sends this node's state to all peers until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            targets = self._targets(loop.time())
             try:
-                self._send_all(targets)
-                await self._check_revision(loop.time())
+                self._send_round(loop.time())
+                self._check_revision(loop.time())
                 self._notice_lost(loop.time())
             except Exception:
                 # The exchange must go on: peers take silence for a loss of this node.
                 _LOGGER.exception("peer exchange failed; going on")
-            interval_s = max(_INTERVAL_S, len(targets) / _DATAGRAMS_PER_S)
-            await asyncio.sleep(interval_s * self.random.uniform(0.9, 1.1))
+            await asyncio.sleep(_INTERVAL_S * self.random.uniform(0.9, 1.1))
 
-    def _targets(self, now_s: float) -> list[str]:
-        known = {peer.address for peer in self.roster.peers.values()}
-        targets = known | set(self.finder.seed_addresses())
+    def _send_round(self, now_s: float) -> None:
+        self.placements.append((now_s, self.dispatcher.take_untold()))
+        inside, outside = self._targets()
+        # Each placement is told twice, since a datagram may be lost.
+        self._send(inside, _INTERVAL_S, 2 * _INTERVAL_S, now_s)
+        period_s = max(_INTERVAL_S, len(outside) / _DATAGRAMS_OUTSIDE_PER_S)
+        count = math.ceil(len(outside) * _INTERVAL_S / period_s)
+        turn = [outside[(self.outside_turn + k) % len(outside)] for k in range(count)]
+        self.outside_turn += count
+        self._send(turn, period_s, 2 * period_s, now_s)
+        while self.placements and now_s - self.placements[0][0] > 2 * period_s:
+            self.placements.popleft()
+
+    def _targets(self) -> tuple[list[str], list[str]]:
+        """Returns the addresses of the own zone and all others."""
+        inside = {peer.address for peer in self.roster.peers.values() if peer.zone == self.zone}
+        outside = {peer.address for peer in self.roster.peers.values() if peer.zone != self.zone}
         # Addresses heard of become peers once they answer.
-        targets.update(self.learned)
+        outside |= (set(self.finder.seed_addresses()) | self.learned) - inside
         self.learned.clear()
-        targets.discard(self.address)
-        return sorted(targets)
+        inside.discard(self.address)
+        outside.discard(self.address)
+        return sorted(inside), sorted(outside)
 
-    def _send_all(self, targets: list[str]) -> None:
-        if self.transport is None:
+    def _send(
+        self, targets: list[str], interval_s: float, placements_s: float, now_s: float
+    ) -> None:
+        """Sends one message to the targets, with the placements of the last `placements_s`."""
+        if self.transport is None or not targets:
             return
-        loop = asyncio.get_running_loop()
         self.sequence += 1
-        live = [peer.address for peer in self.roster.live(loop.time())]
-        told = self.random.sample(live, min(len(live), _ADDRESSES_TOLD))
         state = NodeState(
             name=self.node,
             address=self.address,
@@ -155,27 +183,40 @@
             sequence=self.sequence,
             revision=self.beliefs.replica.revision,
             stopping=self.stopping,
-            known_addresses=told if self.sequence % 5 == 1 else [],
+            follows_store=self.reads_store(),
+            interval_ms=int(interval_s * 1000),
         )
+        if self.sequence % _ADDRESSES_EVERY == 1:
+            live = [peer.address for peer in self.roster.live(now_s)]
+            state.known_addresses.extend(self.random.sample(live, min(len(live), _ADDRESSES_TOLD)))
         counts = running_counts(iter(self.dispatcher.directory.servers.values()))
         for server_id, load in counts.items():
             state.loads.add(
                 server_id=server_id, running=load.running, prefill_tokens=load.prefill_tokens
             )
-        placements = self.dispatcher.take_untold()
-        # Each placement is told twice, since a datagram may be lost.
-        for told_placements in (placements, self.told_once):
-            for server_id, parts in told_placements.items():
+        for made_s, placements in self.placements:
+            if now_s - made_s > placements_s:
+                continue
+            for server_id, parts in placements.items():
                 state.placements.add(server_id=server_id, parts=parts)
-        self.told_once = placements
+        while state.placements and state.ByteSize() > _MAX_DATAGRAM_BYTES:
+            # The oldest were told before.
+            del state.placements[0]
         data = state.SerializeToString()
         for target in targets:
             host, _colon, port = target.rpartition(":")
             self.transport.sendto(data, (host, int(port)))
 
     def announce(self) -> None:
-        """Sends this node's state at once, as when it stops."""
-        self._send_all(self._targets(asyncio.get_running_loop().time()))
+        """Sends this node's state at once to all peers, as when it stops."""
+        now_s = asyncio.get_running_loop().time()
+        inside, outside = self._targets()
+        self._send(inside + outside, _INTERVAL_S, 0.0, now_s)
+
+    def announce_inside(self) -> None:
+        """Tells the own zone at once that the store has news."""
+        inside, _outside = self._targets()
+        self._send(inside, _INTERVAL_S, 0.0, asyncio.get_running_loop().time())
 
     def _notice_lost(self, now_s: float) -> None:
         for peer in self.roster.lost(now_s):
@@ -192,72 +233,102 @@
 
     # Copies of the store
 
-    async def _check_revision(self, now_s: float) -> None:
-        newest = max(self.roster.live(now_s), key=lambda peer: peer.revision, default=None)
-        if newest is None or newest.revision <= self.beliefs.replica.revision:
+    def _check_revision(self, now_s: float) -> None:
+        """Fetches what a peer knows and this node does not, at once or after a short time."""
+        revision = self.beliefs.replica.revision
+        if self.fetching is not None and not self.fetching.done():
+            return
+        newer = [peer for peer in self.roster.live(now_s) if peer.revision > revision]
+        if not newer:
             self.behind_since_s = None
             return
         if self.behind_since_s is None:
             self.behind_since_s = now_s
-            # A process that knows nothing yet does not wait.
-            if self.beliefs.replica.revision:
-                return
-        if self.beliefs.replica.revision and now_s - self.behind_since_s < _BEHIND_S:
+        if revision and self.reads_store() and now_s - self.behind_since_s < _BEHIND_S:
             return
-        self.behind_since_s = None
+        # A peer of the own zone answers soonest and costs no bytes between zones.
+        best = max(newer, key=lambda peer: (peer.zone == self.zone, peer.revision))
+        self.fetching = asyncio.get_running_loop().create_task(self._fetch(best, revision))
+
+    async def _fetch(self, peer: Peer, revision: int) -> None:
         try:
-            copy = await fetch_copy(newest.address)
+            copy = await fetch_copy(peer.address, revision, with_placements=False)
         except PeerError as error:
             _LOGGER.warning(
                 "copy of the store not received",
-                extra={"peer": newest.name, "reason": error.message},
+                extra={"peer": peer.name, "reason": error.message},
             )
             return
-        items = [Change(item.key, item.revision, item.value) for item in copy.items]
-        self.beliefs.replace(items, copy.revision, f"peer {newest.name}")
+        source = f"peer {peer.name}"
+        if copy.changes_only:
+            self.beliefs.apply(map(_change, copy.items), copy.revision, source)
+        else:
+            self.beliefs.replace(map(_change, copy.items), copy.revision, source)
 
     async def serve_copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Sends the whole copy of the store to a peer that connects, then closes."""
-        replica = self.beliefs.replica
-        copy = StoreCopy(revision=replica.revision)
-        for item in replica.items.values():
-            copy.items.add(key=item.key, revision=item.revision, value=item.value or b"")
-        for server_id, parts in self.dispatcher.holders.by_server().items():
-            copy.placements.add(server_id=server_id, parts=parts)
-        data = copy.SerializeToString()
+        """Sends changes or the whole copy of the store to a peer that asks, then closes."""
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT_S):
+                request = StoreCopyRequest.FromString(await _read_message(reader))
+                data = zlib.compress(self._copy(request).SerializeToString(), level=1)
                 writer.write(_LENGTH.pack(len(data)) + data)
                 await writer.drain()
-        except (OSError, TimeoutError) as error:
-            _LOGGER.warning("copy of the store not sent", extra={"reason": str(error)})
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, DecodeError) as error:
+            _LOGGER.warning("copy of the store not sent", extra={"reason": repr(error)})
         finally:
             writer.close()
 
+    def _copy(self, request: StoreCopyRequest) -> StoreCopy:
+        replica = self.beliefs.replica
+        changes = replica.changes_after(request.after) if request.after else None
+        copy = StoreCopy(revision=replica.revision, changes_only=changes is not None)
+        for item in replica.items.values() if changes is None else changes:
+            copy.items.add(
+                key=item.key,
+                revision=item.revision,
+                value=item.value or b"",
+                deleted=item.value is None,
+            )
+        if request.with_placements:
+            for server_id, parts in self.dispatcher.holders.by_server().items():
+                copy.placements.add(server_id=server_id, parts=parts)
+        return copy
+
+
+def _change(item: StoreItem) -> Change:
+    return Change(item.key, item.revision, None if item.deleted else item.value)
 
-async def fetch_copy(address: str) -> StoreCopy:
-    """Returns the copy of the store that the peer at `address` holds.
+
+async def _read_message(reader: asyncio.StreamReader) -> bytes:
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > _MAX_COPY_BYTES:
+        raise DecodeError(f"a message of {length} bytes is too large")
+    return await reader.readexactly(length)
+
+
+async def fetch_copy(address: str, after: int, with_placements: bool) -> StoreCopy:
+    """Returns the copy of the store at the peer `address`, or its changes after a revision.
 
     Raises:
         PeerError: the peer cannot be reached in time or sends something else.
     """
     host, _colon, port = address.rpartition(":")
+    request = StoreCopyRequest(after=after, with_placements=with_placements).SerializeToString()
     writer: asyncio.StreamWriter | None = None
     try:
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, int(port))
-            (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-            if length > _MAX_COPY_BYTES:
-                raise PeerError(f"{address}: a copy of {length} bytes is too large")
-            data = await reader.readexactly(length)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            writer.write(_LENGTH.pack(len(request)) + request)
+            data = zlib.decompress(await _read_message(reader))
+        return StoreCopy.FromString(data)
+    except (
+        OSError,
+        TimeoutError,
+        asyncio.IncompleteReadError,
+        zlib.error,
+        DecodeError,
+    ) as error:
         raise PeerError(f"{address}: {error or 'timed out'}") from error
     finally:
         if writer is not None:
             writer.close()
-    copy = StoreCopy()
-    try:
-        copy.ParseFromString(data)
-    except DecodeError as error:
-        raise PeerError(f"{address}: {error}") from error
-    return copy
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -80,7 +80,12 @@
         self.beliefs = Beliefs(adapter.store, self.dispatcher)
         store = settings.store
         self.follower = StoreFollower(
-            adapter.store, self.beliefs, self.metrics, store.wait_s, store.timeout_s
+            adapter.store,
+            self.beliefs,
+            self.metrics,
+            store.wait_s,
+            store.timeout_s,
+            self._must_follow_store,
         )
         self.pipeline = Pipeline(
             self.dispatcher, adapter.callers, adapter.backends, settings.zone, self.metrics
@@ -97,14 +102,25 @@
         )
         self.exchange.changed = self.pipeline.wake_all
         self.recovery = CacheRecovery(
-            settings.node, self.exchange.incarnation, self.dispatcher, adapter.backends
+            settings.node,
+            self.exchange.incarnation,
+            self.dispatcher,
+            self.beliefs,
+            adapter.backends,
         )
+        self.beliefs.advanced = self.exchange.announce_inside
+        self.exchange.reads_store = lambda: self.follower.reads and self.follower.connected
         self.callers = HttpServer(self.pipeline.handle, self._limits)
         self.readiness = HttpServer(self._answer_readiness, CallerLimits)
         self.metrics_port = HttpServer(self._answer_metrics, CallerLimits)
         self.stop_requested = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _must_follow_store(self) -> bool:
+        return self.dispatcher.roster.must_follow_store(
+            self.settings.node, self.settings.zone, asyncio.get_running_loop().time()
+        )
+
     def _limits(self) -> CallerLimits:
         configuration = self.dispatcher.configuration
         return configuration.limits if configuration is not None else CallerLimits()
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -9,6 +9,7 @@
 
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.edge.follower import Beliefs
 from tanagerworks.edge.http_client import HttpReader
 from tanagerworks.edge.peers import fetch_copy
 from tanagerworks.edge.seams import BackendDialect
@@ -28,11 +29,17 @@
     """Fills the part holders of a new process once."""
 
     def __init__(
-        self, node: str, incarnation: int, dispatcher: Dispatcher, backends: BackendDialect
+        self,
+        node: str,
+        incarnation: int,
+        dispatcher: Dispatcher,
+        beliefs: Beliefs,
+        backends: BackendDialect,
     ) -> None:
         self.node = node
         self.incarnation = incarnation
         self.dispatcher = dispatcher
+        self.beliefs = beliefs
         self.backends = backends
 
     async def run(self) -> None:
@@ -54,7 +61,9 @@
             if (self.incarnation - peer.incarnation) / 1e9 < _OLDER_S:
                 return False
             try:
-                copy = await fetch_copy(peer.address)
+                copy = await fetch_copy(
+                    peer.address, self.beliefs.replica.revision, with_placements=True
+                )
             except PeerError as error:
                 _LOGGER.warning(
                     "cache contents not received",
--- a/src/tanagerworks/membership/roster.py
+++ b/src/tanagerworks/membership/roster.py
@@ -7,9 +7,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-# A peer is live for this long after its last message: several intervals between messages, so
-# that a few lost datagrams do not matter.
+from xxhash import xxh3_64_intdigest
+
+# A peer is live for this long after its last message, or for several of its intervals between
+# messages if that is longer, so that a few lost datagrams do not matter.
 LIVE_S = 1.5
+_LIVE_INTERVALS = 4.0
+# Nodes of an availability zone that read the published store; the others follow them, since the
+# store counts every read. A second one takes over when the first is lost.
+STORE_FOLLOWERS = 2
 # A silent peer counts towards the size of the fleet for this long.
 REMEMBERED_S = 60.0
 # Nodes assumed before the first peers had time to answer: more than either fleet of today has.
@@ -29,6 +35,12 @@
     heard_s: float
     revision: int
     stopping: bool
+    follows_store: bool = False
+    interval_s: float = 0.0
+
+    def is_live(self, now_s: float) -> bool:
+        """Whether the peer was heard a short time ago."""
+        return now_s - self.heard_s <= max(LIVE_S, _LIVE_INTERVALS * self.interval_s)
 
 
 class Roster:
@@ -49,7 +61,7 @@
         if heard.incarnation == known.incarnation:
             if heard.sequence <= known.sequence:
                 return "old"
-            was_live = heard.heard_s - known.heard_s <= LIVE_S
+            was_live = known.is_live(heard.heard_s)
             self.peers[heard.name] = heard
             return "known" if was_live else "back"
         self.peers[heard.name] = heard
@@ -58,13 +70,13 @@
     def live(self, now_s: float) -> Iterator[Peer]:
         """Yields the peers that were heard a short time ago."""
         for peer in self.peers.values():
-            if now_s - peer.heard_s <= LIVE_S:
+            if peer.is_live(now_s):
                 yield peer
 
     def lost(self, now_s: float) -> Iterator[Peer]:
         """Yields the peers that fell silent."""
         for peer in self.peers.values():
-            if now_s - peer.heard_s > LIVE_S:
+            if not peer.is_live(now_s):
                 yield peer
 
     def forget(self, now_s: float) -> None:
@@ -80,3 +92,22 @@
         if now_s - self.started_s < START_S:
             return max(ASSUMED_AT_START, known)
         return known
+
+    def must_follow_store(self, name: str, zone: str, now_s: float) -> bool:
+        """Whether the node `name` has to read the store itself.
+
+        In each zone the first nodes of a rank do, which passes over those without answers. A node
+        that hears nobody outside its zone finds out for itself whether it is cut off.
+        """
+        following = 0
+        hears_outside = False
+        for peer in self.live(now_s):
+            if peer.zone != zone:
+                hears_outside = True
+            elif peer.follows_store and not peer.stopping and _rank(peer.name) < _rank(name):
+                following += 1
+        return following < STORE_FOLLOWERS or not hears_outside
+
+
+def _rank(name: str) -> int:
+    return xxh3_64_intdigest(name.encode())
--- a/src/tanagerworks/published/replica.py
+++ b/src/tanagerworks/published/replica.py
@@ -4,9 +4,13 @@
 take over a peer's copy whenever that one is newer. Nothing here can go back.
 """
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+# Changes kept for peers that are some revisions behind; older ones take the whole copy.
+_LOGGED_CHANGES = 256
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
@@ -23,6 +27,20 @@
     def __init__(self) -> None:
         self.revision = 0
         self.items: dict[str, Change] = {}
+        self.log: deque[Change] = deque()
+        # The log holds all changes after this revision.
+        self.logged_after = 0
+
+    def changes_after(self, revision: int) -> list[Change] | None:
+        """Returns the changes after a revision, or None if the log does not reach back to it."""
+        if revision < self.logged_after:
+            return None
+        return [change for change in self.log if change.revision > revision]
+
+    def _record(self, change: Change) -> None:
+        self.log.append(change)
+        while len(self.log) > _LOGGED_CHANGES:
+            self.logged_after = max(self.logged_after, self.log.popleft().revision)
 
     def apply(self, changes: Iterable[Change], revision: int) -> list[Change]:
         """Applies changes that lead up to `revision`; returns those that were news.
@@ -31,6 +49,8 @@
         """
         news = []
         for change in changes:
+            if change.revision > self.revision:
+                self._record(change)
             known = self.items.get(change.key)
             if known is not None and known.revision >= change.revision:
                 continue
@@ -54,6 +74,8 @@
         """
         if revision < self.revision:
             return []
+        self.log.clear()
+        self.logged_after = revision
         listed = {item.key: item for item in items}
         news = []
         for key, known in list(self.items.items()):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -86,6 +86,19 @@
 }
 
 
+def changed_bytes(document, **changes):
+    """The JSON of a document with some fields changed; `...` leaves a field out."""
+    merged = document | changes
+    return json.dumps({key: value for key, value in merged.items() if value is not ...}).encode()
+
+
+async def until(condition):
+    """Waits until `condition()` is true."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 class StoreStandin:
     """The store: items, one revision, a bounded history, and switches for its failures."""
 
--- /dev/null
+++ b/tests/test_edge_peers.py
@@ -0,0 +1,210 @@
+"""Nodes that find each other from seeds and tell each other what they know, over loopback."""
+
+import asyncio
+
+import pytest
+from adapter.store import MetadataStore
+
+from tanagerworks.dispatch.dispatcher import Dispatcher
+from tanagerworks.edge.follower import STORE, Beliefs
+from tanagerworks.edge.peers import PeerExchange, fetch_copy
+from tanagerworks.errors import PeerError
+from tanagerworks.membership.roster import Roster
+from tanagerworks.published.replica import Change
+from tanagerworks.rpc.edge_pb2 import NodeState
+from tests.edge_builders import BOUNDS, demand, entry, prompt
+from tests.platform_standin import WIRE_CONFIGURATION, WIRE_ENTRY, changed_bytes, until
+
+
+class Seeds:
+    """Implements `PeerFinder`."""
+
+    def __init__(self, *addresses):
+        self.addresses = addresses
+
+    def seed_addresses(self):
+        return self.addresses
+
+
+class Node:
+    """The parts of an edge process that talk to peers."""
+
+    def __init__(self, name, seeds, zone="zone-a", incarnation=1):
+        loop = asyncio.get_running_loop()
+        self.name = name
+        self.dispatcher = Dispatcher(name, BOUNDS, Roster(loop.time()))
+        self.beliefs = Beliefs(MetadataStore("127.0.0.1:1"), self.dispatcher)
+        self.exchange = PeerExchange(
+            name, "", zone, incarnation, self.dispatcher, self.beliefs, seeds
+        )
+        self.parts = []
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        copies = await asyncio.start_server(self.exchange.serve_copy, "127.0.0.1", 0)
+        port = copies.sockets[0].getsockname()[1]
+        self.exchange.address = f"127.0.0.1:{port}"
+        transport, _protocol = await loop.create_datagram_endpoint(
+            lambda: self.exchange, local_addr=("127.0.0.1", port)
+        )
+        self.parts = [copies, transport, loop.create_task(self.exchange.run())]
+        return self
+
+    def stop(self):
+        copies, transport, task = self.parts
+        copies.close()
+        transport.close()
+        task.cancel()
+
+    def heard(self):
+        now_s = asyncio.get_running_loop().time()
+        return {peer.name for peer in self.dispatcher.roster.live(now_s)}
+
+
+def fleet(scenario, count=3):
+    async def play():
+        first = await Node("node-0", Seeds("127.0.0.1:1")).start()
+        seeds = Seeds("127.0.0.1:1", first.exchange.address)
+        others = [await Node(f"node-{n}", seeds, "zone-b").start() for n in range(1, count)]
+        nodes = [first, *others]
+        names = {node.name for node in nodes}
+        await until(lambda: all(node.heard() == names - {node.name} for node in nodes))
+        try:
+            await scenario(nodes)
+        finally:
+            for node in nodes:
+                node.stop()
+
+    asyncio.run(play())
+
+
+def test_nodes_find_each_other_through_one_good_seed():
+    """Guards against a fleet that stays in pieces when seeds are down."""
+
+    async def scenario(nodes):
+        assert all(node.dispatcher.roster.peers for node in nodes)
+
+    fleet(scenario)
+
+
+def test_news_of_the_store_reaches_nodes_that_do_not_read_it():
+    """Guards against nodes that the store turns away and that keep old beliefs."""
+
+    async def scenario(nodes):
+        reader, *others = nodes
+        reader.beliefs.replace(
+            [Change("op/config", 3, changed_bytes(WIRE_CONFIGURATION))], 3, STORE
+        )
+        await until(lambda: all(node.dispatcher.version == 7 for node in others))
+        new_version = changed_bytes(WIRE_CONFIGURATION, version=8)
+        reader.beliefs.apply(
+            [
+                Change("op/config", 4, new_version),
+                Change("servers/a", 5, changed_bytes(WIRE_ENTRY)),
+            ],
+            5,
+            STORE,
+        )
+        await until(lambda: all(node.dispatcher.version == 8 for node in others))
+        await until(lambda: all("a" in node.dispatcher.directory.servers for node in others))
+        reader.beliefs.apply([Change("servers/a", 6, None)], 6, STORE)
+        await until(lambda: not any(node.dispatcher.directory.servers for node in others))
+
+    fleet(scenario)
+
+
+def test_older_copy_of_a_peer_changes_nothing():
+    """Guards against beliefs that go back when a node with an old copy comes back."""
+
+    async def scenario(nodes):
+        first, second, _third = nodes
+        first.beliefs.replace([Change("op/config", 9, changed_bytes(WIRE_CONFIGURATION))], 9, STORE)
+        await until(lambda: second.beliefs.replica.revision == 9)
+        copy = await fetch_copy(first.exchange.address, 0, with_placements=False)
+        second.beliefs.apply(
+            [Change("op/config", 10, changed_bytes(WIRE_CONFIGURATION, version=9))], 10, STORE
+        )
+        second.beliefs.replace(
+            [Change(item.key, item.revision, item.value) for item in copy.items], copy.revision, "x"
+        )
+        assert second.dispatcher.version == 9
+
+    fleet(scenario)
+
+
+def test_loads_and_placements_reach_the_peers():
+    """Guards against choices that ignore what other nodes have sent."""
+
+    async def scenario(nodes):
+        first, second, _third = nodes
+        for node in nodes:
+            node.beliefs.replace(
+                [
+                    Change("op/config", 1, changed_bytes(WIRE_CONFIGURATION)),
+                    Change("servers/a", 2, changed_bytes(WIRE_ENTRY)),
+                ],
+                2,
+                STORE,
+            )
+        wanted = demand(made_prompt=prompt(("shared", 1_000), ("own", 10)))
+        choice = first.dispatcher.choose(wanted, 1.0)
+        first.dispatcher.begin(wanted, choice, 1.0)
+        state = second.dispatcher.directory.servers["a"]
+        await until(lambda: state.total_running == 1)
+        key = wanted.prompt.keys[0]
+        await until(lambda: "a" in second.dispatcher.holders.parts.get(key, {}))
+        choice.state.end()
+        await until(lambda: state.total_running == 0)
+
+    fleet(scenario)
+
+
+def test_lost_peer_no_longer_counts_as_load():
+    """Guards against servers that look full because a node died."""
+
+    async def scenario(nodes):
+        first, second, third = nodes
+        for node in nodes:
+            node.dispatcher.directory.put(entry("a"), 0.0)
+        first.dispatcher.directory.servers["a"].begin(0, 0.0)
+        state = second.dispatcher.directory.servers["a"]
+        await until(lambda: state.total_running == 1)
+        first.exchange.transport.close()
+        first.exchange.transport = None
+        await until(lambda: state.total_running == 0)
+        assert second.heard() == {third.name}
+
+    fleet(scenario)
+
+
+@pytest.mark.parametrize("data", [b"", b"garbage" * 30, NodeState(name="").SerializeToString()])
+def test_bad_datagram_changes_nothing(data):
+    """Guards against datagrams of other programs."""
+
+    async def scenario(nodes):
+        first = nodes[0]
+        before = set(first.dispatcher.roster.peers)
+        first.exchange.datagram_received(data, ("127.0.0.1", 9))
+        assert set(first.dispatcher.roster.peers) == before
+
+    fleet(scenario, count=2)
+
+
+def test_peer_that_does_not_answer_is_a_typed_error():
+    """Guards against a fetch without an end, or an exception that nobody expects."""
+
+    async def play():
+        with pytest.raises(PeerError):
+            await fetch_copy("127.0.0.1:1", 0, with_placements=False)
+
+        async def garbage(reader, writer):
+            writer.write(b"\x00\x00\x00\x03abc")
+            writer.close()
+
+        server = await asyncio.start_server(garbage, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        with pytest.raises(PeerError):
+            await fetch_copy(f"127.0.0.1:{port}", 0, with_placements=False)
+        server.close()
+
+    asyncio.run(play())
--- a/tests/test_fleet_rates.py
+++ b/tests/test_fleet_rates.py
@@ -10,6 +10,7 @@
     LIVE_S,
     REMEMBERED_S,
     START_S,
+    STORE_FOLLOWERS,
     Roster,
 )
 from tanagerworks.routing.ranking import rank_equally
@@ -93,3 +94,60 @@
     assert roster.hear(peer("node-2", incarnation=1, sequence=99)) == "old"
     assert roster.hear(peer("node-2", incarnation=2, sequence=1)) == "old"
     assert roster.hear(peer("node-2", incarnation=3, sequence=1)) == "restarted"
+
+
+def followers(views, now_s, zone="zone-a"):
+    """Names of the nodes that must read the store, by each node's own view."""
+    return {name for name, roster in views.items() if roster.must_follow_store(name, zone, now_s)}
+
+
+def views_of(following, lost=(), names=tuple(f"node-{number}" for number in range(6))):
+    """Each node's view of the others; `following` say that they read the store."""
+    views = {}
+    for name in names:
+        views[name] = Roster(started_s=-100.0)
+        views[name].hear(peer("outside", zone="zone-b"))
+        for other in names:
+            if other == name or other in lost:
+                continue
+            views[name].hear(peer(other, zone="zone-a", follows_store=other in following))
+    return views
+
+
+def test_two_nodes_of_a_zone_read_the_store():
+    """Guards against a store that is read by every node, and against one that nobody reads."""
+    names = {f"node-{number}" for number in range(6)}
+    assert followers(views_of(()), 0.0) == names
+    chosen = followers(views_of(names), 0.0)
+    assert len(chosen) == STORE_FOLLOWERS
+    assert followers(views_of(chosen), 0.0) == chosen
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(st.data())
+def test_lost_followers_are_replaced(data):
+    """Guards against a zone that hears no news after its reading nodes were lost or cut off."""
+    names = [f"node-{number}" for number in range(6)]
+    following = followers(views_of(names), 0.0)
+    lost = data.draw(st.sets(st.sampled_from(names), max_size=4))
+    # Nodes that must follow begin to, until nothing changes.
+    for _round in range(len(names)):
+        views = views_of(following - lost, lost)
+        following = {name for name in followers(views, 0.0) if name not in lost}
+    assert len(following) == STORE_FOLLOWERS
+
+
+def test_node_without_peers_outside_reads_the_store_itself():
+    """Guards against a cut-off zone in which nobody notices that it is cut off."""
+    roster = Roster(started_s=-100.0)
+    for number in range(5):
+        roster.hear(peer(f"node-{number}", zone="zone-a", follows_store=True))
+    assert roster.must_follow_store("node-9", "zone-a", 0.0)
+
+
+def test_peer_that_speaks_seldom_is_live_for_longer():
+    """Guards against a large fleet in which each peer seems lost between two messages."""
+    roster = Roster(started_s=0.0)
+    roster.hear(peer("node-2", heard_s=0.0, interval_s=2.0))
+    assert [known.name for known in roster.live(5.0)] == ["node-2"]
+    assert not list(roster.live(9.0))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -19,12 +19,13 @@
 from tanagerworks.published.model import Configuration, Repeat, ServerEntry, Unusable, ZoneOut
 from tanagerworks.published.replica import Change
 from tests.edge_builders import dispatcher
-from tests.platform_standin import WIRE_CONFIGURATION, WIRE_ENTRY, StoreStandin
-
-
-def changed(document, **changes):
-    merged = document | changes
-    return json.dumps({key: value for key, value in merged.items() if value is not ...}).encode()
+from tests.platform_standin import (
+    WIRE_CONFIGURATION,
+    WIRE_ENTRY,
+    StoreStandin,
+    changed_bytes,
+    until,
+)
 
 
 def test_configuration():
@@ -64,7 +65,7 @@
     assert read == ServerEntry(
         "i-1", "models", "127.0.0.1", 8080, "zone-a", 64, False, 1.5, 1700000000000
     )
-    assert read_server_entry("i-1", changed(WIRE_ENTRY, phase="draining")).leaving
+    assert read_server_entry("i-1", changed_bytes(WIRE_ENTRY, phase="draining")).leaving
 
 
 @pytest.mark.parametrize(
@@ -73,19 +74,19 @@
         b"",
         b"\xff\x00",
         b"null",
-        changed(WIRE_ENTRY, phase="resting"),
-        changed(WIRE_ENTRY, service=...),
-        changed(WIRE_ENTRY, service=7),
-        changed(WIRE_ENTRY, address="nowhere"),
-        changed(WIRE_ENTRY, address="127.0.0.1:99999"),
-        changed(WIRE_ENTRY, address="host.example:80"),
-        changed(WIRE_ENTRY, capacity="64"),
-        changed(WIRE_ENTRY, capacity=True),
-        changed(WIRE_ENTRY, capacity=0),
-        changed(WIRE_ENTRY, zone=None),
-        changed(WIRE_ENTRY, born="yesterday"),
-        changed(WIRE_ENTRY, sequence=...),
-        changed(WIRE_ENTRY, **{"cold-remaining-ms": "soon"}),
+        changed_bytes(WIRE_ENTRY, phase="resting"),
+        changed_bytes(WIRE_ENTRY, service=...),
+        changed_bytes(WIRE_ENTRY, service=7),
+        changed_bytes(WIRE_ENTRY, address="nowhere"),
+        changed_bytes(WIRE_ENTRY, address="127.0.0.1:99999"),
+        changed_bytes(WIRE_ENTRY, address="host.example:80"),
+        changed_bytes(WIRE_ENTRY, capacity="64"),
+        changed_bytes(WIRE_ENTRY, capacity=True),
+        changed_bytes(WIRE_ENTRY, capacity=0),
+        changed_bytes(WIRE_ENTRY, zone=None),
+        changed_bytes(WIRE_ENTRY, born="yesterday"),
+        changed_bytes(WIRE_ENTRY, sequence=...),
+        changed_bytes(WIRE_ENTRY, **{"cold-remaining-ms": "soon"}),
     ],
 )
 def test_entry_of_another_writer_names_no_server(value):
@@ -154,13 +155,9 @@
     made.configuration = None
     client = MetadataStore(store.address)
     beliefs = Beliefs(client, made)
-    return beliefs, StoreFollower(client, beliefs, EdgeMetrics(get_meter("test")), 0.2, 0.3)
-
-
-async def until(condition):
-    async with asyncio.timeout(10):
-        while not condition():
-            await asyncio.sleep(0.01)
+    return beliefs, StoreFollower(
+        client, beliefs, EdgeMetrics(get_meter("test")), 0.2, 0.3, lambda: True
+    )
 
 
 def followed(scenario):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -51,6 +51,19 @@
         at = data.draw(st.integers(0, self.revision))
         self.replica.replace(list(self.state_at(at).values()), at)
 
+    @rule(data=st.data())
+    def follows_a_peer(self, data):
+        """A peer at an older revision fetches the changes since, or the whole copy."""
+        behind = Replica()
+        at = data.draw(st.integers(0, self.replica.revision))
+        behind.replace(list(self.state_at(at).values()), at)
+        changes = self.replica.changes_after(at)
+        if changes is None:
+            behind.replace(list(self.replica.items.values()), self.replica.revision)
+        else:
+            behind.apply(changes, self.replica.revision)
+        assert behind.items == self.replica.items
+
     @invariant()
     def equals_the_store_at_its_revision(self):
         assert self.replica.items == self.state_at(self.replica.revision)
