Bound the load by the mean over all servers of a service

A zone was out, its idle servers count in the mean, and the bound took the mean of the servers in use. Ruled out: stale loads of peers (0.2 s, with nine requests).

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -14,10 +14,15 @@
 from tanagerworks.published.model import Service
 from tanagerworks.routing.ranking import rank_equally
 
-# A server gets new work up to this multiple of the mean of its service, and some more so that
-# few requests in progress do not count as skew. Both lie below the operators' bound.
-_MEAN_MULTIPLE = 1.9
+# A server gets new work up to this multiple of the mean over all servers of its service, and some
+# more so that few requests in progress do not count as skew. Both lie below the operators' bound,
+# twice the mean and three, since the loads that a node knows are a fraction of a second old.
+_MEAN_MULTIPLE = 1.7
 _MEAN_EXTRA = 2.0
+# Servers that may get work hold more than the mean of all while a zone is out; they need this
+# much room above their own mean.
+_OPEN_MULTIPLE = 1.15
+_OPEN_EXTRA = 1.0
 # Weight of a token that a server has to read for this request against one that it reads for
 # others: reading it again delays all requests there and takes memory from other parts.
 _READ_WEIGHT = 3.0
@@ -142,7 +147,8 @@
     ) -> Choice:
         """Returns the server for one request.
 
-        `sources` are the servers from which parts of prompts can be copied.
+        `sources` are all servers of the service that answer; parts of prompts can be copied
+        from them.
         """
 
 
@@ -168,8 +174,7 @@
         """Returns the server with the lowest score that has room."""
         if not candidates:
             return Choice(None, "no server")
-        mean = sum(candidate.load for candidate in candidates) / len(candidates)
-        bound = _MEAN_MULTIPLE * mean + _MEAN_EXTRA
+        bound = _load_bound(candidates, sources, now_s)
         open_ones = [
             candidate
             for candidate in candidates
@@ -238,6 +243,16 @@
         return sum(part.tokens for part in prompt.parts[held:])
 
 
+def _load_bound(
+    candidates: Sequence[Candidate], sources: Sequence[ServerState], now_s: float
+) -> float:
+    """Returns how many requests a server may hold, counting the new one."""
+    open_mean = sum(candidate.load for candidate in candidates) / len(candidates)
+    mean = sum(state.load(now_s) for state in sources) / max(1, len(sources))
+    mean = min(mean, open_mean)
+    return max(_MEAN_MULTIPLE * mean + _MEAN_EXTRA, _OPEN_MULTIPLE * open_mean + _OPEN_EXTRA)
+
+
 class PlainChooser:
     """Takes the server with the least expected time to the answer."""
 
--- a/tests/test_choice_patterns.py
+++ b/tests/test_choice_patterns.py
@@ -123,6 +123,24 @@
         assert loads[choice.state.server_id] <= 2.0 * mean + 3.0
 
 
+def test_hot_part_while_a_zone_is_out():
+    """Pattern: hot key in an evacuated fleet. Guards against over twice the mean of all servers.
+
+    The idle servers of the zone count in the mean, so the others may hold less than twice theirs.
+    """
+    servers = [entry(f"m{number}", zone=f"zone-{number % 3}") for number in range(9)]
+    made = dispatcher(servers=servers)
+    made.directory.zones_out.add("zone-0")
+    loads = dict.fromkeys((known.server_id for known in servers), 0)
+    for number in range(120):
+        part = "hot" if number % 2 else f"club-{number % 8}"
+        choice = send(made, chat(number, part, 5_000), 0.01 * number)
+        choice.state.answer_began(choice.prefill_tokens)
+        loads[choice.state.server_id] += 1
+        mean = sum(loads.values()) / len(loads)
+        assert loads[choice.state.server_id] <= 2.0 * mean + 3.0
+
+
 def test_queue_of_long_prompts_is_avoided():
     """Pattern: long prompts arrive together. Guards against short ones waiting behind them."""
     made = dispatcher(servers=SERVERS)
