Open the callers' port before the program is loaded

The start script now opens the port first, callers wait in the backlog, and a request that comes before the configuration is held for at most 0.1 s. The models of notes are no longer loaded.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -324,6 +324,13 @@
             lambda: HttpServerConnection(self), host, port, backlog=backlog, reuse_address=True
         )
 
+    async def accept_from(self, listener: socket.socket, backlog: int) -> None:
+        """Starts to accept connections of a socket that listens already."""
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: HttpServerConnection(self), sock=listener, backlog=backlog
+        )
+
     def close_listener(self) -> None:
         """Stops accepting connections."""
         if self.listener is not None:
--- a/src/tanagerworks/edge/main.py
+++ b/src/tanagerworks/edge/main.py
@@ -1,9 +1,12 @@
 """Command line of the edge process. A platform's start script names the adapter."""
 
 import asyncio
+import socket
 import sys
 from collections.abc import Callable, Sequence
 
+from absl import flags
+
 from tanagerworks.edge.process import Adapter, EdgeProcess
 from tanagerworks.program import CommandLine
 from tanagerworks.settings.edge import EdgeSettings
@@ -14,22 +17,36 @@
 _DESCRIPTION = "Serves callers on one VM: routes requests to backend servers."
 
 
-def run_edge(adapt: Callable[[EdgeSettings], Adapter], argv: Sequence[str]) -> None:
+def run_edge(
+    adapt: Callable[[EdgeSettings], Adapter],
+    argv: Sequence[str],
+    callers: socket.socket | None = None,
+) -> None:
     """Runs the process until a stop signal and exits with its status.
 
-    `adapt` returns the platform's side for the settings.
+    `adapt` returns the platform's side for the settings. `callers` is the callers' port if it is
+    open already.
     """
     command_line = CommandLine(PROGRAM, _DESCRIPTION)
     command_line.define_settings()
+    flags.DEFINE_string(
+        "callers",
+        None,
+        "Callers' IP:PORT, to open it before the settings are read; otherwise it is opened last.",
+        flag_values=command_line.flag_values,
+    )
     command_line.parse(argv)
     settings = command_line.load(EdgeSettings)
     configure_queued_logging(PROGRAM, settings.log_level)
     path = str(command_line.flag_values["settings"].value)
-    sys.exit(asyncio.run(_serve(settings, adapt, path)))
+    sys.exit(asyncio.run(_serve(settings, adapt, path, callers)))
 
 
 async def _serve(
-    settings: EdgeSettings, adapt: Callable[[EdgeSettings], Adapter], path: str
+    settings: EdgeSettings,
+    adapt: Callable[[EdgeSettings], Adapter],
+    path: str,
+    callers: socket.socket | None,
 ) -> int:
     process = EdgeProcess(settings, adapt(settings), lambda: load_settings(path, EdgeSettings))
-    return await process.run()
+    return await process.run(callers)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import random
+import time
 from dataclasses import dataclass, field
 
 import h11
@@ -69,6 +70,10 @@
 # Retry-After while the node has no configuration: the store that it waits for may be out for
 # seconds, and a caller that comes back too soon is refused once more.
 _NO_CONFIGURATION_RETRY_S = (1.0, 3.0)
+# A store that answers tells a new process all within some 20 ms. In the first second requests
+# are held for a few times that before they are refused.
+_PREPARE_S = 1.0
+_PREPARE_HOLD_S = 0.1
 
 
 @dataclass(slots=True)
@@ -149,6 +154,9 @@
         # Steady time by which all work has to end; None while the process serves.
         self.stop_by_s: float | None = None
         self.active = 0
+        # Set once a configuration and a server are known.
+        self.prepared = asyncio.Event()
+        self.created_s = time.monotonic()
 
     async def handle(self, head: RequestHead, body: bytes, responder: Responder) -> None:
         """Serves one request of a caller; the answer or the reason why there is none goes out."""
@@ -159,6 +167,7 @@
         error: TanagerError | None = None
         self.active += 1
         try:
+            await self._wait_until_prepared()
             request = self._classify(head, body, responder, arrived_s)
             outcome = await self._serve_until_deadline(request)
         except TanagerError as failure:
@@ -174,6 +183,14 @@
 
     # admit, classify
 
+    async def _wait_until_prepared(self) -> None:
+        """Holds a request that came while the process was starting, for a short time only."""
+        if self.prepared.is_set() or time.monotonic() - self.created_s > _PREPARE_S:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PREPARE_HOLD_S):
+                await self.prepared.wait()
+
     def _classify(
         self, head: RequestHead, body: bytes, responder: Responder, arrived_s: float
     ) -> RequestState:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -4,6 +4,7 @@
 import gc
 import logging
 import signal
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
+from tanagerworks.edge.early_listen import BACKLOG
 from tanagerworks.edge.follower import Beliefs, StoreFollower
 from tanagerworks.edge.http_messages import RequestHead
 from tanagerworks.edge.http_server import HttpServer, Responder
@@ -26,7 +28,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_BACKLOG = 512
 # Time from the stop signal until callers' idle connections are closed: the balancer asks for
 # readiness once a second and looks away after two misses.
 _NOTICE_S = 2.6
@@ -90,7 +91,7 @@
         self.pipeline = Pipeline(
             self.dispatcher, adapter.callers, adapter.backends, settings.zone, self.metrics
         )
-        self.beliefs.changed = self.pipeline.wake_all
+        self.beliefs.changed = self._beliefs_changed
         self.exchange = PeerExchange(
             settings.node,
             settings.addresses.peers,
@@ -116,6 +117,11 @@
         self.stop_requested = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _beliefs_changed(self) -> None:
+        if self.beliefs.complete:
+            self.pipeline.prepared.set()
+        self.pipeline.wake_all()
+
     def _must_follow_store(self) -> bool:
         return self.dispatcher.roster.must_follow_store(
             self.settings.node, self.settings.zone, asyncio.get_running_loop().time()
@@ -125,8 +131,11 @@
         configuration = self.dispatcher.configuration
         return configuration.limits if configuration is not None else CallerLimits()
 
-    async def run(self) -> int:
-        """Serves until a stop signal; returns the exit status."""
+    async def run(self, callers: socket.socket | None = None) -> int:
+        """Serves until a stop signal; returns the exit status.
+
+        `callers` is the callers' port if it is open already.
+        """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
@@ -137,9 +146,12 @@
             lambda: self.exchange, local_addr=(peers_host, peers_port)
         )
         copies = await asyncio.start_server(self.exchange.serve_copy, peers_host, peers_port)
-        await self.readiness.listen(*_split(addresses.readiness), _BACKLOG)
-        await self.callers.listen(*_split(addresses.callers), _BACKLOG)
-        await self.metrics_port.listen(*_split(addresses.metrics), _BACKLOG)
+        await self.readiness.listen(*_split(addresses.readiness), BACKLOG)
+        if callers is None:
+            await self.callers.listen(*_split(addresses.callers), BACKLOG)
+        else:
+            await self.callers.accept_from(callers, BACKLOG)
+        await self.metrics_port.listen(*_split(addresses.metrics), BACKLOG)
         for work in (
             self._keep_house(),
             self.follower.run(),
--- a/src/tanagerworks/load/settings.py
+++ b/src/tanagerworks/load/settings.py
@@ -2,7 +2,7 @@
 
 from pydantic import Field
 
-from tanagerworks.note.model import Address
+from tanagerworks.fields import Address
 from tanagerworks.settings.loader import SettingsModel
 
 Share = Field(default=0.0, ge=0, le=1)
--- a/src/tanagerworks/note/delta.py
+++ b/src/tanagerworks/note/delta.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from tanagerworks.errors import NoteFaultError, NoteInvalidError
-from tanagerworks.note.model import Name, Note, NoteModel, Serial, Sha256Hex, Statement
+from tanagerworks.fields import Name
+from tanagerworks.note.model import Note, NoteModel, Serial, Sha256Hex, Statement
 from tanagerworks.note.validation import check_size, validate_statement
 
 _RULES = "rules"
--- a/src/tanagerworks/note/model.py
+++ b/src/tanagerworks/note/model.py
@@ -8,27 +8,15 @@
 import json
 from collections.abc import Collection, Iterable, Iterator
 from enum import Enum
-from ipaddress import IPv4Address
 from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
-
-_MAX_PORT = 65_535
-_MAX_NAMES_SHOWN = 8
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from tanagerworks.fields import Address, Name
 
-def _check_address(address: str) -> str:
-    host, _, port = address.rpartition(":")
-    IPv4Address(host)
-    if not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f"the port must be between 1 and {_MAX_PORT}")
-    return address
+_MAX_NAMES_SHOWN = 8
 
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
-Address = Annotated[
-    str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"), AfterValidator(_check_address)
-]
 # JSON readers keep integers exact up to 2**53 - 1.
 Serial = Annotated[int, Field(ge=1, le=2**53 - 1, strict=True)]
 Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
--- a/src/tanagerworks/routing/admission.py
+++ b/src/tanagerworks/routing/admission.py
@@ -4,12 +4,17 @@
 the customers' weights, so a customer that surges delays mostly its own requests.
 """
 
+from __future__ import annotations
+
 import heapq
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from tanagerworks.note.model import Customer, RequestClass
+if TYPE_CHECKING:
+    # Only named in annotations: the models of notes take long to load.
+    from tanagerworks.note.model import Customer, RequestClass
 
 # A customer may use its rate of this long at once.
 BURST_S = 1.0
--- a/src/tanagerworks/settings/admin.py
+++ b/src/tanagerworks/settings/admin.py
@@ -4,7 +4,8 @@
 
 from pydantic import Field, model_validator
 
-from tanagerworks.note.model import Name, Sha256Hex
+from tanagerworks.fields import Name
+from tanagerworks.note.model import Sha256Hex
 from tanagerworks.settings.loader import SettingsModel
 
 
--- a/src/tanagerworks/settings/agent.py
+++ b/src/tanagerworks/settings/agent.py
@@ -2,7 +2,7 @@
 
 from pydantic import Field, model_validator
 
-from tanagerworks.note.model import Address, Name
+from tanagerworks.fields import Address, Name
 from tanagerworks.settings.admin import AdminSettings
 from tanagerworks.settings.loader import SettingsModel
 from tanagerworks.settings.orders import OrderSettings
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -2,7 +2,7 @@
 
 from pydantic import Field
 
-from tanagerworks.note.model import Address, Name
+from tanagerworks.fields import Address, Name
 from tanagerworks.settings.loader import SettingsModel
 
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -319,6 +319,7 @@
     for known in entries or ():
         made.directory.put(known, 0.0)
     pipeline = Pipeline(made, CallerHttp(), BackendHttp(), "zone-a", EdgeMetrics(get_meter("test")))
+    pipeline.prepared.set()
     port = HttpServer(pipeline.handle, lambda: made.configuration.limits)
     await port.listen("127.0.0.1", 0, 16)
     return port, pipeline
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from tanagerworks.edge.early_listen import listen_early
+from tanagerworks.edge.http_server import HttpServer
 from tanagerworks.published.model import CallerLimits
 from tests.edge_builders import (
     DESK,
@@ -360,6 +362,44 @@
     assert [answer.status for answer in results] == [200] * 3
 
 
+def test_request_that_comes_while_the_node_prepares_is_held():
+    """Guards against refusing callers in the moment before the configuration is known."""
+
+    async def scenario(port, pipeline, servers):
+        made = pipeline.dispatcher.configuration
+        pipeline.dispatcher.configuration = None
+        pipeline.prepared.clear()
+        port.limits = CallerLimits
+        pending = asyncio.ensure_future(call(port, request("/desk-read/x")))
+        while not pipeline.active:
+            await asyncio.sleep(0.005)
+        pipeline.dispatcher.configuration = made
+        pipeline.prepared.set()
+        return await pending
+
+    assert played([[answers()]], scenario).status == 200
+
+
+def test_port_that_is_open_before_the_program_is_loaded():
+    """Guards against callers that are turned away while a process starts."""
+    listener = listen_early(["program", "--settings=x", "--callers=127.0.0.1:0"])
+    assert listener is not None
+    waiting = socket.create_connection(listener.getsockname())
+    waiting.sendall(request("/nowhere/"))
+
+    async def scenario(port, pipeline, servers):
+        server = HttpServer(pipeline.handle, CallerLimits)
+        await server.accept_from(listener, 8)
+        reader, _writer = await asyncio.open_connection(sock=waiting)
+        answer = await read_answer(reader)
+        server.close_listener()
+        return answer
+
+    assert played([[answers()]], scenario).status == 404
+    assert listen_early(["program"]) is None
+    assert listen_early(["program", "--callers=nonsense"]) is None
+
+
 def test_no_configuration_is_a_refusal_that_may_come_back():
     """Guards against 404 or 401 from a process that knows no configuration yet."""
 
