--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -191,7 +191,7 @@
             await self._list()
         else:
             revision = self.beliefs.replica.revision
-            self.metrics.store_calls.add(1, {"call": "changes"})
+            self.metrics.store_called("changes")
             wait_s = _CHECK_WAIT_S if self.checking else self.wait_s
             found = await self.store.changes_after(revision, wait_s, wait_s + self.timeout_s)
             self._answered()
@@ -202,7 +202,7 @@
         first_revision = 0
         after_key = ""
         while True:
-            self.metrics.store_calls.add(1, {"call": "list"})
+            self.metrics.store_called("list")
             page = await self.store.list_page(after_key, self.timeout_s)
             # Later pages may be newer; the changes since the first are read again afterwards.
             first_revision = first_revision or page.revision
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -317,7 +317,7 @@
             return "no time is left"
         if not self.dispatcher.may_repeat(request.service, now_s):
             return "the budget of repeats is used up"
-        self.metrics.repeats.add(1, {"service": request.service})
+        self.metrics.request_repeated(request.service)
         return None
 
     async def _place(self, request: RequestState) -> Choice:
@@ -699,7 +699,9 @@
         took_s: float,
     ) -> None:
         route = request.route.name if request is not None else ""
-        self.metrics.record(route, outcome, took_s, request.first_byte_s if request else None)
+        self.metrics.request_ended(
+            route, outcome, took_s, request.first_byte_s if request else None
+        )
         extra = {"route": route, "outcome": outcome, "took_ms": round(took_s * 1000, 1)}
         if request is not None:
             extra["call"] = request.call.call_id
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from opentelemetry.metrics import get_meter
-
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
 from tanagerworks.edge.early_listen import BACKLOG
@@ -25,6 +23,7 @@
 from tanagerworks.membership.roster import Roster
 from tanagerworks.published.model import CallerLimits
 from tanagerworks.settings.edge import EdgeSettings
+from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -66,7 +65,7 @@
         self.reload_settings = reload_settings
         started_s = time.monotonic()
         bounds = settings.bounds
-        self.metrics = EdgeMetrics(get_meter(PROGRAM))
+        self.metrics = EdgeMetrics()
         self.dispatcher = Dispatcher(
             settings.node,
             FleetBounds(
@@ -163,8 +162,8 @@
             self.tasks.append(loop.create_task(work))
         _LOGGER.info("started", extra={"node": self.settings.node, "version": __version__})
         # What start-up has made lives as long as the process: collections need not visit it.
-        gc.collect()
         gc.freeze()
+        gc.enable()
         await self.stop_requested.wait()
         await self._stop()
         copies.close()
@@ -204,9 +203,55 @@
     async def _install_metrics(self) -> None:
         """Loads the metrics SDK once callers are served: it takes a tenth of the start."""
         await asyncio.sleep(_METRICS_DELAY_S)
-        from tanagerworks.telemetry.metrics import install_provider
+        from tanagerworks.telemetry.metrics import create_meter
+
+        self.metrics.bind(create_meter(PROGRAM))
+        observe = self.metrics.observe
+        observe("tanager.requests.active", "{request}", "Requests in progress.", self._active)
+        observe("tanager.requests.waiting", "{request}", "Requests that wait.", self._waiting)
+        observe("tanager.repeats.left", "{request}", "Repeats left.", self._repeats_left)
+        observe("tanager.belief.age", "s", "Age of what the node believes.", self._ages)
+        observe("tanager.fleet.size", "{node}", "Nodes heard and assumed.", self._fleet_size)
+        observe("tanager.server.running", "{request}", "Load by server.", self._server_loads)
+        observe("tanager.logs.dropped", "{record}", "Log records dropped.", self._dropped_logs)
+
+    def _active(self) -> dict[str, float]:
+        return {"node": self.pipeline.active}
+
+    def _waiting(self) -> dict[str, float]:
+        return {name: len(room) for name, room in self.dispatcher.waiting.items()}
+
+    def _repeats_left(self) -> dict[str, float]:
+        now_s = asyncio.get_running_loop().time()
+        nodes = self.dispatcher.roster.fleet_size(now_s)
+        return {name: budget.left(nodes, now_s) for name, budget in self.dispatcher.budgets.items()}
+
+    def _ages(self) -> dict[str, float]:
+        now_s = asyncio.get_running_loop().time()
+        ages = {peer.name: now_s - peer.heard_s for peer in self.dispatcher.roster.live(now_s)}
+        if self.follower.reads:
+            ages["store"] = now_s - self.follower.answered_s
+        return ages
+
+    def _fleet_size(self) -> dict[str, float]:
+        now_s = asyncio.get_running_loop().time()
+        roster = self.dispatcher.roster
+        return {"heard": len(list(roster.live(now_s))), "assumed": roster.fleet_size(now_s)}
+
+    def _server_loads(self) -> dict[str, float]:
+        now_s = asyncio.get_running_loop().time()
+        servers = self.dispatcher.directory.servers.values()
+        return {state.server_id: state.load(now_s) for state in servers}
 
-        install_provider(PROGRAM)
+    def _dropped_logs(self) -> dict[str, float]:
+        handlers = logging.getLogger().handlers
+        return {
+            "node": sum(
+                handler.dropped_total
+                for handler in handlers
+                if isinstance(handler, BoundedQueueHandler)
+            )
+        }
 
     async def _keep_house(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -1,15 +1,32 @@
 """Metrics of the edge process, by OpenTelemetry."""
 
-from opentelemetry.metrics import Meter
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    # Loading the library takes a tenth of the start, so it comes after the ports are open.
+    from opentelemetry.metrics import Meter
 
 # Bounds of the histograms in seconds; they show the objectives of today's routes.
 _DURATION_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 8.0, 15.0)
+# Measurements kept until the library is loaded; a process in its first second makes fewer.
+_MAX_PENDING = 2_000
 
 
 class EdgeMetrics:
-    """Counters and histograms of one process; names follow the OpenTelemetry conventions."""
+    """Counters and histograms of one process; names follow the OpenTelemetry conventions.
+
+    What is measured before `bind` is recorded then.
+    """
+
+    def __init__(self) -> None:
+        self.meter: Meter | None = None
+        self.pending: list[Callable[[], None]] = []
 
-    def __init__(self, meter: Meter) -> None:
+    def bind(self, meter: Meter) -> None:
+        """Creates the instruments."""
         self.requests = meter.create_counter(
             "tanager.requests", unit="{request}", description="Requests that ended, by outcome."
         )
@@ -31,13 +48,50 @@
             description="Time from a request's arrival to the head of its answer.",
             explicit_bucket_boundaries_advisory=_DURATION_BOUNDS_S,
         )
+        self.meter = meter
+        for measurement in self.pending:
+            measurement()
+        self.pending.clear()
 
-    def record(
+    def observe(
+        self, name: str, unit: str, description: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        """Adds a gauge whose values `read` returns by label when metrics are collected."""
+        from opentelemetry.metrics import CallbackOptions, Observation
+
+        def callback(_options: CallbackOptions) -> list[Observation]:
+            return [Observation(value, {"of": label}) for label, value in read().items()]
+
+        assert self.meter is not None
+        self.meter.create_observable_gauge(
+            name, callbacks=[callback], unit=unit, description=description
+        )
+
+    def _record(self, measurement: Callable[[], None]) -> None:
+        if self.meter is not None:
+            measurement()
+        elif len(self.pending) < _MAX_PENDING:
+            self.pending.append(measurement)
+
+    def request_ended(
+        self, route: str, outcome: str, duration_s: float, first_byte_s: float | None
+    ) -> None:
+        """Counts a request that has ended; `first_byte_s` is None if it got no answer's head."""
+        self._record(lambda: self._request_ended(route, outcome, duration_s, first_byte_s))
+
+    def _request_ended(
         self, route: str, outcome: str, duration_s: float, first_byte_s: float | None
     ) -> None:
-        """Counts a request that has ended."""
         attributes = {"route": route, "outcome": outcome}
         self.requests.add(1, attributes)
         self.duration.record(duration_s, attributes)
         if first_byte_s is not None:
             self.first_byte.record(first_byte_s, {"route": route})
+
+    def request_repeated(self, service: str) -> None:
+        """Counts a request that is sent once more."""
+        self._record(lambda: self.repeats.add(1, {"service": service}))
+
+    def store_called(self, call: str) -> None:
+        """Counts a call to the published store."""
+        self._record(lambda: self.store_calls.add(1, {"call": call}))
--- a/src/tanagerworks/telemetry/metrics.py
+++ b/src/tanagerworks/telemetry/metrics.py
@@ -1,7 +1,7 @@
 """OpenTelemetry metrics, exposed in the Prometheus text format."""
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Meter, set_meter_provider
+from opentelemetry.metrics import Meter
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
@@ -18,13 +18,6 @@
     return provider.get_meter(program)
 
 
-def install_provider(program: str) -> None:
-    """Makes the instruments that were created before record; call it once per process."""
-    reader = PrometheusMetricReader()
-    resource = Resource.create({"service.name": program})
-    set_meter_provider(MeterProvider(metric_readers=[reader], resource=resource))
-
-
 def render_metrics() -> bytes:
     """Returns all metrics of the process in the exposition format."""
     return generate_latest(REGISTRY)
--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -26,7 +26,9 @@
     def __init__(self, records: Queue[logging.LogRecord]) -> None:
         super().__init__(records)
         self.records = records
+        # Dropped since the last summary by message, and in all.
         self.dropped: Counter[str] = Counter()
+        self.dropped_total = 0
         self.second = 0
         self.in_second: Counter[str] = Counter()
 
@@ -48,12 +50,16 @@
         if not important and (
             self.in_second[kind] > RECORDS_PER_SECOND or waiting > QUEUE_RECORDS - RESERVED_RECORDS
         ):
-            self.dropped[kind] += 1
+            self._drop(kind)
             return
         try:
             self.records.put_nowait(record)
         except Full:
-            self.dropped[kind] += 1
+            self._drop(kind)
+
+    def _drop(self, kind: str) -> None:
+        self.dropped[kind] += 1
+        self.dropped_total += 1
 
     def _sum_up(self, record: logging.LogRecord) -> None:
         if not self.dropped or self.records.qsize() > QUEUE_RECORDS - RESERVED_RECORDS:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -12,7 +12,6 @@
 
 from adapter.backend_http import BackendHttp
 from adapter.caller_http import CallerHttp
-from opentelemetry.metrics import get_meter
 
 from tanagerworks.edge.http_server import HttpServer
 from tanagerworks.edge.pipeline import Pipeline
@@ -318,7 +317,7 @@
     made = dispatcher(made=made_configuration)
     for known in entries or ():
         made.directory.put(known, 0.0)
-    pipeline = Pipeline(made, CallerHttp(), BackendHttp(), "zone-a", EdgeMetrics(get_meter("test")))
+    pipeline = Pipeline(made, CallerHttp(), BackendHttp(), "zone-a", EdgeMetrics())
     pipeline.prepared.set()
     port = HttpServer(pipeline.handle, lambda: made.configuration.limits)
     await port.listen("127.0.0.1", 0, 16)
--- /dev/null
+++ b/tests/test_edge_telemetry.py
@@ -0,0 +1,117 @@
+"""Logs that never block and are bounded, and metrics of the edge process."""
+
+import json
+import logging
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from queue import Queue
+
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
+from tanagerworks.edge.telemetry import EdgeMetrics
+from tanagerworks.telemetry.queued_logs import (
+    QUEUE_RECORDS,
+    RECORDS_PER_SECOND,
+    RESERVED_RECORDS,
+    BoundedQueueHandler,
+)
+
+
+def record(message, level=logging.INFO, created=100.0):
+    made = logging.LogRecord("test", level, "", 0, message, None, None)
+    made.created = created
+    return made
+
+
+def messages(handler):
+    return [handler.records.get_nowait().msg for _n in range(handler.records.qsize())]
+
+
+def test_one_kind_of_record_is_bounded_and_summed_up():
+    """Guards against logs whose volume grows with the traffic."""
+    handler = BoundedQueueHandler(Queue(QUEUE_RECORDS))
+    for _number in range(10 * RECORDS_PER_SECOND):
+        handler.enqueue(record("request ended"))
+    handler.enqueue(record("other"))
+    handler.enqueue(record("request ended", created=101.0))
+    found = messages(handler)
+    assert found.count("request ended") == RECORDS_PER_SECOND + 1
+    assert found.count("other") == 1
+    assert found.count("log records dropped") == 1
+    assert handler.dropped_total == 9 * RECORDS_PER_SECOND
+
+
+def test_failures_outlive_successes_when_nobody_reads():
+    """Guards against a full queue that drops the lines which explain a failure."""
+    handler = BoundedQueueHandler(Queue(QUEUE_RECORDS))
+    for number in range(2 * QUEUE_RECORDS):
+        handler.enqueue(record(f"success {number}"))
+    assert handler.records.qsize() == QUEUE_RECORDS - RESERVED_RECORDS + 1
+    for number in range(RESERVED_RECORDS - 1):
+        handler.enqueue(record(f"failure {number}", logging.WARNING))
+    assert handler.records.qsize() == QUEUE_RECORDS
+    handler.enqueue(record("one too many", logging.WARNING))
+    assert handler.dropped["one too many"] == 1
+
+
+_WRITER = """
+import logging, sys, threading
+sys.path.insert(0, {src!r})
+from tanagerworks.telemetry.queued_logs import configure_queued_logging
+configure_queued_logging("program")
+for number in range(20000):
+    logging.warning("line %d of a reader that has stopped reading" % number)
+sys.stderr.write("done\\n")
+sys.stderr.flush()
+sys.stdin.read(1)
+"""
+
+
+def test_reader_that_stops_reading_blocks_nobody():
+    """Guards against a request that waits for a log line to be written."""
+    source = str(Path(__file__).parent.parent / "src")
+    process = subprocess.Popen(
+        [sys.executable, "-c", _WRITER.format(src=source)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    killer = threading.Timer(60.0, process.kill)
+    killer.start()
+    try:
+        # Nobody reads standard output: its pipe is full long before the last line.
+        assert process.stderr.readline() == b"done\n"
+    finally:
+        killer.cancel()
+        process.kill()
+        lines = process.stdout.read().splitlines()
+        process.wait()
+    assert json.loads(lines[0])["program"] == "program"
+
+
+def test_measurements_before_the_library_is_loaded_are_kept():
+    """Guards against requests of the first second that no metric counts."""
+    metrics = EdgeMetrics()
+    metrics.request_ended("route", "answered", 0.2, 0.1)
+    metrics.store_called("list")
+    reader = InMemoryMetricReader()
+    metrics.bind(MeterProvider(metric_readers=[reader]).get_meter("test"))
+    metrics.observe("tanager.requests.active", "{request}", "Active.", lambda: {"node": 3.0})
+    metrics.request_repeated("service")
+    metrics.request_ended("route", "no_server", 0.2, None)
+    exported = {
+        metric.name: metric
+        for resource in reader.get_metrics_data().resource_metrics
+        for scope in resource.scope_metrics
+        for metric in scope.metrics
+    }
+    counted = {
+        point.attributes["outcome"]: point.value
+        for point in exported["tanager.requests"].data.data_points
+    }
+    assert counted == {"answered": 1, "no_server": 1}
+    assert exported["tanager.requests.active"].data.data_points[0].value == 3.0
+    assert exported["tanager.repeats"].data.data_points[0].value == 1
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,7 +9,6 @@
 from adapter.configuration import read_configuration
 from adapter.server_entry import read_server_entry
 from adapter.store import MetadataStore
-from opentelemetry.metrics import get_meter
 
 from tanagerworks.dispatch.directory import REAPPEAR_S
 from tanagerworks.edge.follower import Beliefs, StoreFollower
@@ -155,9 +154,7 @@
     made.configuration = None
     client = MetadataStore(store.address)
     beliefs = Beliefs(client, made)
-    return beliefs, StoreFollower(
-        client, beliefs, EdgeMetrics(get_meter("test")), 0.2, 0.3, lambda: True
-    )
+    return beliefs, StoreFollower(client, beliefs, EdgeMetrics(), 0.2, 0.3, lambda: True)
 
 
 def followed(scenario):
