Tell a request's story from logs; take over changed settings without a signal

tanagerctl explain REQUEST-ID merges the logs of several processes and prints the request's lines, the beliefs of its nodes around it and a conclusion. Every line names its node.

--- a/src/tanagerworks/ctl/command.py
+++ b/src/tanagerworks/ctl/command.py
@@ -76,6 +76,12 @@
         "Administration ports of the nodes to ask, as IP:PORT,IP:PORT.",
         flag_values=flag_values,
     )
+    flags.DEFINE_list(
+        "logs",
+        [],
+        "Log files of edge processes, FILE,FILE; without any, explain reads standard input.",
+        flag_values=flag_values,
+    )
     flags.DEFINE_string(
         "key_file",
         None,
--- a/src/tanagerworks/ctl/status.py
+++ b/src/tanagerworks/ctl/status.py
@@ -9,7 +9,9 @@
     StatusReport,
 )
 from tanagerworks.ctl.client import gather
-from tanagerworks.ctl.command import Command, Invocation
+from tanagerworks.ctl.command import Command, Invocation, UsageError
+from tanagerworks.ctl.exits import ExitStatus
+from tanagerworks.ctl.request_story import print_story, read_lines, tell
 
 
 def _highest(values: Iterable[int | None]) -> int | None:
@@ -153,7 +155,11 @@
 
 
 def explain(invocation: Invocation) -> int:
-    """Prints the stages of the routing decision for a chat at every node asked."""
+    """Prints a request's story from logs, or a chat's routing decision at every node asked."""
+    if len(invocation.arguments) == 1:
+        return _explain_request(invocation, invocation.arguments[0])
+    if len(invocation.arguments) != 3:
+        raise UsageError("usage: tanagerctl explain REQUEST_ID | CUSTOMER MODEL CHAT_KEY")
     customer, model, chat_key = invocation.arguments
     tokens = str(invocation.flag_values["prompt_tokens"].value)
     client = invocation.client
@@ -185,13 +191,19 @@
     return gathered.exit_status(finding=unserved)
 
 
+def _explain_request(invocation: Invocation, request_id: str) -> int:
+    logs = invocation.flag_values["logs"].value or []
+    print_story(invocation.printer, tell(read_lines(logs), request_id))
+    return ExitStatus.OK
+
+
 COMMANDS = (
     Command("status", "", "shows nodes, zones, engines and customers", (0, 0), status),
     Command(
         "explain",
-        "CUSTOMER MODEL CHAT_KEY",
-        "shows every stage of the decision for a chat; nothing is sent",
-        (3, 3),
+        "REQUEST_ID | CUSTOMER MODEL CHAT_KEY",
+        "tells a request's story from --logs, or shows the decision for a chat; nothing is sent",
+        (1, 3),
         explain,
     ),
 )
--- a/src/tanagerworks/edge/main.py
+++ b/src/tanagerworks/edge/main.py
@@ -37,7 +37,7 @@
     )
     command_line.parse(argv)
     settings = command_line.load(EdgeSettings)
-    configure_queued_logging(PROGRAM, settings.log_level)
+    configure_queued_logging(PROGRAM, settings.log_level, settings.node)
     path = str(command_line.flag_values["settings"].value)
     sys.exit(asyncio.run(_serve(settings, adapt, path, callers)))
 
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -20,6 +20,7 @@
 from tanagerworks.edge.recovery import CacheRecovery
 from tanagerworks.edge.seams import BackendDialect, CallerDialect, PeerFinder, PublishedStore
 from tanagerworks.edge.telemetry import EdgeMetrics
+from tanagerworks.errors import SettingsError
 from tanagerworks.membership.roster import Roster
 from tanagerworks.published.model import CallerLimits
 from tanagerworks.settings.edge import EdgeSettings
@@ -34,6 +35,8 @@
 _EXIT_MARGIN_S = 0.7
 _HOUSEKEEPING_S = 0.25
 _TRIM_S = 1.0
+# Reading and checking the settings takes some 2 ms.
+_SETTINGS_CHECK_S = 2.0
 _HOUSEKEEPING_TASK = 0
 # Time after the start in which callers that waited for it are served first.
 _METRICS_DELAY_S = 1.0
@@ -63,6 +66,7 @@
     ) -> None:
         self.settings = settings
         self.reload_settings = reload_settings
+        self.adapter_peers = adapter.peers
         started_s = time.monotonic()
         bounds = settings.bounds
         self.metrics = EdgeMetrics()
@@ -158,6 +162,7 @@
             self.pipeline.trim_connections(_TRIM_S),
             self.recovery.run(),
             self._install_metrics(),
+            self._watch_settings(),
         ):
             self.tasks.append(loop.create_task(work))
         _LOGGER.info("started", extra={"node": self.settings.node, "version": __version__})
@@ -260,16 +265,37 @@
             for server_id in self.dispatcher.directory.expire_held(loop.time()):
                 _LOGGER.info("server entry", extra={"server": server_id, "event": "gone"})
             self.pipeline.wake_all()
+            isolated = self.beliefs.complete and self.isolated()
+            if isolated != self.callers.closing_connections:
+                message = "node is isolated" if isolated else "node is no longer isolated"
+                _LOGGER.warning(message, extra={"zone": self.settings.zone})
             # Callers on kept connections are not moved by the balancer.
-            self.callers.closing_connections = self.beliefs.complete and self.isolated()
+            self.callers.closing_connections = isolated
+
+    async def _watch_settings(self) -> None:
+        """Takes over a changed settings file also when no signal says so."""
+        while True:
+            await asyncio.sleep(_SETTINGS_CHECK_S)
+            try:
+                settings = self.reload_settings()
+            except SettingsError as error:
+                _LOGGER.error("settings not reloaded", extra={"reason": error.message})
+                continue
+            if settings != self.settings:
+                self._adopt_settings(settings)
 
     def _reload(self) -> None:
         try:
             settings = self.reload_settings()
-        except Exception as error:
-            _LOGGER.error("settings not reloaded", extra={"reason": str(error)})
+        except SettingsError as error:
+            _LOGGER.error("settings not reloaded", extra={"reason": error.message})
             return
+        self._adopt_settings(settings)
+
+    def _adopt_settings(self, settings: EdgeSettings) -> None:
+        """Takes over what can change while the process runs; addresses cannot."""
         self.settings = settings
+        self.adapter_peers.update(settings)
         bounds = settings.bounds
         self.dispatcher.bounds = FleetBounds(
             bounds.repeat_ratio,
--- a/src/tanagerworks/edge/seams.py
+++ b/src/tanagerworks/edge/seams.py
@@ -11,6 +11,7 @@
 from tanagerworks.edge.http_messages import HeaderList, RequestHead
 from tanagerworks.published.model import Published, Route
 from tanagerworks.published.replica import Change
+from tanagerworks.settings.edge import EdgeSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,3 +137,6 @@
 
     def seed_addresses(self) -> Sequence[str]:
         """Returns `IP:PORT` addresses of the peers' port."""
+
+    def update(self, settings: EdgeSettings) -> None:
+        """Takes over changed settings."""
--- a/src/tanagerworks/telemetry/logs.py
+++ b/src/tanagerworks/telemetry/logs.py
@@ -11,9 +11,10 @@
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object; values passed in ``extra`` become fields."""
 
-    def __init__(self, program: str) -> None:
+    def __init__(self, program: str, node: str | None = None) -> None:
         super().__init__()
         self.program = program
+        self.node = node
 
     def format(self, record: logging.LogRecord) -> str:
         """Returns the record as one line of JSON."""
@@ -24,6 +25,8 @@
             "logger": record.name,
             "message": record.getMessage(),
         }
+        if self.node is not None:
+            fields["node"] = self.node
         for name, value in vars(record).items():
             if name in _STANDARD_FIELDS:
                 continue
--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -72,12 +72,17 @@
         self.records.put_nowait(summary)
 
 
-def configure_queued_logging(program: str, level: str = "info") -> BoundedQueueHandler:
-    """Sends all log records to standard output as JSON lines, written by a thread of its own."""
+def configure_queued_logging(
+    program: str, level: str = "info", node: str | None = None
+) -> BoundedQueueHandler:
+    """Sends all log records to standard output as JSON lines, written by a thread of its own.
+
+    `level` is a standard level name in lower case; `node` is named in every line.
+    """
     records: Queue[logging.LogRecord] = Queue(QUEUE_RECORDS)
     handler = BoundedQueueHandler(records)
     writer = logging.StreamHandler(sys.stdout)
-    writer.setFormatter(JsonFormatter(program))
+    writer.setFormatter(JsonFormatter(program, node))
     listener = logging.handlers.QueueListener(records, writer)
     listener.start()
     root = logging.getLogger()
