--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -548,7 +548,7 @@
         if answer.status >= 500:
             attempt.answers.append(answer)
             error = BackendError(f"the server answered {answer.status}", outcome=Outcome.RAN)
-            if request.repeatable() and not request.route.streams:
+            if request.repeatable():
                 raise error
             attempt.failed = True
             return self._send_answer(request, answer)
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -269,6 +269,18 @@
     assert not answer.whole
 
 
+def test_resumable_stream_that_fails_before_its_first_event_is_repeated():
+    """Guards against an error of one server that another would have spared the caller."""
+    made = configuration(routes=[stream_route("plan", resumable=True, max_attempts=2)])
+
+    async def scenario(port, pipeline, servers):
+        return [await call(port, request("/plan/x", f"c{n}", "POST")) for n in range(4)]
+
+    scripts = [[answers(b"broken", "500 Broken")], [events(1, 3)]]
+    results = played(scripts, scenario, made, MODELS)
+    assert [answer.status for answer in results] == [200] * 4
+
+
 def test_resumed_stream_is_whole():
     """Guards against a resumed stream that loses its end."""
     made = configuration(routes=[stream_route("plan", resumable=True, max_attempts=2)])
