--- a/src/tanagerworks/ctl/request_story.py
+++ b/src/tanagerworks/ctl/request_story.py
@@ -173,6 +173,10 @@
     parts = [outcome if reason is None else f"{outcome}: {reason}"]
     if last.fields.get("run"):
         parts.append(f"outcome {last.fields['run']}")
+    first_byte_ms = last.fields.get("first_byte_ms")
+    if outcome != "answered" and not failures:
+        begun = f"the answer began after {first_byte_ms} ms" if first_byte_ms else "no answer began"
+        parts.append(f"{begun}, the request ended after {last.fields.get('took_ms')} ms")
     if failures:
         parts.append("after " + ", then ".join(failures))
     stopped = [line for line in request if line.fields.get("not_again")]
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -95,6 +95,8 @@
     sends: int = 0
     server: str = ""
     splitter: EventSplitter | None = None
+    # Status that the caller got from a server and the time until its head; None without.
+    status: int | None = None
     first_byte_s: float | None = None
 
     def repeatable(self) -> bool:
@@ -551,6 +553,7 @@
             if request.repeatable():
                 raise error
             attempt.failed = True
+            self._log_failure(request, error, "it has run and must not run twice")
             return self._send_answer(request, answer)
         self._succeeded(attempt)
         return self._send_answer(request, answer)
@@ -579,11 +582,13 @@
     def _start_answer(self, request: RequestState, answer: _Answer) -> None:
         length = find_header(answer.headers, b"content-length")
         headers = self.backends.answer_headers(answer.headers)
+        request.status = answer.status
         request.responder.start(answer.status, headers, int(length) if length is not None else None)
         request.first_byte_s = asyncio.get_running_loop().time() - request.arrived_s
 
     def _send_answer(self, request: RequestState, answer: _Answer) -> str:
         headers = self.backends.answer_headers(answer.headers)
+        request.status = answer.status
         request.first_byte_s = asyncio.get_running_loop().time() - request.arrived_s
         if request.head.method == b"HEAD":
             request.responder.start(answer.status, headers, 0)
@@ -707,6 +712,8 @@
             extra["call"] = request.call.call_id
             extra["server"] = request.server
             extra["sends"] = request.sends
+            extra["status"] = request.status
+            extra["first_byte_ms"] = _milliseconds(request.first_byte_s)
         if error is not None:
             extra["reason"] = error.message
             extra["run"] = error.outcome.value
@@ -725,3 +732,7 @@
 
 def _pool_key(state: ServerState) -> str:
     return f"{state.server_id}/{state.entry.started_ms}/{state.entry.host}:{state.entry.port}"
+
+
+def _milliseconds(seconds: float | None) -> float | None:
+    return round(seconds * 1000, 1) if seconds is not None else None
