Split the pipeline into placing, exchange and state; time a head once

Reading it showed that every byte of a head started its time-out anew, so that a slow caller could hold a connection; the new test failed before and passes now.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -96,6 +96,7 @@
         )
         self.transport: asyncio.Transport | None = None
         self.head: RequestHead | None = None
+        self.head_begun = False
         self.body = bytearray()
         self.task: asyncio.Task[None] | None = None
         self.can_write = asyncio.Event()
@@ -165,7 +166,9 @@
         if event is h11.NEED_DATA:
             if self.http.they_are_waiting_for_100_continue:
                 self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            if self.head is None and self.http.trailing_data[0]:
+            if self.head is None and not self.head_begun and self.http.trailing_data[0]:
+                # One time-out for the whole head, however slowly its bytes come.
+                self.head_begun = True
                 self._arm(self.limits.header_timeout_s, self._header_timeout)
             return False
         if event is h11.PAUSED:
@@ -186,6 +189,7 @@
         return False
 
     def _begin(self, event: h11.Request) -> bool:
+        self.head_begun = False
         headers = list(event.headers)
         names = [key for key, _value in headers]
         chunked = b"transfer-encoding" in names
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -104,7 +104,7 @@
             self.beliefs,
             adapter.peers,
         )
-        self.exchange.changed = self.pipeline.wake_all
+        self.exchange.changed = self.pipeline.placer.wake_all
         self.recovery = CacheRecovery(
             settings.node,
             self.exchange.incarnation,
@@ -123,7 +123,7 @@
     def _beliefs_changed(self) -> None:
         if self.beliefs.complete:
             self.pipeline.prepared.set()
-        self.pipeline.wake_all()
+        self.pipeline.placer.wake_all()
 
     def _must_follow_store(self) -> bool:
         return self.dispatcher.roster.must_follow_store(
@@ -159,7 +159,7 @@
             self._keep_house(),
             self.follower.run(),
             self.exchange.run(),
-            self.pipeline.trim_connections(_TRIM_S),
+            self.pipeline.exchange.trim_connections(_TRIM_S),
             self.recovery.run(),
             self._install_metrics(),
             self._watch_settings(),
@@ -264,7 +264,7 @@
             await asyncio.sleep(_HOUSEKEEPING_S)
             for server_id in self.dispatcher.directory.expire_held(loop.time()):
                 _LOGGER.info("server entry", extra={"server": server_id, "event": "gone"})
-            self.pipeline.wake_all()
+            self.pipeline.placer.wake_all()
             isolated = self.beliefs.complete and self.isolated()
             if isolated != self.callers.closing_connections:
                 message = "node is isolated" if isolated else "node is no longer isolated"
--- /dev/null
+++ b/src/tanagerworks/edge/request_state.py
@@ -0,0 +1,73 @@
+"""One request on its way through an edge process, and its attempts at backend servers."""
+
+from dataclasses import dataclass, field
+
+from tanagerworks.dispatch.dispatcher import Demand
+from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.edge.event_stream import EventSplitter
+from tanagerworks.edge.http_messages import HeaderList, RequestHead
+from tanagerworks.edge.http_server import Responder
+from tanagerworks.edge.seams import AnswerFacts, Call
+from tanagerworks.published.model import Repeat, Route
+
+# Part of the time left that is kept for the way back to the caller.
+RETURN_S = 0.005
+
+
+@dataclass(slots=True)
+class RequestState:
+    """One request on its way; stages fill it in."""
+
+    head: RequestHead
+    body: bytes
+    responder: Responder
+    arrived_s: float
+    call: Call
+    route: Route
+    customer: str | None
+    priority: int
+    service: str
+    # Steady time at which the caller or the route gives up.
+    deadline_s: float
+    demand: Demand
+    sends: int = 0
+    server: str = ""
+    splitter: EventSplitter | None = None
+    # Status that the caller got from a server and the time until its head; None without.
+    status: int | None = None
+    first_byte_s: float | None = None
+
+    def repeatable(self) -> bool:
+        """Whether the request may run again although it may have run."""
+        if self.route.streams:
+            return self.route.resumable
+        return self.route.repeat is Repeat.IDEMPOTENT
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer of a backend server that has been read whole."""
+
+    status: int
+    headers: HeaderList
+    body: bytes = b""
+    facts: AnswerFacts | None = None
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send of a request to one server."""
+
+    state: ServerState
+    prefill_tokens: int
+    sent_s: float
+    copy_from: str | None
+    prefill_counted: bool = True
+    failed: bool = False
+    answers: list[Answer] = field(default_factory=list)
+
+    def answer_began(self) -> None:
+        """Counts the prompt as read; further calls do nothing."""
+        if self.prefill_counted:
+            self.prefill_counted = False
+            self.state.answer_began(self.prefill_tokens)
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -454,6 +454,24 @@
     assert answer.status == 408
 
 
+def test_head_that_comes_byte_by_byte_is_ended():
+    """Guards against a head whose every byte starts the time-out anew."""
+    made = configuration(limits=CallerLimits(header_timeout_s=0.3))
+
+    async def scenario(port, pipeline, servers):
+        reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        reading = asyncio.ensure_future(read_answer(reader))
+        for byte in request("/desk-read/x") * 20:
+            if reading.done():
+                break
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.02)
+        writer.close()
+        return await reading
+
+    assert played([[answers()]], scenario, made).status == 408
+
+
 def test_several_requests_on_one_connection():
     """Guards against requests that are lost or crossed on a kept or pipelined connection."""
 
