Hear a process whose clock was set back; start failed tasks again

Read through with the platform's clock steps in mind: a process that started with its clock set back was ignored by its peers for a minute, and an exception in a task ended that part of the process without a word.

--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from tanagerworks import __version__
@@ -38,6 +38,8 @@
 # Reading and checking the settings takes some 2 ms.
 _SETTINGS_CHECK_S = 2.0
 _HOUSEKEEPING_TASK = 0
+# Pause before a task that failed begins again, so that a lasting fault does not take the core.
+_TASK_RESTART_S = 0.5
 # Time after the start in which callers that waited for it are served first.
 _METRICS_DELAY_S = 1.0
 # A node that cannot reach anything outside its zone for this long sends callers elsewhere.
@@ -156,15 +158,15 @@
             await self.callers.accept_from(callers, BACKLOG)
         await self.metrics_port.listen(*_split(addresses.metrics), BACKLOG)
         for work in (
-            self._keep_house(),
-            self.follower.run(),
-            self.exchange.run(),
-            self.pipeline.exchange.trim_connections(_TRIM_S),
-            self.recovery.run(),
-            self._install_metrics(),
-            self._watch_settings(),
+            self._keep_house,
+            self.follower.run,
+            self.exchange.run,
+            self._trim_connections,
+            self.recovery.run,
+            self._install_metrics,
+            self._watch_settings,
         ):
-            self.tasks.append(loop.create_task(work))
+            self.tasks.append(loop.create_task(_keep_running(work)))
         _LOGGER.info("started", extra={"node": self.settings.node, "version": __version__})
         # What start-up has made lives as long as the process: collections need not visit it.
         gc.freeze()
@@ -205,6 +207,9 @@
         headers = [(b"content-type", METRICS_CONTENT_TYPE.encode())]
         responder.send_whole(200, headers, render_metrics())
 
+    async def _trim_connections(self) -> None:
+        await self.pipeline.exchange.trim_connections(_TRIM_S)
+
     async def _install_metrics(self) -> None:
         """Loads the metrics SDK once callers are served: it takes a tenth of the start."""
         await asyncio.sleep(_METRICS_DELAY_S)
@@ -329,6 +334,16 @@
         _LOGGER.log(level, "stopped", extra={"connections_left": left})
 
 
+async def _keep_running(work: Callable[[], Awaitable[None]]) -> None:
+    """Runs a task of the process; an exception is logged and the task begins again."""
+    while True:
+        try:
+            return await work()
+        except Exception:
+            _LOGGER.exception("task failed; starting it again")
+            await asyncio.sleep(_TASK_RESTART_S)
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _colon, port = address.rpartition(":")
     return host, int(port)
--- a/src/tanagerworks/membership/roster.py
+++ b/src/tanagerworks/membership/roster.py
@@ -13,6 +13,9 @@
 # messages if that is longer, so that a few lost datagrams do not matter.
 LIVE_S = 1.5
 _LIVE_INTERVALS = 4.0
+# A message of an earlier process arrives this much later at most. After a longer silence a lower
+# incarnation is a new process whose clock was set back.
+_OVERTAKEN_S = 0.5
 # Nodes of an availability zone that read the published store; the others follow them, since the
 # store counts every read. A second one takes over when the first is lost.
 STORE_FOLLOWERS = 2
@@ -56,7 +59,8 @@
         if known is None:
             self.peers[heard.name] = heard
             return "joined"
-        if heard.incarnation < known.incarnation:
+        silent_s = heard.heard_s - known.heard_s
+        if heard.incarnation < known.incarnation and silent_s < _OVERTAKEN_S:
             return "old"
         if heard.incarnation == known.incarnation:
             if heard.sequence <= known.sequence:
--- a/tests/test_fleet_rates.py
+++ b/tests/test_fleet_rates.py
@@ -96,6 +96,14 @@
     assert roster.hear(peer("node-2", incarnation=3, sequence=1)) == "restarted"
 
 
+def test_process_that_starts_with_its_clock_set_back_is_heard():
+    """Guards against a node that its peers ignore for a minute after a restart."""
+    roster = Roster(started_s=0.0)
+    roster.hear(peer("node-2", heard_s=1.0, incarnation=9))
+    assert roster.hear(peer("node-2", heard_s=2.5, incarnation=4)) == "restarted"
+    assert roster.hear(peer("node-2", heard_s=2.7, incarnation=4, sequence=2)) == "known"
+
+
 def followers(views, now_s, zone="zone-a"):
     """Names of the nodes that must read the store, by each node's own view."""
     return {name for name, roster in views.items() if roster.must_follow_store(name, zone, now_s)}
