--- a/src/tanagerworks/edge/backend_connection.py
+++ b/src/tanagerworks/edge/backend_connection.py
@@ -18,6 +18,9 @@
 _DEFAULT_KEEP_S = 2.0
 # Reuse ends this long before the server's own timeout, so that no request crosses its close.
 _KEEP_MARGIN_S = 0.8
+# Idle connections that a node keeps to one server. Servers count idle connections of all nodes
+# towards what they accept, and reset what comes beyond.
+MAX_IDLE_CONNECTIONS = 2
 
 
 class BackendConnection(asyncio.Protocol):
@@ -206,9 +209,13 @@
         if not connection.reusable():
             connection.close()
             return
+        kept = self.idle.setdefault(key, [])
+        if len(kept) >= MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
         connection.keep_s = _keep_time_s(headers)
         connection.idle_since_s = now_s
-        self.idle.setdefault(key, []).append(connection)
+        kept.append(connection)
 
     def trim(self, keys: set[str], now_s: float) -> None:
         """Closes connections to servers other than `keys` and those idle for too long."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -191,6 +191,7 @@
         self.requests = []
         self.bodies = []
         self.closed = 0
+        self.open = 0
         self.server = None
         self.port = 0
 
@@ -200,6 +201,7 @@
         return self
 
     async def _serve(self, reader, writer):
+        self.open += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -217,6 +219,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
         finally:
+            self.open -= 1
             writer.close()
 
 
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tanagerworks.edge.backend_connection import MAX_IDLE_CONNECTIONS
 from tanagerworks.edge.early_listen import listen_early
 from tanagerworks.edge.http_server import HttpServer
 from tanagerworks.published.model import CallerLimits
@@ -35,6 +36,7 @@
     refuses,
     request,
     resets,
+    until,
 )
 
 
@@ -354,6 +356,24 @@
     assert [answer.status for answer in results] == [200] * 3
 
 
+def test_idle_connections_do_not_use_up_what_a_server_accepts():
+    """Guards against a server that resets requests since idle connections of nodes fill it."""
+    made = configuration(routes=[once_route()])
+
+    async def scenario(port, pipeline, servers):
+        async def slow(server, headers, reader, writer):
+            await asyncio.sleep(0.1)
+            writer.write(head(headers, "200 OK", "content-length: 2") + b"ok")
+
+        servers[0].script = [slow]
+        raw = [request("/desk-book/x", f"c{n}", "POST") for n in range(8)]
+        results = await asyncio.gather(*(call(port, each) for each in raw))
+        await until(lambda: servers[0].open <= MAX_IDLE_CONNECTIONS)
+        return [answer.status for answer in results]
+
+    assert played([[answers()]], scenario, made) == [200] * 8
+
+
 def test_refused_at_once_when_no_server_is_left():
     """Guards against a wait for what cannot come; the refusal says when to come back."""
     answer, _counts, _servers = played([], one_call(request("/desk-read/x")))
