Send a request elsewhere when another server has the address

The refusal proves that no server of the route got the request, so it counts as no attempt, and the entry is not used until it changes. The new test failed before and passes now.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -15,6 +15,7 @@
 from tanagerworks.errors import (
     BackendConnectError,
     BackendError,
+    BackendMisdirectedError,
     BackendProtocolError,
     BackendRefusedError,
     BackendTimeoutError,
@@ -186,10 +187,12 @@
         answer.body = bytes(body)
         facts = answer.facts
         assert facts is not None
-        if facts.not_run or facts.wrong_server:
-            raise BackendRefusedError(
-                "another server has the address" if facts.wrong_server else "the server is full"
-            )
+        if facts.wrong_server:
+            # Its entry is stale; a new one, or a new word of this one, makes it usable again.
+            attempt.state.gone = True
+            raise BackendMisdirectedError("another server has the address")
+        if facts.not_run:
+            raise BackendRefusedError("the server is full")
         if answer.status >= 500:
             attempt.answers.append(answer)
             error = BackendError(f"the server answered {answer.status}", outcome=Outcome.RAN)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -29,6 +29,7 @@
     AuthenticationError,
     BackendConnectError,
     BackendError,
+    BackendMisdirectedError,
     BackendRefusedError,
     CapacityError,
     DeadlineError,
@@ -230,6 +231,9 @@
             return "it may have run and must not run twice"
         if request.responder.started and request.splitter is None:
             return "the answer has begun"
+        if isinstance(error, BackendMisdirectedError):
+            # No server of the route has got the request, so it is no attempt.
+            request.sends -= 1
         if request.sends >= request.route.max_attempts:
             return "the route allows no more attempts"
         if now_s >= request.deadline_s - RETURN_S:
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -216,6 +216,12 @@
     retry_after_s = 1.0
 
 
+class BackendMisdirectedError(BackendRefusedError):
+    """Another server has the address, so the request reached none that it was meant for."""
+
+    code = "backend_misdirected"
+
+
 class BackendRestartedError(BackendError):
     """The engine is not the process whose warmth was known, so it may be cold."""
 
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -152,6 +152,21 @@
         assert (counts, answer.status) == ([0, 1], 200)
 
 
+def test_request_that_reached_another_server_is_sent_to_the_right_one():
+    """Guards against refusals, one after the other, by a server that took over an address."""
+    made = configuration(routes=[once_route(max_attempts=1)])
+
+    async def scenario(port, pipeline, servers):
+        raw = [request("/desk-book/x", f"c{n}", "POST") for n in range(6)]
+        results = [await call(port, each) for each in raw]
+        return results, [len(server.requests) for server in servers]
+
+    results, counts = played([[refuses("421 Misdirected Request")], [answers()]], scenario, made)
+    assert [answer.status for answer in results] == [200] * 6
+    assert counts[0] <= 1
+    assert counts[1] == 6
+
+
 def test_refused_request_that_may_be_sent_again_is():
     """Guards against a refusal although another server is free."""
     made = configuration(routes=[once_route(max_attempts=2)])
