Estimate a wait from the requests that wait at peers

The wait was taken as if each of 60 nodes had as many requests waiting as this one, and loads that are a second old made servers look full. Nodes tell how many requests wait; plain servers may hold half as many again as their slots, and two, which their own queue takes (the bound in the test of full servers follows that rule: 8 -> 11 for 6 slots).

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -42,8 +42,10 @@
 _MAX_RANK = 2
 # How much worse a server that fails all requests looks than one that fails none.
 _FAILURE_WEIGHT = 4.0
-# Requests that a plain server may hold beyond its slots, so that a slot that becomes free is
-# filled before the next message between nodes.
+# Requests that a plain server may hold for each of its slots, and some more: those beyond the
+# slots fill one that becomes free before the next message between nodes, and loads that are a
+# second old vary by about the root of their size.
+_PLAIN_PER_SLOT = 1.5
 _PLAIN_EXTRA = 2
 # Waiting that a crossing between zones is worth: a message of one millisecond each way.
 _OTHER_ZONE_S = 0.002
@@ -274,7 +276,7 @@
         for candidate in candidates:
             state = candidate.state
             slots = state.entry.slots
-            if candidate.closed or candidate.load >= slots + _PLAIN_EXTRA:
+            if candidate.closed or candidate.load >= _PLAIN_PER_SLOT * slots + _PLAIN_EXTRA:
                 continue
             rounds = 1.0 + max(0, candidate.load + 1 - slots) / slots
             # Busy servers are slower before they are full, and equal ones should share work.
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -171,11 +171,7 @@
         return self.waiting.setdefault(service, WaitingRequests())
 
     def may_be_served_in_time(self, demand: Demand, now_s: float) -> bool:
-        """Whether a request that has to wait can end before its deadline.
-
-        The wait is estimated from the requests ahead at this node, of which the fleet has as many
-        as it has nodes, and from the places and service times of the servers.
-        """
+        """Whether a request that has to wait can end before its deadline."""
         states = list(self.directory.usable(demand.service, now_s))
         if not states:
             return False
@@ -188,14 +184,19 @@
         return service is not None and bool(self.candidates(demand, service, now_s))
 
     def expected_wait_s(self, demand: Demand, now_s: float) -> float:
-        """Returns the estimated time until a place is free for a request like this one."""
+        """Returns the estimated time until a place is free for a request like this one.
+
+        Ahead are the requests that wait here and at the peers, by their last word, and those that
+        the servers hold beyond their places.
+        """
         states = list(self.directory.usable(demand.service, now_s))
         rate = sum(state.entry.slots / max(0.001, state.service_time_s) for state in states)
         if rate <= 0.0:
             return _RETRY_WITHOUT_SERVERS_S
-        nodes = self.roster.fleet_size(now_s)
         ahead = self.room(demand.service).count_ahead(demand.priority) + 1
-        return max(_RETRY_MIN_S, ahead * nodes / rate)
+        ahead += sum(peer.waiting.get(demand.service, 0) for peer in self.roster.live(now_s))
+        ahead += sum(max(0, state.load(now_s) - state.entry.slots) for state in states)
+        return max(_RETRY_MIN_S, ahead / rate)
 
     def budget(self, service: str) -> RepeatBudget:
         """Returns this node's part of the repeats at a service."""
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -111,6 +111,7 @@
             state.stopping,
             state.follows_store,
             state.interval_ms / 1000,
+            {waiting.service: waiting.requests for waiting in state.waiting},
         )
         event = self.roster.hear(peer)
         if event == "old":
@@ -194,6 +195,9 @@
             state.loads.add(
                 server_id=server_id, running=load.running, prefill_tokens=load.prefill_tokens
             )
+        for service, room in self.dispatcher.waiting.items():
+            if len(room):
+                state.waiting.add(service=service, requests=len(room))
         for made_s, placements in self.placements:
             if now_s - made_s > placements_s:
                 continue
--- a/src/tanagerworks/membership/roster.py
+++ b/src/tanagerworks/membership/roster.py
@@ -4,8 +4,8 @@
 size of the fleet for longer, since a peer that cannot be heard may still serve callers.
 """
 
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
@@ -40,6 +40,8 @@
     stopping: bool
     follows_store: bool = False
     interval_s: float = 0.0
+    # Requests that wait there, by service.
+    waiting: Mapping[str, int] = field(default_factory=dict)
 
     def is_live(self, now_s: float) -> bool:
         """Whether the peer was heard a short time ago."""
