--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -67,7 +67,6 @@
 
     model: str
     parts: tuple[PromptPart, ...]
-    max_output_tokens: int
 
     @property
     def tokens(self) -> int:
@@ -187,7 +186,7 @@
         within = [candidate for candidate in open_ones if candidate.load + 1 <= bound]
         if not within:
             within = [min(open_ones, key=lambda candidate: candidate.load)]
-        return self._best(within, sources, prompt or Prompt("", (), 0), now_s)
+        return self._best(within, sources, prompt or Prompt("", ()), now_s)
 
     def _best(
         self,
--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -45,7 +45,7 @@
             if moved:
                 self._index()
             return "leaving" if entry.leaving and not was_leaving else "updated"
-        state = ServerState(entry, now_s + entry.cold_s, now_s)
+        state = ServerState(entry, now_s + entry.cold_s)
         if known is not None:
             state.peers = known.peers
             known.gone = True
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -140,7 +140,7 @@
         service = self.service(demand.service)
         if service is None:
             return Choice(None, "no such service")
-        chooser = self.plain_chooser if service.engine is None else self.prompt_chooser
+        chooser = self.prompt_chooser if service.runs_models else self.plain_chooser
         found = self.candidates(demand, service, now_s)
         sources = [
             state
@@ -153,7 +153,7 @@
         """Counts a request that is about to be sent to the chosen server."""
         assert choice.state is not None
         state = choice.state
-        state.begin(choice.prefill_tokens, now_s)
+        state.begin(choice.prefill_tokens)
         if demand.prompt is not None and demand.prompt.parts:
             self.holders.record(demand.prompt.keys, state.server_id, now_s)
             self.untold.setdefault(state.server_id, set()).update(demand.prompt.keys)
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -35,7 +35,6 @@
 
     entry: ServerEntry
     cold_until_s: float
-    first_seen_s: float
     # Set when the published entry disappeared; the server gets no new work.
     gone: bool = False
     running: int = 0
@@ -49,7 +48,6 @@
     set_aside_until_s: float = float("-inf")
     set_aside_s: float = 0.0
     probing: bool = False
-    last_sent_s: float = float("-inf")
 
     @property
     def server_id(self) -> str:
@@ -82,11 +80,10 @@
             return False
         return now_s < self.set_aside_until_s or self.probing
 
-    def begin(self, prefill_tokens: int, now_s: float) -> None:
+    def begin(self, prefill_tokens: int) -> None:
         """Counts a request that is about to be sent."""
         self.running += 1
         self.prefill_tokens += prefill_tokens
-        self.last_sent_s = now_s
         if self.failures_in_row >= FAILURES_TO_SET_ASIDE:
             self.probing = True
 
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -64,7 +64,7 @@
             now_s = loop.time()
             remaining_s = request.deadline_s - now_s - RETURN_S
             service = self.dispatcher.service(request.service)
-            engine = service is not None and service.engine is not None
+            engine = service is not None and service.runs_models
             sending = Sending(
                 state.server_id,
                 request.customer,
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -5,12 +5,10 @@
 """
 
 import asyncio
-import contextlib
 import json
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import h11
 
@@ -344,16 +342,3 @@
         """Closes the connections that carry no request."""
         for connection in list(self.connections):
             connection.close_if_idle()
-
-    async def wait_closed(self, timeout_s: float) -> int:
-        """Waits until no connection is left; returns how many still are after `timeout_s`."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                while self.connections:
-                    await asyncio.sleep(0.05)
-        return len(self.connections)
-
-
-def json_body(value: Any) -> bytes:
-    """Returns `value` as JSON."""
-    return json.dumps(value).encode()
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -31,6 +31,7 @@
     BackendError,
     BackendMisdirectedError,
     BackendRefusedError,
+    CallerLeftError,
     CapacityError,
     DeadlineError,
     NoConfigurationError,
@@ -83,7 +84,7 @@
         loop = asyncio.get_running_loop()
         arrived_s = loop.time()
         request: RequestState | None = None
-        outcome = "cancelled"
+        outcome = CallerLeftError.code
         error: TanagerError | None = None
         self.active += 1
         try:
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -82,7 +82,7 @@
     def _is_mine(self, state: ServerState) -> bool:
         now_s = asyncio.get_running_loop().time()
         service = self.dispatcher.service(state.entry.service)
-        if service is None or service.engine is None or state.is_cold(now_s):
+        if service is None or not service.runs_models or state.is_cold(now_s):
             return False
         names = [peer.name for peer in self.dispatcher.roster.live(now_s)]
         return rank_equally(state.server_id, [*names, self.node], 1) == [self.node]
--- a/src/tanagerworks/edge/seams.py
+++ b/src/tanagerworks/edge/seams.py
@@ -64,7 +64,6 @@
     # Time the caller will wait, from the arrival of the request; None when it does not say.
     deadline_s: float | None
     prompt: Prompt | None
-    expected_output_tokens: int | None
     last_event_id: str | None
 
 
--- a/src/tanagerworks/published/model.py
+++ b/src/tanagerworks/published/model.py
@@ -36,8 +36,6 @@
     streams: bool
     # The stream may go on at another backend server after its last event.
     resumable: bool
-    # Requests name the parts of their prompt, which servers keep in a cache.
-    has_prompt: bool
     anonymous: bool
     # 0 is the most urgent.
     priority: int
@@ -51,14 +49,6 @@
     targets: tuple[WeightedService, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Engine:
-    """What a service of model servers declares of each of them."""
-
-    slots: int
-    cache_tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class Service:
     """A pool of backend servers that do the same work."""
@@ -67,9 +57,8 @@
     max_connections: int
     # Requests a second that one cold server bears; 0 is no limit.
     cold_requests_per_s: float
-    cold_start_s: float
-    # None for a plain service.
-    engine: Engine | None
+    # Model servers, which batch requests, keep parts of prompts and know priorities.
+    runs_models: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -8,7 +8,6 @@
     CallerLimits,
     Configuration,
     Customer,
-    Engine,
     Repeat,
     Route,
     ServerEntry,
@@ -31,7 +30,6 @@
         "repeat": Repeat.IDEMPOTENT,
         "streams": False,
         "resumable": False,
-        "has_prompt": False,
         "anonymous": False,
         "priority": 1,
         "max_attempts": 2,
@@ -48,7 +46,6 @@
     fields = {
         "repeat": Repeat.ONCE,
         "streams": True,
-        "has_prompt": True,
         "max_attempts": 1,
         "targets": (WeightedService(MODELS, 1.0),),
     }
@@ -60,7 +57,7 @@
     return route(name, **({"repeat": Repeat.ONCE, "max_attempts": 1} | changes))
 
 
-def configuration(version=1, routes=None, cold_per_s=12.0, limits=None, slots=64):
+def configuration(version=1, routes=None, cold_per_s=12.0, limits=None):
     """A configuration with a service of model servers and a plain one."""
     made = tuple(
         routes
@@ -71,8 +68,8 @@
         version=version,
         routes=made,
         services={
-            MODELS: Service(MODELS, 400, cold_per_s, 3.0, Engine(slots, 500_000)),
-            DESK: Service(DESK, 100, 0.0, 0.0, None),
+            MODELS: Service(MODELS, 400, cold_per_s, True),
+            DESK: Service(DESK, 100, 0.0, False),
         },
         customers={KEY: Customer("customer-1", None)},
         limits=limits or CallerLimits(),
@@ -98,9 +95,7 @@
 
 def prompt(*parts):
     """A prompt of (id, tokens) parts."""
-    return Prompt(
-        "m", tuple(PromptPart(name, size, part_key("m", name)) for name, size in parts), 80
-    )
+    return Prompt("m", tuple(PromptPart(name, size, part_key("m", name)) for name, size in parts))
 
 
 def demand(call_id="call-1", service=MODELS, made_prompt=None, **changes):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -82,7 +82,7 @@
     assert usable(directory, 0.1) == set()
     later_s = state.set_aside_until_s + 0.1
     assert usable(directory, later_s) == {"a"}
-    state.begin(0, later_s)
+    state.begin(0)
     assert usable(directory, later_s) == set()
     state.end()
     state.succeeded(0.1)
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -166,7 +166,7 @@
         first, second, third = nodes
         for node in nodes:
             node.dispatcher.directory.put(entry("a"), 0.0)
-        first.dispatcher.directory.servers["a"].begin(0, 0.0)
+        first.dispatcher.directory.servers["a"].begin(0)
         state = second.dispatcher.directory.servers["a"]
         await until(lambda: state.total_running == 1)
         first.exchange.transport.close()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -39,8 +39,9 @@
     assert (book.streams, book.repeat, book.max_attempts) == (False, Repeat.ONCE, 1)
     assert read.find_route("host.example", "/book") is None
     assert read.customers["key-2"].name == "customer-1"
-    assert read.services["models"].engine.slots == 64
-    assert read.services["desk"].engine is None
+    assert read.services["models"].runs_models
+    assert read.services["models"].cold_requests_per_s == 12.0
+    assert not read.services["desk"].runs_models
     assert read.limits.idle_timeout_s == 15.0
 
 
@@ -116,7 +117,6 @@
     assert (call.deadline_s, call.api_key, call.last_event_id) == (1.5, "secret", "12")
     assert [part.tokens for part in call.prompt.parts] == [800, 410, 250]
     assert (call.prompt.shared_key, call.prompt.own_tokens) == ("91", 250)
-    assert (call.prompt.max_output_tokens, call.expected_output_tokens) == (80, 17)
 
 
 @pytest.mark.parametrize("prefix", [b"", b"garbage", b"5c", b"5c:x", b":5", b",,"])
