Never let a later answer or refusal hide a failed attempt

Cause: a stream that broke off after its first events got the head of the next server's error, because the path without a free server did not check whether the response had begun. Responses above the buffer limit were relayed without a look at their status. A refusal by the second server was passed on as 'not run' although the first one may have run the request. HEAD got content-length 0. Change: the status is judged before a large response is relayed; once a stream has begun, only its continuation is accepted; the error of an attempt that may have run outlasts later refusals; HEAD keeps the server's length.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -202,18 +202,41 @@
         Raises:
             BackendMisdirectedError: the request reached another server.
             BackendRefusedError: the server has not run the request.
-            BackendError: a 5xx response to a retryable request, or an incomplete response.
+            BackendError: a 5xx response to a retryable request, an incomplete response, or a
+                response to a stream that the caller has already received in part.
         """
+        response.body, complete = await self._read_buffered_body(request, connection)
+        self._check_executed(attempt, response)
+        if response.status >= 500:
+            self._handle_server_error(request, attempt, response, complete)
+        if request.responder.started:
+            raise BackendProtocolError(
+                f"the server responded with status {response.status} instead of resuming the stream"
+            )
+        if not complete:
+            await self._relay_rest(request, connection, response)
+        else:
+            self.send_response(request, response)
+        if response.status >= 500:
+            return SERVER_ERROR
+        self._record_success(attempt)
+        return "answered"
+
+    async def _read_buffered_body(
+        self, request: RequestState, connection: BackendConnection
+    ) -> tuple[bytes, bool]:
+        """Returns the body and whether it is complete; a large one is only read in part."""
         body = bytearray()
-        while True:
+        while len(body) <= _MAX_BUFFERED_BYTES:
             event = await self._read_event(connection, self._read_timeout_s(request, first=False))
             if isinstance(event, h11.EndOfMessage):
-                break
+                return bytes(body), True
             assert isinstance(event, h11.Data)
             body += event.data
-            if len(body) > _MAX_BUFFERED_BYTES:
-                return await self._relay_large(request, attempt, connection, response, bytes(body))
-        response.body = bytes(body)
+        return bytes(body), False
+
+    def _check_executed(self, attempt: Attempt, response: BackendResponse) -> None:
+        """Raises BackendRefusedError or a subclass if the server has not run the request."""
         metadata = response.metadata
         assert metadata is not None
         if metadata.wrong_server:
@@ -222,30 +245,36 @@
             raise BackendMisdirectedError("another server uses this address")
         if metadata.not_run:
             raise BackendRefusedError("the server refused the request without running it")
-        if response.status >= 500:
+
+    def _handle_server_error(
+        self, request: RequestState, attempt: Attempt, response: BackendResponse, complete: bool
+    ) -> None:
+        """Raises BackendError if a request with a 5xx response may be retried.
+
+        Otherwise records the failure; the caller gets the response.
+        """
+        error = BackendError(
+            f"the server responded with status {response.status}", outcome=Outcome.RAN
+        )
+        if complete:
             attempt.responses.append(response)
-            error = BackendError(
-                f"the server responded with status {response.status}", outcome=Outcome.RAN
-            )
-            if request.is_retryable():
-                raise error
-            attempt.failed = True
-            log_attempt_failure(request, error, RetryDenial.HAS_RUN)
-            return self.send_response(request, response)
-        self._record_success(attempt)
-        return self.send_response(request, response)
+        has_attempts = request.send_count < request.route.max_attempts
+        if request.is_retryable() and (complete or has_attempts):
+            # Without a retry, the pipeline sends the complete response to the caller.
+            raise error
+        attempt.failed = True
+        denial = RetryDenial.ATTEMPTS_USED if request.is_retryable() else RetryDenial.HAS_RUN
+        log_attempt_failure(request, error, denial)
 
-    async def _relay_large(
-        self,
-        request: RequestState,
-        attempt: Attempt,
-        connection: BackendConnection,
-        response: BackendResponse,
-        buffered: bytes,
-    ) -> str:
-        """Relays the buffered start of a response and the rest as it arrives."""
+    async def _relay_rest(
+        self, request: RequestState, connection: BackendConnection, response: BackendResponse
+    ) -> None:
+        """Relays the buffered start of a large response and the rest as it arrives.
+
+        Such a response cannot be retried, so it may take until the deadline of the request.
+        """
         self._start_response(request, response)
-        request.responder.write_body(buffered)
+        request.responder.write_body(response.body)
         while True:
             event = await connection.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -254,28 +283,25 @@
             request.responder.write_body(bytes(event.data))
             await request.responder.drain()
         request.responder.finish()
-        self._record_success(attempt)
-        return "answered"
 
-    def _start_response(self, request: RequestState, response: BackendResponse) -> None:
+    def _start_response(
+        self, request: RequestState, response: BackendResponse, body_bytes: int | None = None
+    ) -> None:
+        """Sends the head with the server's length, else with `body_bytes`; None means chunked."""
         length = find_header(response.headers, b"content-length")
         headers = self.backend_dialect.response_headers(response.headers)
         request.status = response.status
         request.responder.start(
-            response.status, headers, int(length) if length is not None else None
+            response.status, headers, int(length) if length is not None else body_bytes
         )
         request.first_byte_s = asyncio.get_running_loop().time() - request.arrived_s
 
     def send_response(self, request: RequestState, response: BackendResponse) -> str:
         """Sends a completely read response to the caller; returns the result."""
-        headers = self.backend_dialect.response_headers(response.headers)
-        request.status = response.status
-        request.first_byte_s = asyncio.get_running_loop().time() - request.arrived_s
-        if request.head.method == b"HEAD":
-            request.responder.start(response.status, headers, 0)
-            request.responder.finish()
-        else:
-            request.responder.send_response(response.status, headers, response.body)
+        self._start_response(request, response, len(response.body))
+        if request.head.method != b"HEAD":
+            request.responder.write_body(response.body)
+        request.responder.finish()
         return "answered" if response.status < 500 else SERVER_ERROR
 
     async def _relay_stream(
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -251,17 +251,21 @@
     async def _serve_request(self, request: RequestState) -> str:
         """Makes attempts until one succeeds or there is no retry; returns the result.
 
-        If there is no retry, the caller gets the last buffered 5xx response, if any; otherwise the
-        error of the last attempt is raised.
+        If there is no retry, the caller gets the last buffered 5xx response, if any and if its
+        response has not begun. Otherwise the error of the last attempt that may have run the
+        request is raised, as a later refusal does not make it true that the request has not run.
         """
         error_response: BackendResponse | None = None
+        executed_error: BackendError | None = None
         while True:
             try:
                 choice = await self.placer.place_request(request)
-            except CapacityError:
-                if error_response is None:
-                    raise
-                return self.backend_exchange.send_response(request, error_response)
+            except CapacityError as error:
+                if error_response is not None and not request.responder.started:
+                    return self.backend_exchange.send_response(request, error_response)
+                if executed_error is not None:
+                    raise executed_error from error
+                raise
             assert choice.state is not None
             source = choice.copy_from
             attempt = Attempt(
@@ -289,10 +293,14 @@
                 denial = self._decide_retry(request, error)
                 log_attempt_failure(request, error, denial)
                 self.metrics.record_attempt_failure(request.service, error.code, denial)
+                if error.outcome is not Outcome.NOT_RUN:
+                    executed_error = error
                 if denial is None:
                     continue
                 if error_response is not None and not request.responder.started:
                     return self.backend_exchange.send_response(request, error_response)
+                if executed_error is not None:
+                    raise executed_error from error
                 raise
             finally:
                 self._end_attempt(request, attempt)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -17,7 +17,7 @@
 from tanagerworks.edge.pipeline import Pipeline
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.published.model import CallerLimits
-from tests.edge_builders import API_KEY, dispatcher
+from tests.edge_builders import API_KEY, PLAIN_SERVICE, dispatcher, server_entry
 
 WIRE_CONFIGURATION = {
     "version": 7,
@@ -320,8 +320,8 @@
 async def start_edge(servers, initial_configuration=None, entries=None):
     """Starts a callers' port with its pipeline; returns the port's server and the pipeline."""
     edge_dispatcher = dispatcher(initial_configuration=initial_configuration)
-    for server_entry in entries or ():
-        edge_dispatcher.directory.put(server_entry, 0.0)
+    for entry in entries or ():
+        edge_dispatcher.directory.put(entry, 0.0)
     pipeline = Pipeline(edge_dispatcher, CallerHttp(), BackendHttp(), "zone-a", EdgeMetrics())
     pipeline.view_complete.set()
     pipeline.caches_recovered.set()
@@ -389,3 +389,38 @@
     response = await read_response(reader)
     writer.close()
     return response
+
+
+def run_scenario(scripts, scenario, config=None, service=PLAIN_SERVICE):
+    """Returns what `scenario(port, pipeline, servers)` returns; servers follow `scripts`."""
+
+    async def run():
+        servers = []
+        entries = []
+        for number, script in enumerate(scripts):
+            name = f"server-{number}"
+            server = await ServerStandin(name, *script).start()
+            servers.append(server)
+            entries.append(server_entry(name, service=service, port=server.port))
+        port, pipeline = await start_edge(servers, config, entries)
+        async with asyncio.timeout(20):
+            result = await scenario(port, pipeline, servers)
+        port.close_listener()
+        for server in servers:
+            server.server.close()
+        return result
+
+    return asyncio.run(run())
+
+
+def single_request_scenario(raw):
+    """A scenario that sends `raw`.
+
+    It returns the response, the number of runs per server and the servers.
+    """
+
+    async def scenario(port, pipeline, servers):
+        response = await send_request(port, raw)
+        return response, [len(server.requests) for server in servers], servers
+
+    return scenario
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -24,7 +24,6 @@
     stream_route,
 )
 from tests.platform_standin import (
-    ServerStandin,
     encode_chunk,
     never_respond,
     read_response,
@@ -33,52 +32,17 @@
     reset_connection,
     respond_with,
     response_head,
+    run_scenario,
     send_request,
-    start_edge,
+    single_request_scenario,
     stream_events,
     truncate_response,
     wait_until,
 )
 
-
-def run_scenario(scripts, scenario, config=None, service=PLAIN_SERVICE):
-    """Returns what `scenario(port, pipeline, servers)` returns; servers follow `scripts`."""
-
-    async def run():
-        servers = []
-        entries = []
-        for number, script in enumerate(scripts):
-            name = f"server-{number}"
-            server = await ServerStandin(name, *script).start()
-            servers.append(server)
-            entries.append(server_entry(name, service=service, port=server.port))
-        port, pipeline = await start_edge(servers, config, entries)
-        async with asyncio.timeout(20):
-            result = await scenario(port, pipeline, servers)
-        port.close_listener()
-        for server in servers:
-            server.server.close()
-        return result
-
-    return asyncio.run(run())
-
-
 PROMPT = ("x-tanagerworks-model: m", "x-tanagerworks-prefix-hash: a1:500,b2:4000,c3:20")
 
 
-def single_request_scenario(raw):
-    """A scenario that sends `raw`.
-
-    It returns the response, the number of runs per server and the servers.
-    """
-
-    async def scenario(port, pipeline, servers):
-        response = await send_request(port, raw)
-        return response, [len(server.requests) for server in servers], servers
-
-    return scenario
-
-
 def test_complete_response_and_headers():
     """Guards against a changed request and against headers that must not be forwarded.
 
