--- a/src/tanagerworks/edge/backend_connection.py
+++ b/src/tanagerworks/edge/backend_connection.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections import deque
 
@@ -13,6 +14,8 @@
 from tanagerworks.edge.http_messages import HeaderList, RequestHead
 from tanagerworks.errors import BackendConnectError, BackendError, BackendProtocolError
 
+_LOGGER = logging.getLogger(__name__)
+
 # Buffered response bytes above which reading from the server pauses until the caller catches up.
 _READ_AHEAD_BYTES = 262_144
 # The kernel closes a connection whose sent data stays unacknowledged for this long.
@@ -22,6 +25,9 @@
 # Reuse ends this long before the server's keep-alive timeout, so that a request is not sent while
 # the server closes the connection.
 _KEEP_ALIVE_MARGIN_S = 0.8
+# Informational responses (1xx) before the final response to a request; a server without end of them
+# would occupy the event loop.
+_MAX_INFORMATIONAL_RESPONSES = 16
 # Idle connections that a node keeps to one server. Servers count the idle connections of all nodes
 # towards their connection limit and reset connections beyond it.
 MAX_IDLE_CONNECTIONS = 2
@@ -33,6 +39,8 @@
     def __init__(self) -> None:
         self.http = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
+        # `IP:PORT` of the server, for the log.
+        self.peer_address = ""
         self.events: deque[h11.Event] = deque()
         self.buffered_bytes = 0
         self.waiter: asyncio.Future[None] | None = None
@@ -40,6 +48,9 @@
         self.closed = False
         # Whether the server has sent data that belongs to no request.
         self.unusable = False
+        # Whether the server may send data: from a request until the end of its response.
+        self.awaiting_response = False
+        self.informational_count = 0
         self.request_count = 0
         # Event loop time.
         self.idle_since_s = 0.0
@@ -51,21 +62,22 @@
         """Sets the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.peer_address = "{}:{}".format(*transport.get_extra_info("peername")[:2])
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
-        """Parses response data; data without a pending request makes the connection unusable."""
-        if self.request_count == 0 or self.http.our_state is h11.IDLE:
-            self.unusable = True
+        """Parses response data; data that belongs to no request ends the connection."""
+        if not self.awaiting_response:
+            self._reject_extra_data()
             return
         self.http.receive_data(data)
         self._parse()
 
     def eof_received(self) -> bool:
         """Completes a response without a length; any other open response is truncated."""
-        if self.http.our_state is not h11.IDLE:
+        if self.awaiting_response:
             self.http.receive_data(b"")
             self._parse()
         self.closed = True
@@ -81,27 +93,49 @@
 
     def _parse(self) -> None:
         try:
-            while True:
+            while self.awaiting_response:
                 event = self.http.next_event()
-                if event is h11.NEED_DATA:
-                    break
-                if event is h11.PAUSED:
-                    self.unusable = True
+                if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
-                if isinstance(event, h11.InformationalResponse):
-                    continue
                 assert not isinstance(event, type)
-                self.events.append(event)
-                if isinstance(event, h11.Data):
-                    self._count_buffered(len(event.data))
-                if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                    break
+                self._record_event(event)
         except h11.RemoteProtocolError as error:
             self.error = error
-        if self.http.trailing_data[0] and self.http.their_state is h11.DONE:
-            self.unusable = True
+            self.awaiting_response = False
+            # More of the response is neither needed nor stored.
+            self.close()
+        if not self.awaiting_response and self.http.trailing_data[0]:
+            self._reject_extra_data()
         self._wake_reader()
 
+    def _record_event(self, event: h11.Event) -> None:
+        """Stores an event for the reader; the last one of a response ends its data.
+
+        Raises:
+            h11.RemoteProtocolError: there are too many informational responses.
+        """
+        if isinstance(event, h11.InformationalResponse):
+            self.informational_count += 1
+            if self.informational_count > _MAX_INFORMATIONAL_RESPONSES:
+                raise h11.RemoteProtocolError("too many informational responses")
+            return
+        self.events.append(event)
+        if isinstance(event, h11.Data):
+            self._count_buffered(len(event.data))
+        if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            self.awaiting_response = False
+
+    def _reject_extra_data(self) -> None:
+        """Closes the connection, as what arrives on it next could not be assigned to a request."""
+        if self.unusable:
+            return
+        self.unusable = True
+        _LOGGER.warning(
+            "server sent data that belongs to no request; connection closed",
+            extra={"server": self.peer_address, "requests": self.request_count},
+        )
+        self.close()
+
     def _count_buffered(self, size: int) -> None:
         self.buffered_bytes += size
         if self.buffered_bytes > _READ_AHEAD_BYTES and self.transport is not None:
@@ -124,6 +158,8 @@
         if self.request_count:
             self.http.start_next_cycle()
         self.request_count += 1
+        self.awaiting_response = True
+        self.informational_count = 0
         self.events.clear()
         framed = list(headers)
         if head.has_body or body:
