End stalled streams by complete events, not by bytes

Cause: any byte counted as progress, and a stream that may not resume had no limit below its deadline; a stalled stream that sent a comment now and then kept its caller, its slot and its server busy. Change: progress is a complete event with at least one field. Time for which a slow caller blocks does not count.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -9,6 +9,7 @@
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.backend_connection import BackendConnection, ConnectionPool, open_connection
+from tanagerworks.edge.event_stream import EventCounter
 from tanagerworks.edge.http_messages import HeaderList, find_header
 from tanagerworks.edge.interfaces import BackendDialect, BackendRequestContext, ResponseMetadata
 from tanagerworks.edge.request_state import (
@@ -18,6 +19,7 @@
     RequestState,
     RetryDenial,
 )
+from tanagerworks.edge.stall import StallLimits
 from tanagerworks.errors import (
     BackendConnectError,
     BackendError,
@@ -39,11 +41,6 @@
 # A retryable request that gets no data for this share of its route's timeout is retried at another
 # server, which then still has time to respond.
 _READ_TIMEOUT_SHARE = 0.5
-# A resumable stream is resumed at another server after a pause of this many times the objective for
-# its first event or, later, for the gap between two events. The minimum exceeds the prefill time of
-# a long prompt.
-_STALL_FACTOR = 4.0
-_MIN_STALL_S = 1.0
 # Result of a request whose buffered response has a 5xx status.
 SERVER_ERROR = "server_error"
 
@@ -55,6 +52,7 @@
         self.dispatcher = dispatcher
         self.backend_dialect = backend_dialect
         self.pool = ConnectionPool()
+        self.stall_limits = StallLimits()
 
     async def run_attempt(self, request: RequestState, attempt: Attempt) -> str:
         """Sends a request to one server, relays the response and returns the result.
@@ -136,14 +134,26 @@
             request.dispatch_request.tried_server_ids.add(state.server_id)
             raise
 
-    def _read_timeout_s(self, request: RequestState, first: bool) -> float | None:
-        """Returns the time to wait for the next response data, or None for no limit."""
-        if not request.is_retryable() or request.send_count >= request.route.max_attempts:
+    def _can_retry(self, request: RequestState) -> bool:
+        """Whether the request may be sent once more if its present attempt fails."""
+        return request.is_retryable() and request.send_count < request.route.max_attempts
+
+    def _read_timeout_s(self, request: RequestState) -> float | None:
+        """Returns the time to wait for the head or the next data, or None for no limit.
+
+        The limits on the events of a stream come on top.
+        """
+        if not self._can_retry(request):
             return None
-        if not request.route.streams:
-            return _READ_TIMEOUT_SHARE * request.route.timeout_s
-        objective_s = request.route.objective_s if first else request.route.gap_objective_s
-        return max(_MIN_STALL_S, _STALL_FACTOR * objective_s)
+        if request.route.streams:
+            return self.stall_limits.resume_after_s(request.route, first=True)
+        return _READ_TIMEOUT_SHARE * request.route.timeout_s
+
+    def _stall_timeout_s(self, request: RequestState, first: bool) -> float:
+        """Returns the time to wait for the next complete event of a stream."""
+        if self._can_retry(request):
+            return self.stall_limits.resume_after_s(request.route, first)
+        return self.stall_limits.end_after_s(request.route)
 
     async def _read_event(
         self, connection: BackendConnection, timeout_s: float | None
@@ -163,7 +173,7 @@
         connection: BackendConnection,
         is_new: bool,
     ) -> tuple[HeaderList, str]:
-        event = await self._read_event(connection, self._read_timeout_s(request, first=True))
+        event = await self._read_event(connection, self._read_timeout_s(request))
         if not isinstance(event, h11.Response):
             raise BackendProtocolError("the response has no head")
         headers = list(event.headers)
@@ -228,7 +238,7 @@
         """Returns the body and whether it is complete; a large one is only read in part."""
         body = bytearray()
         while len(body) <= _MAX_BUFFERED_BYTES:
-            event = await self._read_event(connection, self._read_timeout_s(request, first=False))
+            event = await self._read_event(connection, self._read_timeout_s(request))
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body), True
             assert isinstance(event, h11.Data)
@@ -258,8 +268,7 @@
         )
         if complete:
             attempt.responses.append(response)
-        has_attempts = request.send_count < request.route.max_attempts
-        if request.is_retryable() and (complete or has_attempts):
+        if self._can_retry(request) or (request.is_retryable() and complete):
             # Without a retry, the pipeline sends the complete response to the caller.
             raise error
         attempt.failed = True
@@ -311,31 +320,61 @@
         connection: BackendConnection,
         response: BackendResponse,
     ) -> str:
-        """Relays a successful stream as it arrives, a resumable one in complete events."""
+        """Relays a successful stream as it arrives, a resumable one in complete events.
+
+        Raises:
+            BackendTimeoutError: no complete event within the stall limit.
+            BackendError: the stream is incomplete.
+        """
+        try:
+            async with asyncio.timeout(self._stall_timeout_s(request, first=True)) as stall_timeout:
+                await self._relay_events(request, attempt, connection, response, stall_timeout)
+        except TimeoutError as error:
+            raise BackendTimeoutError("the stream stalled without a complete event") from error
+        if request.event_splitter is not None and request.event_splitter.partial_event:
+            raise BackendProtocolError("the stream ended inside an event")
+        if not request.responder.started:
+            self._start_response(request, response)
+        request.responder.finish()
+        self._record_success(attempt)
+        return "answered"
+
+    async def _relay_events(
+        self,
+        request: RequestState,
+        attempt: Attempt,
+        connection: BackendConnection,
+        response: BackendResponse,
+        stall_timeout: asyncio.Timeout,
+    ) -> None:
+        """Relays data until the end; postpones the timeout with each complete event.
+
+        The time for which a slow caller keeps the node from reading does not count as a stall.
+        """
+        loop = asyncio.get_running_loop()
         responder = request.responder
         event_splitter = request.event_splitter
-        first = True
+        event_counter = EventCounter()
+        stall_timeout_s = self._stall_timeout_s(request, first=False)
         while True:
-            event = await self._read_event(connection, self._read_timeout_s(request, first=first))
+            event = await connection.next_event()
             if isinstance(event, h11.EndOfMessage):
-                break
+                return
             assert isinstance(event, h11.Data)
             attempt.end_prefill()
-            first = False
             data = bytes(event.data)
+            if event_counter.feed(data):
+                stall_timeout.reschedule(loop.time() + stall_timeout_s)
             if event_splitter is not None:
                 data = event_splitter.feed(data)
             if not responder.started:
                 self._start_response(request, response)
             responder.write_body(data)
+            if responder.is_writable():
+                continue
+            stall_timeout.reschedule(None)
             await responder.drain()
-        if event_splitter is not None and event_splitter.partial_event:
-            raise BackendProtocolError("the stream ended inside an event")
-        if not responder.started:
-            self._start_response(request, response)
-        responder.finish()
-        self._record_success(attempt)
-        return "answered"
+            stall_timeout.reschedule(loop.time() + stall_timeout_s)
 
     # Accounting and cleanup
 
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -51,6 +51,10 @@
         if data:
             self.connection.send_event(h11.Data(data=data))
 
+    def is_writable(self) -> bool:
+        """Whether the write buffer has room, so that `drain` would return at once."""
+        return self.connection.can_write.is_set()
+
     async def drain(self) -> None:
         """Waits until the write buffer has room, as the caller may read slowly."""
         await self.connection.can_write.wait()
