Answer every request that a stopping process has read

Cause: after the drain notice, the first request of a new connection lost its connection if it arrived later than the next check for idle ones; a request that outlasted the stop was cut without an answer. Change: a connection without any request yet counts as idle after 0.5 s only; at the end of the stop, requests in progress expire as at their deadlines, so their callers get 504, or 503 if nothing was sent to a server.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -25,6 +25,9 @@
 # Time for which input is discarded after a response that closes the connection. Closing a socket
 # with unread input resets the connection, and the caller could lose the response.
 _LINGER_S = 1.0
+# Time for which a connection without any request yet does not count as idle: its caller has opened
+# it to send one.
+_FIRST_REQUEST_GRACE_S = 0.5
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _CLOSE = (b"connection", b"close")
 
@@ -106,6 +109,9 @@
         self.timer: asyncio.TimerHandle | None = None
         self.lingering = False
         self.read_ahead_bytes = 0
+        # Event loop time.
+        self.opened_s = asyncio.get_running_loop().time()
+        self.had_request = False
 
     # asyncio.Protocol
 
@@ -194,6 +200,7 @@
     def _begin_request(self, event: h11.Request) -> bool:
         """Stores the head of a request; returns false if the request is rejected."""
         self.head_started = False
+        self.had_request = True
         headers = list(event.headers)
         names = [key for key, _value in headers]
         chunked = b"transfer-encoding" in names
@@ -291,8 +298,14 @@
             self.transport.close()
 
     def close_if_idle(self) -> bool:
-        """Closes the connection unless a request is in progress; returns whether it did."""
-        if self.task is not None or self.head is not None:
+        """Closes the connection unless a request is in progress; returns whether it did.
+
+        The first request of a new connection counts as in progress for a short time.
+        """
+        if self.task is not None or self.head is not None or self.head_started:
+            return False
+        age_s = asyncio.get_running_loop().time() - self.opened_s
+        if not self.had_request and age_s < _FIRST_REQUEST_GRACE_S:
             return False
         self.close()
         return True
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -96,6 +96,8 @@
         # shutting down.
         self.notice_until_s = 0.0
         self.active_requests = 0
+        # Timeouts of the requests in progress, which expire at their deadlines.
+        self.request_timeouts: set[asyncio.Timeout] = set()
         # Set once the node has a configuration and at least one server.
         self.view_complete = asyncio.Event()
         # Set once the index of cached parts has been recovered.
@@ -207,6 +209,15 @@
         self.shutdown_deadline_s = shutdown_deadline_s
         self.notice_until_s = notice_until_s
 
+    def expire_requests(self) -> None:
+        """Ends the requests in progress as at their deadlines, since the process has to exit.
+
+        Their callers get an error response, or see that the response that has begun is incomplete.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self.request_timeouts:
+            timeout.reschedule(now_s)
+
     def _check_shutdown(self, route: Route, now_s: float, deadline_s: float) -> None:
         """Raises StoppingError if the request may not end before the shutdown deadline."""
         if self.shutdown_deadline_s is None:
@@ -240,13 +251,18 @@
 
     async def _serve_until_deadline(self, request: RequestState) -> str:
         """Serves the request; returns "answered" or `SERVER_ERROR`."""
+        timeout = asyncio.timeout_at(request.deadline_s - RESPONSE_MARGIN_S)
         try:
-            async with asyncio.timeout_at(request.deadline_s - RESPONSE_MARGIN_S):
+            async with timeout:
+                self.request_timeouts.add(timeout)
                 return await self._serve_request(request)
         except TimeoutError as error:
+            limit = "deadline" if self.shutdown_deadline_s is None else "deadline or the shutdown"
             if request.send_count == 0:
-                raise DeadlineError("no backend server was free before the deadline") from error
-            raise RouteTimeoutError("the response was not complete before the deadline") from error
+                raise DeadlineError(f"no backend server was free before the {limit}") from error
+            raise RouteTimeoutError(f"the response was incomplete at the {limit}") from error
+        finally:
+            self.request_timeouts.discard(timeout)
 
     async def _serve_request(self, request: RequestState) -> str:
         """Makes attempts until one succeeds or there is no retry; returns the result.
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -33,6 +33,8 @@
 _DRAIN_NOTICE_S = 2.6
 # Reserved at the end of the stop limit to write the remaining output and exit.
 _EXIT_MARGIN_S = 0.7
+# Time at the end of the shutdown for the error responses of requests that are still in progress.
+_FLUSH_PERIOD_S = 0.3
 _PERIODIC_CHECKS_INTERVAL_S = 0.25
 _CONNECTION_CLEANUP_INTERVAL_S = 1.0
 # Reading and validating the settings takes about 2 ms.
@@ -133,6 +135,8 @@
         self.readiness_server = HttpServer(self._respond_readiness, CallerLimits)
         self.metrics_server = HttpServer(self._respond_metrics, CallerLimits)
         self.stop_requested = asyncio.Event()
+        # Whether the time is over in which the balancer may not know of the shutdown yet.
+        self.drain_notice_over = False
         self.tasks: list[asyncio.Task[None]] = []
 
     def _on_store_view_change(self) -> None:
@@ -368,11 +372,16 @@
         self.peer_exchange.stopping = True
         self.peer_exchange.announce()
         await asyncio.sleep(_DRAIN_NOTICE_S)
+        self.drain_notice_over = True
         self.caller_server.close_idle_connections()
         while loop.time() < shutdown_deadline_s and self.caller_server.connections:
             self.caller_server.close_idle_connections()
             await asyncio.sleep(0.1)
+        self.pipeline.expire_requests()
         self.caller_server.close_listener()
+        flushed_by_s = loop.time() + _FLUSH_PERIOD_S
+        while loop.time() < flushed_by_s and self.pipeline.active_requests:
+            await asyncio.sleep(0.01)
         connections_left = len(self.caller_server.connections)
         for task in self.tasks:
             task.cancel()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -109,6 +109,8 @@
         self.page_size = 2
         # "" serves; "busy" responds with 503; "silent" never responds; "garbage" sends no JSON.
         self.mode = ""
+        # Timeout of the routes that tests publish here; None for that of `WIRE_CONFIGURATION`.
+        self.route_timeout_ms = None
         self.calls = 0
         self.changed = asyncio.Event()
         self.server = HttpServer(self.handle_request, CallerLimits)
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -4,94 +4,9 @@
 import os
 import signal
 
-from adapter.backend_http import BackendHttp
-from adapter.caller_http import CallerHttp
-from adapter.store import MetadataStore
-
-from tanagerworks.edge.process import EdgeProcess, PlatformAdapter, _run_with_restarts
-from tanagerworks.errors import SettingsError
-from tanagerworks.settings.edge import EdgeSettings
-from tests.platform_standin import (
-    WIRE_CONFIGURATION,
-    WIRE_ENTRY,
-    ServerStandin,
-    StoreStandin,
-    request_bytes,
-    respond_with,
-    send_request,
-    wait_until,
-)
-from tools.fleet import free_address
-
-
-class Seeds:
-    """Implements `PeerFinder` with the seed addresses of the settings."""
-
-    def __init__(self, settings):
-        self.settings = settings
-
-    def seed_addresses(self):
-        return self.settings.seeds
-
-    def apply_settings(self, settings):
-        self.settings = settings
-
-
-def edge_settings(store, **changes):
-    fields = {
-        "node": "node-1",
-        "zone": "zone-a",
-        "addresses": {
-            name: free_address() for name in ("callers", "readiness", "peers", "metrics")
-        },
-        "seeds": [],
-        "store": {"address": store.address, "wait_s": 0.5, "timeout_s": 0.5},
-        "bounds": {
-            "stop_limit_s": 4.0,
-            "repeat_ratio": 0.2,
-            "repeat_window_s": 10,
-            "repeat_minimum": 50,
-            "cold_factor": 1.5,
-            "cold_extra": 5,
-        },
-    }
-    return EdgeSettings.model_validate(fields | changes)
-
-
-def run_process(scenario):
-    async def run():
-        store = await StoreStandin().start()
-        server = await ServerStandin("a", respond_with()).start()
-        initial_settings = edge_settings(store)
-        settings_versions = [initial_settings]
-
-        def reload_settings():
-            if settings_versions[-1] is None:
-                raise SettingsError("file", "", "cannot be read")
-            return settings_versions[-1]
-
-        seeds = Seeds(initial_settings)
-        adapter = PlatformAdapter(MetadataStore(store.address), CallerHttp(), BackendHttp(), seeds)
-        process = EdgeProcess(initial_settings, adapter, reload_settings)
-        running = asyncio.get_running_loop().create_task(process.run())
-        await wait_until(lambda: process.tasks)
-        try:
-            async with asyncio.timeout(30):
-                await scenario(process, store, server, settings_versions)
-                os.kill(os.getpid(), signal.SIGTERM)
-                assert await running == 0
-        finally:
-            running.cancel()
-            store.server.close_listener()
-            server.server.close()
-
-    asyncio.run(run())
-
-
-def publish_to_store(store, server):
-    store.put("op/config", WIRE_CONFIGURATION)
-    store.put("servers/a", WIRE_ENTRY | {"address": f"127.0.0.1:{server.port}", "service": "desk"})
-
+from tanagerworks.edge.process import _run_with_restarts
+from tests.edge_process_runner import publish_to_store, run_process
+from tests.platform_standin import request_bytes, send_request, wait_until
 
 GET_READY = b"GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n"
 GET_METRICS = b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n"
--- /dev/null
+++ b/tests/test_fault_planned_stop.py
@@ -0,0 +1,167 @@
+"""Fault: a planned stop under load cuts off requests that have just been accepted.
+
+Requests are sent in the last milliseconds before and after the stop signal, on kept and on new
+connections, until the process has ended. Each request that was read gets a complete answer.
+"""
+
+import asyncio
+import os
+import signal
+
+import pytest
+
+from tests.edge_process_runner import edge_settings, publish_to_store, run_process
+from tests.platform_standin import (
+    never_respond,
+    read_response,
+    request_bytes,
+    response_head,
+    send_request,
+    wait_until,
+)
+
+# Answers that promise that the request has not run, and those of the server.
+COMPLETE_STATUSES = (200, 503)
+
+
+def respond_after(delay_s):
+    async def action(server, headers, reader, writer):
+        await asyncio.sleep(delay_s)
+        writer.write(response_head(headers, "200 OK", "content-length: 2") + b"ok")
+
+    return action
+
+
+class Caller:
+    """Sends requests one after the other on one connection, until the process closes it.
+
+    The first response with `connection: close` ends the use of the connection.
+    """
+
+    def __init__(self, address, name):
+        self.address = address
+        self.name = name
+        self.responses = []
+        # Requests that were written and got no complete response.
+        self.cut = 0
+
+    async def run(self, pause_s):
+        reader, writer = await asyncio.open_connection(*self.address)
+        for number in range(1000):
+            writer.write(request_bytes("/book/x", f"{self.name}-{number}", "POST"))
+            response = await read_response(reader)
+            if not response.complete:
+                self.cut += 1
+                break
+            self.responses.append(response)
+            if response.headers.get("connection") == "close":
+                break
+            await asyncio.sleep(pause_s)
+        writer.close()
+
+
+def test_requests_around_the_stop_signal_get_complete_answers():
+    """Guards against requests that are accepted around the signal and never answered.
+
+    Every few milliseconds a request arrives on a new connection, and others on kept ones.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        server.script = [respond_after(0.05)]
+        await wait_until(process.is_ready)
+        address = process.caller_server.listener.sockets[0].getsockname()
+        kept = [Caller(address, f"kept-{n}") for n in range(10)]
+        tasks = [asyncio.ensure_future(caller.run(0.02)) for caller in kept]
+        refused = 0
+        new = []
+        for number in range(250):
+            if number == 40:
+                os.kill(os.getpid(), signal.SIGTERM)
+            caller = Caller(address, f"new-{number}")
+            new.append(caller)
+            tasks.append(asyncio.ensure_future(caller.run(0.5)))
+            await asyncio.sleep(0.002 if 20 < number < 60 else 0.015)
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, ConnectionRefusedError):
+                refused += 1
+            else:
+                assert result is None
+        assert refused < len(new) / 2
+        assert sum(caller.cut for caller in new) == 0
+        # A kept connection may be closed while its next request is on the way, but only once the
+        # caller was told so; all callers here stop at that answer.
+        assert sum(caller.cut for caller in kept) == 0
+        responses = [response for caller in kept + new for response in caller.responses]
+        assert len(responses) >= 200
+        assert {response.status for response in responses} <= set(COMPLETE_STATUSES)
+
+    run_process(scenario)
+
+
+def test_connection_that_has_just_been_opened_is_not_closed_as_idle():
+    """Guards against a new caller whose connection is closed before its request arrives.
+
+    After the drain notice the process closes idle connections in short intervals.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        address = process.caller_server.listener.sockets[0].getsockname()
+        server.script = [respond_after(3.5), respond_after(0.0)]
+        # Keeps the process from ending before the others have been served.
+        raw = request_bytes("/book/x", "c", "POST").replace(b"1500", b"9000")
+        holder = asyncio.ensure_future(send_request(process.caller_server, raw))
+        await wait_until(lambda: server.requests)
+        process.stop_requested.set()
+        await wait_until(lambda: process.drain_notice_over)
+        responses = []
+        for number in range(3):
+            reader, writer = await asyncio.open_connection(*address)
+            # Longer than the interval in which idle connections are closed.
+            await asyncio.sleep(0.15)
+            writer.write(request_bytes("/book/x", f"c{number}", "POST"))
+            responses.append(await read_response(reader))
+            writer.close()
+        await holder
+        assert all(response.complete for response in responses)
+        assert {response.status for response in responses} <= set(COMPLETE_STATUSES)
+
+    run_process(scenario, route_timeout_ms=60_000, stop_limit_s=8.0)
+
+
+@pytest.mark.parametrize("path", ["/book/x"])
+def test_request_that_outlasts_the_stop_is_answered(path):
+    """Guards against a request that is cut when the time for the stop is over.
+
+    The server never responds. The caller has to learn that the request may have run.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        server.script = [never_respond()]
+        raw = request_bytes(path, "c1", "POST").replace(b"1500", b"60000")
+        pending = asyncio.ensure_future(send_request(process.caller_server, raw))
+        await wait_until(lambda: server.requests)
+        process.stop_requested.set()
+        response = await pending
+        assert (response.status, response.complete) == (504, True)
+
+    run_process(scenario, route_timeout_ms=60_000)
+
+
+def test_stop_without_requests_is_short():
+    """Guards against a stop that lasts longer than the balancer needs to notice it."""
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        process.stop_requested.set()
+        await wait_until(lambda: not process.caller_server.listener.is_serving())
+        assert loop.time() - started_s < edge_settings(store).bounds.stop_limit_s
+
+    run_process(scenario)
