--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -1,7 +1,6 @@
 """One attempt at one backend server: connect, send the request, relay the response."""
 
 import asyncio
-import contextlib
 import logging
 
 import h11
@@ -282,7 +281,7 @@
 
         Such a response cannot be retried, so it may take until the deadline of the request.
         """
-        self._start_response(request, response)
+        self._start_response(request, response, _stated_length(response.headers))
         request.responder.write_body(response.body)
         while True:
             event = await connection.next_event()
@@ -296,19 +295,18 @@
     def _start_response(
         self, request: RequestState, response: BackendResponse, body_bytes: int | None = None
     ) -> None:
-        """Sends the head with the server's length, else with `body_bytes`; None means chunked."""
-        length = find_header(response.headers, b"content-length")
+        """Sends the head; a body of unknown length is sent in chunks."""
         headers = self.backend_dialect.response_headers(response.headers)
         request.status = response.status
-        request.responder.start(
-            response.status, headers, int(length) if length is not None else body_bytes
-        )
+        request.responder.start(response.status, headers, body_bytes)
         request.first_byte_s = asyncio.get_running_loop().time() - request.arrived_s
 
     def send_response(self, request: RequestState, response: BackendResponse) -> str:
         """Sends a completely read response to the caller; returns the result."""
-        self._start_response(request, response, len(response.body))
-        if request.head.method != b"HEAD":
+        is_head = request.head.method == b"HEAD"
+        body_bytes = _stated_length(response.headers) if is_head else len(response.body)
+        self._start_response(request, response, body_bytes)
+        if not is_head:
             request.responder.write_body(response.body)
         request.responder.finish()
         return "answered" if response.status < 500 else SERVER_ERROR
@@ -334,7 +332,7 @@
         if request.event_splitter is not None and request.event_splitter.partial_event:
             raise BackendProtocolError("the stream ended inside an event")
         if not request.responder.started:
-            self._start_response(request, response)
+            self._start_response(request, response, _stated_length(response.headers))
         request.responder.finish()
         self._record_success(attempt)
         return "answered"
@@ -368,7 +366,7 @@
             if event_splitter is not None:
                 data = event_splitter.feed(data)
             if not responder.started:
-                self._start_response(request, response)
+                self._start_response(request, response, _stated_length(response.headers))
             responder.write_body(data)
             if responder.is_writable():
                 continue
@@ -388,9 +386,11 @@
         while True:
             await asyncio.sleep(interval_s)
             servers = self.dispatcher.directory.servers.values()
-            # An error while a connection is closed must not end the loop.
-            with contextlib.suppress(RuntimeError):
+            try:
                 self.pool.close_expired({_pool_key(state) for state in servers}, loop.time())
+            except Exception:
+                # An error while a connection is closed must not end the loop.
+                _LOGGER.exception("cleanup of idle connections failed; continuing with the next")
 
 
 def log_attempt_failure(
@@ -411,6 +411,14 @@
     )
 
 
+def _stated_length(headers: HeaderList) -> int | None:
+    """Returns the length of a body, or None if the response does not state it or is chunked."""
+    length = find_header(headers, b"content-length")
+    if length is None or find_header(headers, b"transfer-encoding") is not None:
+        return None
+    return int(length)
+
+
 def _pool_key(state: ServerState) -> str:
     """Returns a key that changes when the server restarts or moves to another address."""
     return f"{state.server_id}/{state.entry.started_ms}/{state.entry.host}:{state.entry.port}"
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -21,6 +21,7 @@
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.interfaces import PeerFinder
 from tanagerworks.errors import PeerError
+from tanagerworks.membership.addresses import is_address, parse_address
 from tanagerworks.membership.peer_table import Peer, PeerTable
 from tanagerworks.published.replica import Change
 from tanagerworks.rpc.edge_pb2 import NodeState, Placement, StoreCopy, StoreCopyRequest, StoreItem
@@ -37,12 +38,16 @@
 _DATAGRAMS_TO_OTHER_ZONES_PER_S = 30.0
 # Maximum number of peer addresses in a message.
 _ADDRESSES_PER_MESSAGE = 8
+# Longest message interval that is believed. In a fleet of a thousand nodes it is below 30 s.
+_MAX_INTERVAL_S = 30.0
 # One of this number of messages has peer addresses.
 _ADDRESS_MESSAGE_INTERVAL = 5
 # A node that follows the store waits this long for changes that a peer already has. After that it
 # fetches them from the peer.
 _MAX_STORE_LAG_S = 0.3
 _FETCH_TIMEOUT_S = 1.0
+# Maximum size of a request for a copy of the store, which has two numbers.
+MAX_COPY_REQUEST_BYTES = 1_024
 # A copy of the store consists of a configuration and the entries of all servers. Each value has at
 # most 1 MB.
 _MAX_COPY_BYTES = 32_000_000
@@ -125,6 +130,11 @@
             return
         if not state.name or state.name == self.node:
             return
+        try:
+            parse_address(state.address)
+        except PeerError as error:
+            _LOGGER.warning("peer message unusable", extra={"from": addr[0], "reason": str(error)})
+            return
         now_s = asyncio.get_running_loop().time()
         peer = Peer(
             state.name,
@@ -136,7 +146,7 @@
             state.revision,
             state.stopping,
             state.follows_store,
-            state.interval_ms / 1000,
+            min(state.interval_ms / 1000, _MAX_INTERVAL_S),
             {waiting.service: waiting.requests for waiting in state.waiting},
         )
         event = self.peer_table.record_message(peer)
@@ -150,7 +160,11 @@
             # A new process waits for the first messages of its peers before it recovers its index
             # of cached parts.
             self._send([state.address], _ROUND_INTERVAL_S, 0.0, now_s)
-        self.received_addresses.update(state.known_addresses)
+        self.received_addresses.update(
+            address
+            for address in state.known_addresses[:_ADDRESSES_PER_MESSAGE]
+            if is_address(address)
+        )
         loads = {
             load.server_id: PeerLoad(load.running, load.prefill_tokens) for load in state.loads
         }
@@ -347,6 +361,10 @@
                 extra={"peer": peer.name, "reason": error.message},
             )
             return
+        except Exception:
+            # The next round fetches again; nobody awaits this task.
+            _LOGGER.exception("copy of the store not received", extra={"peer": peer.name})
+            return
         source = f"peer {peer.name}"
         if copy.changes_only:
             self.store_view.apply(map(_to_change, copy.items), copy.revision, source)
@@ -359,7 +377,9 @@
         """Answers a peer's request for changes or a full copy of the store, then closes."""
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                request = StoreCopyRequest.FromString(await _read_message(reader))
+                request = StoreCopyRequest.FromString(
+                    await _read_message(reader, MAX_COPY_REQUEST_BYTES)
+                )
                 data = zlib.compress(self._build_copy(request).SerializeToString(), level=1)
                 writer.write(_LENGTH.pack(len(data)) + data)
                 await writer.drain()
@@ -389,13 +409,27 @@
     return Change(item.key, item.revision, None if item.deleted else item.value)
 
 
-async def _read_message(reader: asyncio.StreamReader) -> bytes:
+async def _read_message(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > _MAX_COPY_BYTES:
+    if length > max_bytes:
         raise DecodeError(f"a message of {length} bytes is too large")
     return await reader.readexactly(length)
 
 
+def _decompress(data: bytes) -> bytes:
+    """Returns the decompressed data.
+
+    Raises:
+        DecodeError: the result would exceed `_MAX_COPY_BYTES`, or the data is incomplete.
+        zlib.error: the data is not compressed data.
+    """
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(data, _MAX_COPY_BYTES)
+    if not decompressor.eof:
+        raise DecodeError("a copy of the store is incomplete or too large")
+    return decompressed
+
+
 async def fetch_store_copy(address: str, after: int, with_placements: bool) -> StoreCopy:
     """Returns the copy of the store of the peer at `address`, or its changes after a revision.
 
@@ -406,14 +440,14 @@
     Raises:
         PeerError: the peer cannot be reached, does not answer in time, or the answer is invalid.
     """
-    host, _colon, port = address.rpartition(":")
+    host, port = parse_address(address)
     request = StoreCopyRequest(after=after, with_placements=with_placements).SerializeToString()
     writer: asyncio.StreamWriter | None = None
     try:
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, port)
             writer.write(_LENGTH.pack(len(request)) + request)
-            data = zlib.decompress(await _read_message(reader))
+            data = _decompress(await _read_message(reader, _MAX_COPY_BYTES))
         return StoreCopy.FromString(data)
     except (
         OSError,
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -44,6 +44,7 @@
     CapacityError,
     DeadlineError,
     NoConfigurationError,
+    NoServerError,
     NotFoundError,
     RouteTimeoutError,
     StoppingError,
@@ -235,7 +236,13 @@
             raise StoppingError("this node is shutting down")
 
     def _pick_service(self, route: Route, call: Call) -> str:
-        """Returns one of the route's services, chosen by weight."""
+        """Returns one of the route's services, chosen by weight.
+
+        Raises:
+            NoServerError: the route has no service.
+        """
+        if not route.targets:
+            raise NoServerError("no service takes the requests of this route")
         if len(route.targets) == 1:
             return route.targets[0].service
         # The seed is the id of the last part that other requests share, so requests with the same
