Do not give up work because a machine was silent or the node paused

Cause: after a pause of the node its timers were due before it had read its sockets, so responses that had arrived were thrown away and all peers were taken for lost; a server whose entry expired and came back lost the count of the requests that it still ran. Change: timeouts that fire late are extended once; the time of a pause does not count as silence of the peers; the state of a removed server with requests in progress is kept for the return of the same process.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -29,6 +29,9 @@
         self.servers_by_peer: dict[str, set[str]] = {}
         self.held_deletions: dict[str, _HeldDeletion] = {}
         self.hold_deletions_until_s = float("-inf")
+        # Removed servers at which this node still has requests in progress. The entry of a server
+        # that is only slow to renew it expires, but comes back.
+        self.removed_servers: dict[str, ServerState] = {}
 
     def hold_deletions(self, now_s: float) -> None:
         """Delays deletions for `REREGISTRATION_S` from now, the end of an outage of the store."""
@@ -38,10 +41,12 @@
         """Applies a published entry.
 
         Returns what changed as one word for the log: "new" for an unknown server, even if it is
-        already leaving, "restarted" for another process of a known one, "leaving" for a known
+        already leaving, "updated" also for one that was removed in the meantime but still runs
+        requests of this node, "restarted" for another process of a known one, "leaving" for a known
         process that starts to leave, and "updated" otherwise, also for a change of the service.
         """
         self.held_deletions.pop(entry.server_id, None)
+        self._restore(entry, now_s)
         known = self.servers.get(entry.server_id)
         if known is not None and known.entry.started_ms == entry.started_ms:
             moved = known.entry.service != entry.service
@@ -62,6 +67,15 @@
         self._rebuild_index()
         return "new" if known is None else "restarted"
 
+    def _restore(self, entry: ServerEntry, now_s: float) -> None:
+        """Adds a removed server with its counts if the entry is that of the same process."""
+        removed = self.removed_servers.pop(entry.server_id, None)
+        if removed is None or removed.entry.started_ms != entry.started_ms:
+            return
+        removed.cold_until_s = max(removed.cold_until_s, now_s + entry.cold_s)
+        self.servers[entry.server_id] = removed
+        self._rebuild_index()
+
     def delete(self, server_id: str, now_s: float) -> str:
         """Applies the deletion of an entry, or holds it after an outage of the store.
 
@@ -84,7 +98,14 @@
         return due
 
     def _remove(self, server_id: str) -> None:
-        self.servers.pop(server_id).removed = True
+        state = self.servers.pop(server_id)
+        state.removed = True
+        self.removed_servers[server_id] = state
+        self.removed_servers = {
+            removed_id: removed
+            for removed_id, removed in self.removed_servers.items()
+            if removed.running
+        }
         self._rebuild_index()
 
     def _rebuild_index(self) -> None:
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -11,6 +11,7 @@
 from tanagerworks.edge.event_stream import EventCounter
 from tanagerworks.edge.http_messages import HeaderList, find_header
 from tanagerworks.edge.interfaces import BackendDialect, BackendRequestContext, ResponseMetadata
+from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.request_state import (
     RESPONSE_MARGIN_S,
     Attempt,
@@ -160,7 +161,8 @@
         if timeout_s is None:
             return await connection.next_event()
         try:
-            async with asyncio.timeout(timeout_s):
+            now_s = asyncio.get_running_loop().time()
+            async with PauseTolerantTimeout(now_s + timeout_s, timeout_s):
                 return await connection.next_event()
         except TimeoutError as error:
             raise BackendTimeoutError(f"no response data for {timeout_s:.1f} s") from error
@@ -324,8 +326,12 @@
             BackendTimeoutError: no complete event within the stall limit.
             BackendError: the stream is incomplete.
         """
+        first_timeout_s = self._stall_timeout_s(request, first=True)
+        now_s = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(self._stall_timeout_s(request, first=True)) as stall_timeout:
+            async with PauseTolerantTimeout(
+                now_s + first_timeout_s, first_timeout_s
+            ) as stall_timeout:
                 await self._relay_events(request, attempt, connection, response, stall_timeout)
         except TimeoutError as error:
             raise BackendTimeoutError("the stream stalled without a complete event") from error
@@ -343,7 +349,7 @@
         attempt: Attempt,
         connection: BackendConnection,
         response: BackendResponse,
-        stall_timeout: asyncio.Timeout,
+        stall_timeout: PauseTolerantTimeout,
     ) -> None:
         """Relays data until the end; postpones the timeout with each complete event.
 
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -31,6 +31,8 @@
 # Time between two rounds of messages; in a small fleet each round sends to all peers. Requests take
 # 0.1 s or more, so peers receive a load while most of the requests in it are still running.
 _ROUND_INTERVAL_S = 0.2
+# A round that starts this late shows that the process was paused, not that its peers were silent.
+_PAUSE_S = 0.5
 # Maximum rates of datagrams to the peers in the node's own zone and to all other peers, since
 # receiving one takes about 0.1 ms of a core. In a larger fleet each peer gets messages at longer
 # intervals: with 60 nodes in three zones every 0.4 s in the own zone and every 1.4 s in the others.
@@ -180,7 +182,9 @@
     async def run(self) -> None:
         """Sends this node's state to all peers until cancelled."""
         loop = asyncio.get_running_loop()
+        next_round_s = loop.time()
         while True:
+            self._check_pause(loop.time() - next_round_s)
             try:
                 self._send_round(loop.time())
                 self._fetch_if_behind(loop.time())
@@ -188,7 +192,16 @@
             except Exception:
                 # The loop must continue: peers would otherwise treat this node as lost.
                 _LOGGER.exception("round of the peer exchange failed; continuing with the next one")
-            await asyncio.sleep(_ROUND_INTERVAL_S * self.random.uniform(0.9, 1.1))
+            delay_s = _ROUND_INTERVAL_S * self.random.uniform(0.9, 1.1)
+            next_round_s = loop.time() + delay_s
+            await asyncio.sleep(delay_s)
+
+    def _check_pause(self, late_s: float) -> None:
+        """Keeps peers from being lost if this round is late because the process was paused."""
+        if late_s <= _PAUSE_S:
+            return
+        _LOGGER.warning("process was paused", extra={"paused_s": round(late_s, 2)})
+        self.peer_table.record_pause(late_s)
 
     def _send_round(self, now_s: float) -> None:
         self.announced_parts.append((now_s, self.dispatcher.take_unannounced_parts()))
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -25,6 +25,7 @@
     Call,
     CallerDialect,
 )
+from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.placing import RequestPlacer
 from tanagerworks.edge.request_state import (
     RESPONSE_MARGIN_S,
@@ -64,6 +65,9 @@
 # without knowledge of the servers' caches.
 _STARTUP_PERIOD_S = 1.0
 _MAX_STARTUP_WAIT_S = 0.15
+# If a deadline passes while the process is paused, the time to read and relay responses that have
+# arrived meanwhile.
+_DEADLINE_EXTENSION_S = 0.1
 # A node that is shutting down starts a stream only if this multiple of the longest recorded stream
 # of the route still fits before the shutdown deadline. During the drain notice the balancer may
 # send all callers of a zone here, so the factor is smaller: about one stream in 65 lasts longer
@@ -98,7 +102,7 @@
         self.notice_until_s = 0.0
         self.active_requests = 0
         # Timeouts of the requests in progress, which expire at their deadlines.
-        self.request_timeouts: set[asyncio.Timeout] = set()
+        self.request_timeouts: set[PauseTolerantTimeout] = set()
         # Set once the node has a configuration and at least one server.
         self.view_complete = asyncio.Event()
         # Set once the index of cached parts has been recovered.
@@ -258,7 +262,9 @@
 
     async def _serve_until_deadline(self, request: RequestState) -> str:
         """Serves the request; returns "answered" or `SERVER_ERROR`."""
-        timeout = asyncio.timeout_at(request.deadline_s - RESPONSE_MARGIN_S)
+        timeout = PauseTolerantTimeout(
+            request.deadline_s - RESPONSE_MARGIN_S, _DEADLINE_EXTENSION_S
+        )
         try:
             async with timeout:
                 self.request_timeouts.add(timeout)
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -94,6 +94,14 @@
         self.peers[received.name] = received
         return "restarted"
 
+    def record_pause(self, paused_s: float) -> None:
+        """Leaves the time in which this node was paused out of the silence of its peers.
+
+        Their messages of this time are still to be read, or were dropped by the paused node.
+        """
+        for peer in self.peers.values():
+            peer.last_seen_s += paused_s
+
     def live_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the peers whose last message arrived recently."""
         for peer in self.peers.values():
