Mend the faults known from reading the code

Cause, one each: a 421 gave the request back its attempt and with it a second count in the retry budget; a batch with a deletion before an older write of its key brought the key back; the end of any older request ended a probe; a reload left retry budgets and limiters on their old bounds and took over a node name and zone that the rest of the process did not have; a cache listing with an error status was logged as listed; the agent of the tests read the serial of the note again after it had sent a view. Change: each at its place; the tests' agent sends from the serial of the view that it sent.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -83,6 +83,16 @@
         self.prompt_chooser: ServerChooser = PromptChooser(self.cached_parts)
         self.plain_chooser: ServerChooser = PlainChooser()
 
+    def apply_bounds(self, bounds: FleetBounds) -> None:
+        """Replaces the bounds, also those of the existing retry budgets.
+
+        The limiter of a cold server gets its bound with each check, as it also depends on the
+        configuration.
+        """
+        self.bounds = bounds
+        for budget in self.retry_budgets.values():
+            budget.set_bounds(bounds.repeat_ratio, bounds.repeat_minimum, bounds.repeat_window_s)
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Replaces the configuration in force."""
         self.configuration = configuration
@@ -139,10 +149,11 @@
         if not state.is_cold(now_s) or service.cold_requests_per_s <= 0.0:
             self.cold_start_limiters.pop(state.server_id, None)
             return False
+        bound = service.cold_requests_per_s * self.bounds.cold_factor + self.bounds.cold_extra
         limiter = self.cold_start_limiters.get(state.server_id)
         if limiter is None:
-            bound = service.cold_requests_per_s * self.bounds.cold_factor + self.bounds.cold_extra
             limiter = self.cold_start_limiters[state.server_id] = ColdStartLimiter(bound)
+        limiter.set_bound(bound)
         senders = limiter.sender_count(nodes)
         if senders < nodes and not self._may_send_to_cold_server(state.server_id, senders, now_s):
             return True
@@ -181,7 +192,7 @@
         """
         assert choice.state is not None
         state = choice.state
-        state.record_start(choice.prefill_tokens)
+        state.record_start(dispatch_request.call_id, choice.prefill_tokens)
         limiter = self.cold_start_limiters.get(state.server_id)
         if limiter is not None and state.is_cold(now_s):
             limiter.use_token()
--- a/src/tanagerworks/dispatch/fleet_limits.py
+++ b/src/tanagerworks/dispatch/fleet_limits.py
@@ -21,10 +21,14 @@
     """
 
     def __init__(self, bound_per_s: float) -> None:
-        self.bound_per_s = bound_per_s * _USED_SHARE
+        self.set_bound(bound_per_s)
         self.tokens = 1.0
         self.refilled_at_s = float("-inf")
 
+    def set_bound(self, bound_per_s: float) -> None:
+        """Changes the bound; tokens that were used stay used."""
+        self.bound_per_s = bound_per_s * _USED_SHARE
+
     def sender_count(self, nodes: int) -> int:
         """Returns how many of the `nodes` nodes are senders, at least 1."""
         return max(1, min(nodes, int(self.bound_per_s // 2)))
@@ -54,11 +58,15 @@
     """
 
     def __init__(self, ratio: float, minimum: float, window_s: float) -> None:
+        self.set_bounds(ratio, minimum, window_s)
+        self.requests: deque[float] = deque()
+        self.retries: deque[float] = deque()
+
+    def set_bounds(self, ratio: float, minimum: float, window_s: float) -> None:
+        """Changes the bounds; requests and retries that were counted stay counted."""
         self.ratio = ratio
         self.minimum = minimum
         self.window_s = window_s
-        self.requests: deque[float] = deque()
-        self.retries: deque[float] = deque()
 
     def record_request(self, now_s: float) -> None:
         """Counts the first attempt of a request."""
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -54,10 +54,11 @@
     service_time_s: float = _FIRST_SERVICE_TIME_S
     failure_share: float = 0.0
     consecutive_failures: int = 0
-    # End and duration of the last ejection. After the end, one request is sent as a probe.
+    # End and duration of the last ejection. After the end, one request is sent as a probe; its id
+    # is recorded while it is in progress.
     ejected_until_s: float = float("-inf")
     ejection_s: float = 0.0
-    probing: bool = False
+    probe_call_id: str | None = None
 
     @property
     def server_id(self) -> str:
@@ -105,19 +106,20 @@
         """
         if self.consecutive_failures < FAILURES_TO_EJECT:
             return False
-        return now_s < self.ejected_until_s or self.probing
+        return now_s < self.ejected_until_s or self.probe_call_id is not None
 
-    def record_start(self, prefill_tokens: int) -> None:
-        """Counts a request that is about to be sent; after an ejection, it is a probe."""
+    def record_start(self, call_id: str, prefill_tokens: int) -> None:
+        """Counts a request that is about to be sent; the first after an ejection is a probe."""
         self.running += 1
         self.prefill_tokens += prefill_tokens
-        if self.consecutive_failures >= FAILURES_TO_EJECT:
-            self.probing = True
+        if self.consecutive_failures >= FAILURES_TO_EJECT and self.probe_call_id is None:
+            self.probe_call_id = call_id
 
-    def record_end(self) -> None:
-        """Subtracts a request that has ended, which also ends a probe."""
+    def record_end(self, call_id: str) -> None:
+        """Subtracts a request that has ended; only the end of the probe itself ends the probe."""
         self.running -= 1
-        self.probing = False
+        if self.probe_call_id == call_id:
+            self.probe_call_id = None
 
     def subtract_prefill_tokens(self, prefill_tokens: int) -> None:
         """Subtracts the prompt tokens of a request whose response has begun or that has ended."""
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -92,7 +92,8 @@
                 request.body,
             )
             attempt.sent_s = now_s
-            if request.send_count == 0:
+            if not request.in_retry_budget:
+                request.in_retry_budget = True
                 self.dispatcher.retry_budget(request.service).record_request(now_s)
             request.send_count += 1
             request.dispatch_request.tried_server_ids.add(state.server_id)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -364,7 +364,7 @@
 
     def _end_attempt(self, request: RequestState, attempt: Attempt) -> None:
         attempt.end_prefill()
-        attempt.state.record_end()
+        attempt.state.record_end(request.dispatch_request.call_id)
         if request.event_splitter is not None:
             request.event_splitter.discard_partial_event()
         if attempt.failed:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -23,7 +23,7 @@
 from tanagerworks.errors import SettingsError
 from tanagerworks.membership.peer_table import PeerTable
 from tanagerworks.published.model import CallerLimits
-from tanagerworks.settings.edge import EdgeSettings
+from tanagerworks.settings.edge import EdgeBounds, EdgeSettings
 from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
 
 _LOGGER = logging.getLogger(__name__)
@@ -51,6 +51,8 @@
 # A new node is not ready until it has recovered the index of cached parts, but for at most this
 # long: prefilling some prompts again costs less than leaving the node unused.
 _MAX_RECOVERY_WAIT_S = 1.0
+# Settings that a running process cannot change.
+_FIELDS_THAT_NEED_A_RESTART = ("node", "zone", "addresses", "store")
 PROGRAM = "tanager-edge"
 
 
@@ -74,21 +76,14 @@
         reload_settings: Callable[[], EdgeSettings],
     ) -> None:
         self.settings = settings
+        # The settings as last read from the file; fields that need a restart may differ.
+        self.file_settings = settings
         self.reload_settings = reload_settings
         self.peer_finder = adapter.peer_finder
         started_s = time.monotonic()
-        bounds = settings.bounds
         self.metrics = EdgeMetrics()
         self.dispatcher = Dispatcher(
-            settings.node,
-            FleetBounds(
-                bounds.repeat_ratio,
-                bounds.repeat_minimum,
-                bounds.repeat_window_s,
-                bounds.cold_factor,
-                bounds.cold_extra,
-            ),
-            PeerTable(started_s),
+            settings.node, _fleet_bounds(settings.bounds), PeerTable(started_s)
         )
         self.store_view = StoreView(adapter.store, self.dispatcher)
         store = settings.store
@@ -164,7 +159,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._handle_reload_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         addresses = self.settings.addresses
         peers_host, peers_port = _split_address(addresses.peers)
         await loop.create_datagram_endpoint(
@@ -326,39 +321,36 @@
         """Applies changes of the settings file without a signal."""
         while True:
             await asyncio.sleep(_SETTINGS_CHECK_INTERVAL_S)
-            try:
-                settings = self.reload_settings()
-            except SettingsError as error:
-                _LOGGER.error("settings not reloaded", extra={"reason": error.message})
-                continue
-            if settings != self.settings:
-                self._apply_settings(settings)
-
-    def _handle_reload_signal(self) -> None:
+            self._reload(log_unchanged=False)
+
+    def _reload(self, log_unchanged: bool = True) -> None:
+        """Reads the settings file again and applies its changes; an invalid file changes nothing.
+
+        Without `log_unchanged`, nothing is logged for a file that has not changed since the last
+        reload.
+        """
         try:
             settings = self.reload_settings()
         except SettingsError as error:
             _LOGGER.error("settings not reloaded", extra={"reason": error.message})
             return
-        self._apply_settings(settings)
+        if settings != self.file_settings or log_unchanged:
+            self._apply_settings(settings)
 
     def _apply_settings(self, settings: EdgeSettings) -> None:
-        """Applies the seed addresses, the bounds and the stop limit.
+        """Applies the seed addresses, the bounds and the log level.
 
-        Existing retry budgets and cold-start limiters keep their bounds. Changes of the addresses,
-        the store and the log level have no effect until the process restarts.
+        A node has one name, zone, set of addresses and store for the lifetime of its process.
+        Changes of these fields are logged and have no effect until it restarts.
         """
-        self.settings = settings
-        self.peer_finder.apply_settings(settings)
-        bounds = settings.bounds
-        self.dispatcher.bounds = FleetBounds(
-            bounds.repeat_ratio,
-            bounds.repeat_minimum,
-            bounds.repeat_window_s,
-            bounds.cold_factor,
-            bounds.cold_extra,
-        )
-        _LOGGER.info("settings reloaded")
+        self.file_settings = settings
+        kept = {name: getattr(self.settings, name) for name in _FIELDS_THAT_NEED_A_RESTART}
+        ignored = sorted(name for name in kept if getattr(settings, name) != kept[name])
+        self.settings = settings.model_copy(update=kept)
+        self.peer_finder.apply_settings(self.settings)
+        self.dispatcher.apply_bounds(_fleet_bounds(self.settings.bounds))
+        logging.getLogger().setLevel(self.settings.log_level.upper())
+        _LOGGER.info("settings reloaded", extra={"ignored_until_restart": ignored})
 
     async def _shut_down(self) -> None:
         """Completes the running requests within the stop limit, then stops the tasks."""
@@ -399,6 +391,16 @@
             await asyncio.sleep(_TASK_RESTART_DELAY_S)
 
 
+def _fleet_bounds(bounds: EdgeBounds) -> FleetBounds:
+    return FleetBounds(
+        bounds.repeat_ratio,
+        bounds.repeat_minimum,
+        bounds.repeat_window_s,
+        bounds.cold_factor,
+        bounds.cold_extra,
+    )
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _colon, port = address.rpartition(":")
     return host, int(port)
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -156,7 +156,9 @@
             status, body = await client.get(
                 self.backend_dialect.cache_listing_target, _LIST_TIMEOUT_S
             )
-            keys = self.backend_dialect.parse_cache_listing(body) if status == 200 else []
+            if status != 200:
+                raise BackendProtocolError(f"cache listing got status {status}")
+            keys = self.backend_dialect.parse_cache_listing(body)
         except (PublishedStoreError, BackendProtocolError) as error:
             _LOGGER.warning(
                 "cache contents not listed",
@@ -168,8 +170,4 @@
         now_s = asyncio.get_running_loop().time()
         self.dispatcher.cached_parts.record_parts(keys, state.server_id, now_s)
         self.dispatcher.unannounced_keys_by_server.setdefault(state.server_id, set()).update(keys)
-        # Logged for every status; a response other than 200 has no parts.
-        _LOGGER.info(
-            "cache contents listed",
-            extra={"server": state.server_id, "status": status, "parts": len(keys)},
-        )
+        _LOGGER.info("cache contents listed", extra={"server": state.server_id, "parts": len(keys)})
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -56,6 +56,8 @@
     dispatch_request: DispatchRequest
     # Attempts whose request was written to a server, except those that reached a wrong server.
     send_count: int = 0
+    # Whether the retry budget has counted the request.
+    in_retry_budget: bool = False
     # Server of the latest attempt; "" before the first.
     server_id: str = ""
     event_splitter: EventSplitter | None = None
--- a/src/tanagerworks/published/replica.py
+++ b/src/tanagerworks/published/replica.py
@@ -51,10 +51,10 @@
 
         Changes may arrive repeatedly or late: for each key, the change with the highest revision
         stays. A change of an unknown key at or below the replica's revision is ignored, because the
-        key has been deleted since. Two changes of one key must be in the order of their revisions.
+        key has been deleted since. The changes may be in any order.
         """
         applied = []
-        for change in changes:
+        for change in sorted(changes, key=lambda change: change.revision):
             if change.revision > self.revision:
                 self._record(change)
             known = self.items.get(change.key)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -172,8 +172,10 @@
         self.held.append(list(request.held))
         serial = request.note_serial
         while not self.stopping.is_set() and context.is_active():
-            yield self.view(serial)
-            serial = self.note.serial
+            view = self.view(serial)
+            yield view
+            # The note may have changed since; the next view has to contain the new one.
+            serial = view.note_serial
             self.stopping.wait(0.1)
 
     def Refresh(self, request, context):  # noqa: N802
--- a/tests/test_choice_patterns.py
+++ b/tests/test_choice_patterns.py
@@ -37,7 +37,7 @@
 
 def finish_request(choice):
     choice.state.subtract_prefill_tokens(choice.prefill_tokens)
-    choice.state.record_end()
+    choice.state.record_end("call-1")
 
 
 def test_returning_chats_stay_at_the_server_that_cached_their_prompt():
@@ -285,7 +285,7 @@
     for number in range(30):
         request = dispatch_request(f"call-{number}", service=PLAIN_SERVICE)
         choice = send_request(node, request, 0.01 * number)
-        choice.state.record_end()
+        choice.state.record_end("call-1")
         if choice.state is failing_server:
             failing_server.record_failure(0.01 * number)
         else:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -85,13 +85,29 @@
     assert usable(directory, 0.1) == set()
     later_s = state.ejected_until_s + 0.1
     assert usable(directory, later_s) == {"a"}
-    state.record_start(0)
+    state.record_start("call-1", 0)
     assert usable(directory, later_s) == set()
-    state.record_end()
+    state.record_end("call-1")
     state.record_success(0.1)
     assert usable(directory, later_s) == {"a"}
 
 
+def test_end_of_an_older_request_does_not_end_a_probe():
+    """Guards against two probes at once: an older request ends while the first is in progress."""
+    directory = Directory()
+    directory.put(server_entry("a"), 0.0)
+    state = directory.servers["a"]
+    state.record_start("older", 0)
+    for _failure in range(FAILURES_TO_EJECT):
+        state.record_failure(0.0)
+    later_s = state.ejected_until_s + 0.1
+    state.record_start("probe", 0)
+    state.record_end("older")
+    assert usable(directory, later_s) == set()
+    state.record_end("probe")
+    assert usable(directory, later_s) == {"a"}
+
+
 def test_peer_loads_are_replaced_and_removed():
     """Guards against loads of a lost peer that make a server look full."""
     directory = Directory()
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -163,7 +163,7 @@
         await wait_until(lambda: state.total_running == 1)
         key = wanted.prompt.keys[0]
         await wait_until(lambda: "a" in second.dispatcher.cached_parts.servers_by_key.get(key, {}))
-        choice.state.record_end()
+        choice.state.record_end("call-1")
         await wait_until(lambda: state.total_running == 0)
 
     run_with_fleet(scenario)
@@ -236,7 +236,7 @@
         first, second, third = nodes
         for node in nodes:
             node.dispatcher.directory.put(server_entry("a"), 0.0)
-        first.dispatcher.directory.servers["a"].record_start(0)
+        first.dispatcher.directory.servers["a"].record_start("call-1", 0)
         state = second.dispatcher.directory.servers["a"]
         await wait_until(lambda: state.total_running == 1)
         first.exchange.transport.close()
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -164,6 +164,20 @@
     assert counts[1] == 6
 
 
+def test_request_that_reached_another_server_counts_once_in_the_retry_budget():
+    """Guards against more retries than the budget allows, because of requests counted twice."""
+    config = configuration(routes=[route()])
+
+    async def scenario(port, pipeline, servers):
+        for number in range(4):
+            await send_request(port, request_bytes("/desk-read/x", f"c{number}"))
+        return pipeline.dispatcher.retry_budget(PLAIN_SERVICE)
+
+    budget = run_scenario([[refuse("421 Misdirected Request")], [respond_with()]], scenario, config)
+    assert len(budget.requests) == 4
+    assert len(budget.retries) == 1
+
+
 def test_refused_request_is_retried_within_the_attempts():
     """Guards against a caller that gets a refusal although another server has free capacity.
 
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -1,10 +1,13 @@
 """A complete edge process with the platform adapter: start, requests, reload, shutdown."""
 
 import asyncio
+import logging
 import os
 import signal
+from dataclasses import replace
 
 from tanagerworks.edge.process import _run_with_restarts
+from tests.edge_builders import BOUNDS, dispatch_request, dispatcher, server_entry
 from tests.edge_process_runner import publish_to_store, run_process
 from tests.platform_standin import request_bytes, send_request, wait_until
 
@@ -57,6 +60,56 @@
     run_process(scenario)
 
 
+def test_reload_applies_all_of_a_change_or_logs_what_it_leaves(caplog):
+    """Guards against a reload that applies half of a change.
+
+    Retry budgets and limiters that exist already must follow the new bounds. Name, zone and
+    addresses belong to a process, so it must go on with all of the old ones.
+    """
+    caplog.set_level("INFO")
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        budget = process.dispatcher.retry_budget("desk")
+        bounds = settings_versions[0].bounds.model_copy(
+            update={"repeat_ratio": 0.5, "repeat_minimum": 7.0, "repeat_window_s": 3.0}
+        )
+        settings_versions.append(
+            settings_versions[0].model_copy(
+                update={
+                    "bounds": bounds,
+                    "node": "other",
+                    "zone": "zone-x",
+                    "log_level": "warning",
+                }
+            )
+        )
+        level = logging.getLogger().level
+        try:
+            os.kill(os.getpid(), signal.SIGHUP)
+            await wait_until(lambda: process.dispatcher.bounds.repeat_ratio == 0.5)
+            assert logging.getLogger().level == logging.WARNING
+        finally:
+            logging.getLogger().setLevel(level)
+        assert (budget.ratio, budget.minimum, budget.window_s) == (0.5, 7.0, 3.0)
+        assert (process.settings.node, process.settings.zone) == ("node-1", "zone-a")
+        assert process.peer_exchange.node == "node-1"
+
+    run_process(scenario)
+
+
+def test_changed_bound_reaches_the_limiter_of_a_cold_server():
+    """Guards against a cold server that gets requests by the bounds of an earlier reload."""
+    node = dispatcher(servers=[server_entry("a", cold_s=10.0)])
+    request = dispatch_request()
+    node.choose_server(request, 0.0)
+    before = node.cold_start_limiters["a"].bound_per_s
+    node.apply_bounds(replace(BOUNDS, cold_factor=BOUNDS.cold_factor / 2, cold_extra=0.0))
+    node.choose_server(request, 0.1)
+    assert node.cold_start_limiters["a"].bound_per_s < before / 2
+
+
 def test_failed_task_is_restarted():
     """Guards against an exception that silently ends a background task of the process."""
 
--- a/tests/test_fault_silent_machines.py
+++ b/tests/test_fault_silent_machines.py
@@ -125,7 +125,7 @@
     async def scenario(port, pipeline, servers):
         directory = pipeline.dispatcher.directory
         state = directory.servers["server-0"]
-        state.record_start(0)
+        state.record_start("call-1", 0)
         directory.delete("server-0", 0.0)
         directory.put(server_entry("server-0", PLAIN_SERVICE, started_ms=2), 0.0)
         return directory.servers["server-0"].running
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -38,11 +38,12 @@
 
     @rule(data=st.data())
     def replica_applies_changes(self, data):
-        """Applies changes after the replica's revision, possibly with some that it has applied."""
+        """Applies changes after the replica's revision in any order, some of them again."""
         known = self.replica.revision
         until_revision = data.draw(st.integers(known, max(known, self.revision)))
         since = data.draw(st.integers(0, known))
         changes = [c for c in self.history if since < c.revision <= until_revision]
+        changes = data.draw(st.permutations(changes))
         self.replica.apply_changes(changes, until_revision)
 
     @rule(data=st.data())
@@ -87,3 +88,10 @@
     applied = replica.apply_changes([Change("a", 3, None), Change("c", 4, b"4")], 4)
     assert applied == [Change("a", 3, None), Change("c", 4, b"4")]
     assert replica.replace_items([Change("c", 4, b"4")], 5) == [Change("b", 5, None)]
+
+
+def test_deletion_before_an_older_write_in_one_batch():
+    """Guards against a deleted key that comes back with an older write of the same batch."""
+    replica = Replica()
+    replica.apply_changes([Change("a", 2, None), Change("a", 1, b"1")], 2)
+    assert replica.items == {}
