Send other zones summaries of a zone instead of every node's state

Cause: at a fixed rate of datagrams to all other nodes, a peer in another zone got a state every 5 s at 195 nodes; messages out of turn announced the short interval, targets were starved while the list of peers grew, and addresses of unknown nodes were mostly dropped. Change: a node sends its own state to its zone. Other zones get the sums of a zone, by server, and the names of its live nodes; each node gets them from two nodes of each zone, found by rendezvous hashing, and replaces the sum before. A node that was paused or has just started sends no summary until it has heard its zone. Parts of prompts go with the summaries.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
+from xxhash import xxh32_intdigest
+
 from tanagerworks.dispatch.server_state import PeerLoad, ServerState
 from tanagerworks.published.model import ServerEntry
 
@@ -11,6 +13,15 @@
 REREGISTRATION_S = 2.0
 
 
+# Prefix of the name under which the load of another zone is recorded; no node has it.
+_ZONE_PREFIX = "zone/"
+
+
+def server_key(server_id: str) -> int:
+    """Returns the 32-bit hash that identifies a server in summaries of zones."""
+    return xxh32_intdigest(server_id.encode())
+
+
 @dataclass(frozen=True, slots=True)
 class _HeldDeletion:
     # Also the key in `Directory.held_deletions`.
@@ -25,6 +36,10 @@
         self.servers: dict[str, ServerState] = {}
         self.by_service: dict[str, list[ServerState]] = {}
         self.zones_out: set[str] = set()
+        # States by `server_key`.
+        self.by_key: dict[int, ServerState] = {}
+        # Names under which the loads of other zones are recorded.
+        self.zone_names: set[str] = set()
         # Ids of the servers at which each peer has requests in progress, as it last reported.
         self.servers_by_peer: dict[str, set[str]] = {}
         self.held_deletions: dict[str, _HeldDeletion] = {}
@@ -110,6 +125,7 @@
 
     def _rebuild_index(self) -> None:
         self.by_service = {}
+        self.by_key = {server_key(server_id): state for server_id, state in self.servers.items()}
         for state in self.servers.values():
             self.by_service.setdefault(state.entry.service, []).append(state)
 
@@ -128,6 +144,29 @@
         else:
             self.servers_by_peer.pop(peer, None)
 
+    def set_zone_loads(
+        self, zone: str, loads: Mapping[int, PeerLoad], part: int = 0, parts: int = 1
+    ) -> None:
+        """Replaces the load of another zone at the servers of one part, by server key.
+
+        A server is in the part that is the remainder of its key divided by `parts`. The load of a
+        zone is always replaced, never added to, so that no node counts twice.
+        """
+        name = _ZONE_PREFIX + zone
+        self.zone_names.add(name)
+        for key, state in self.by_key.items():
+            if key % parts == part:
+                state.set_peer_load(name, loads.get(key))
+
+    def own_zone_loads(self) -> dict[int, PeerLoad]:
+        """Returns the load of this node and the peers in its zone, by server key."""
+        loads = {}
+        for key, state in self.by_key.items():
+            load = state.load_except(self.zone_names)
+            if load.running > 0:
+                loads[key] = load
+        return loads
+
     def usable_servers(self, service: str, now_s: float) -> Iterator[ServerState]:
         """Yields the servers of a service that may get new work, whatever their load.
 
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -246,10 +246,7 @@
         if rate <= 0.0:
             return _RETRY_AFTER_WITHOUT_SERVERS_S
         ahead = self.queue(dispatch_request.service).count_ahead(dispatch_request.priority) + 1
-        ahead += sum(
-            peer.queued_requests.get(dispatch_request.service, 0)
-            for peer in self.peer_table.live_peers(now_s)
-        )
+        ahead += self.peer_table.queued_requests(dispatch_request.service, now_s)
         ahead += sum(max(0, state.load(now_s) - state.entry.slots) for state in states)
         return max(_MIN_RETRY_AFTER_S, ahead / rate)
 
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -1,6 +1,6 @@
 """The state of one backend server process as one node sees it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from tanagerworks.published.model import ServerEntry
@@ -86,6 +86,17 @@
             self.peers_running += load.running
             self.peers_prefill_tokens += load.prefill_tokens
 
+    def load_except(self, excluded: Iterable[str]) -> PeerLoad:
+        """Returns the load of this node and its peers, except for those in `excluded`."""
+        running = self.total_running
+        prefill_tokens = self.total_prefill_tokens
+        for name in excluded:
+            load = self.peer_loads.get(name)
+            if load is not None:
+                running -= load.running
+                prefill_tokens -= load.prefill_tokens
+        return PeerLoad(running, prefill_tokens)
+
     def load(self, now_s: float) -> int:
         """Returns the requests in progress at the server.
 
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -1,17 +1,17 @@
 """Exchange of state between nodes: their state in datagrams, copies of the store over TCP.
 
-A datagram has a node's loads, queue lengths, cached prompt parts, store revision and addresses of
-other nodes. A copy has the items of the published store and, on request, the index of cached parts.
+A node sends its own state to the peers of its availability zone: its loads, queue lengths, cached
+prompt parts and store revision. To other zones, nodes send summaries of their zone. Every node in
+another zone gets them from two nodes of the zone, so the traffic of a node depends on the sizes of
+the zones rather than on that of the fleet, and the loss of any node is made up for by another one.
 """
 
 import asyncio
 import logging
 import math
 import random
-import struct
-import zlib
-from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from heapq import nsmallest
 from typing import cast
 
 from google.protobuf.message import DecodeError
@@ -20,11 +20,28 @@
 from tanagerworks.dispatch.server_state import PeerLoad, local_loads
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.interfaces import PeerFinder
+from tanagerworks.edge.part_announcements import PartAnnouncements
+from tanagerworks.edge.store_copies import fetch_store_copy, serve_store_copy
 from tanagerworks.errors import PeerError
 from tanagerworks.membership.addresses import is_address, parse_address
-from tanagerworks.membership.peer_table import Peer, PeerTable
+from tanagerworks.membership.peer_table import (
+    DISCOVERY_PERIOD_S,
+    LIVE_TIMEOUT_S,
+    Peer,
+    PeerTable,
+    name_hash,
+)
 from tanagerworks.published.replica import Change
-from tanagerworks.rpc.edge_pb2 import NodeState, Placement, StoreCopy, StoreCopyRequest, StoreItem
+from tanagerworks.routing.ranking import rank_equally
+from tanagerworks.rpc.edge_pb2 import (
+    NodeState,
+    Placement,
+    StoreCopy,
+    StoreCopyRequest,
+    StoreItem,
+    ZoneLoad,
+    ZoneSummary,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -33,37 +50,45 @@
 _ROUND_INTERVAL_S = 0.2
 # A round that starts this late shows that the process was paused, not that its peers were silent.
 _PAUSE_S = 0.5
-# Maximum rates of datagrams to the peers in the node's own zone and to all other peers, since
+# Maximum rates of states to the peers in the node's own zone and of summaries to other zones, since
 # receiving one takes about 0.1 ms of a core. In a larger fleet each peer gets messages at longer
-# intervals: with 60 nodes in three zones every 0.4 s in the own zone and every 1.4 s in the others.
-_DATAGRAMS_IN_ZONE_PER_S = 50.0
-_DATAGRAMS_TO_OTHER_ZONES_PER_S = 30.0
-# Maximum number of peer addresses in a message.
-_ADDRESSES_PER_MESSAGE = 8
+# intervals: with 39 nodes in each of five zones every 0.8 s in the own zone and every 1.0 s in the
+# others.
+_STATES_IN_ZONE_PER_S = 50.0
+_SUMMARIES_PER_S = 8.0
+# Nodes of a zone that send summaries to the same node of another zone.
+_SENDERS_PER_RECEIVER = 2
+# Shortest time after the start, or after a pause, before a node sends summaries. It has to hear its
+# zone first, as each summary replaces the one before.
+_MIN_SUMMARY_DELAY_S = 0.5
+# Regular messages between two nodes that one may miss before the other is lost.
+_SUMMARY_TIMEOUT_INTERVALS = 4.0
+# Message interval that introductions announce. Until the first summaries arrive, it keeps a peer of
+# another zone live.
+_INTRODUCTION_INTERVAL_S = 1.0
+# Time after the start in which a large fleet is discovered and periods grow.
+_GROWTH_PERIOD_S = 2.0 * DISCOVERY_PERIOD_S
+# Addresses without a known node to which a node introduces itself in one round.
+_INTRODUCTIONS_PER_ROUND = 12
+# Times that an address is tried; the addresses of seeds are tried for ever.
+_INTRODUCTION_ATTEMPTS = 3
 # Longest message interval that is believed. In a fleet of a thousand nodes it is below 30 s.
 _MAX_INTERVAL_S = 30.0
 # One of this number of messages has peer addresses.
 _ADDRESS_MESSAGE_INTERVAL = 5
+# Maximum number of peer addresses in a message.
+_ADDRESSES_PER_MESSAGE = 8
 # A node that follows the store waits this long for changes that a peer already has. After that it
 # fetches them from the peer.
 _MAX_STORE_LAG_S = 0.3
-_FETCH_TIMEOUT_S = 1.0
-# Maximum size of a request for a copy of the store, which has two numbers.
-MAX_COPY_REQUEST_BYTES = 1_024
-# A copy of the store consists of a configuration and the entries of all servers. Each value has at
-# most 1 MB.
-_MAX_COPY_BYTES = 32_000_000
 # A larger datagram could be fragmented by IP, and the loss of any fragment would lose all of it.
 _MAX_DATAGRAM_BYTES = 1_400
-# Maximum number of prompt parts in one `Placement` message. At 8 bytes each, several of these
-# messages fit into a datagram.
-_PARTS_PER_PLACEMENT = 48
+# Servers in one message of a summary, at about 11 bytes each.
+_SERVERS_PER_SUMMARY = 80
 # Maximum number of datagrams to one peer in a round. The listing of a server's cache, about 400
 # parts, takes three. Parts beyond the limit are not sent; peers that start later receive them with
 # the copy of the store.
-_MAX_DATAGRAMS_PER_ROUND = 16
-# Length prefix of a message over TCP.
-_LENGTH = struct.Struct("!I")
+_MAX_DATAGRAMS_PER_ROUND = 32
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -93,15 +118,31 @@
         self.sequence = 0
         # Returns whether this node follows the store and gets responses from it.
         self.is_following_store: Callable[[], bool] = lambda: False
-        # Keys of the prompt parts announced in recent rounds, by server id, with the event loop
-        # time of the round; latest last.
-        self.announced_parts: deque[tuple[float, dict[str, set[int]]]] = deque()
+        # Parts sent to servers by this node, and those sent by this node and the peers in its zone.
+        self.own_parts = PartAnnouncements()
+        self.zone_parts = PartAnnouncements()
         self.round_number = 0
+        # Number of the last round with a regular message, by address.
+        self.sent_in_round: dict[str, int] = {}
+        # Time between two regular messages to the same node of this zone and of other zones, as of
+        # the last round.
+        self.zone_period_s = _ROUND_INTERVAL_S
+        self.summary_period_s = _ROUND_INTERVAL_S
+        # Event loop time from which this node hears its zone; summaries begin a little later.
+        self.hears_zone_from_s = self.peer_table.started_s
+        # Whether this node sends summaries to a peer of another zone, by name; valid for these
+        # members of the own zone.
+        self.assignments: dict[str, bool] = {}
+        self.assigned_among: frozenset[str] = frozenset()
+        # Event loop time of this node's first summary.
+        self.summarizing_from_s: float | None = None
+        # Event loop time of the last summary of each other zone, and the time until the next.
+        self.summaries_received: dict[str, tuple[float, float]] = {}
         self.fetch_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
-        # Addresses that peers have sent since the last round.
-        self.received_addresses: set[str] = set()
+        # Addresses of unknown nodes that peers have sent, with the attempts made so far.
+        self.introduction_attempts: dict[str, int] = {}
         # Event loop time since which a peer has had a newer revision of the store than this node;
         # None if no peer has one.
         self.behind_since_s: float | None = None
@@ -127,18 +168,43 @@
         state = NodeState()
         try:
             state.ParseFromString(data)
-        except DecodeError as error:
-            _LOGGER.warning("peer message unusable", extra={"from": addr[0], "reason": str(error)})
-            return
-        if not state.name or state.name == self.node:
-            return
-        try:
+            if not state.name or state.name == self.node:
+                return
             parse_address(state.address)
-        except PeerError as error:
+        except (DecodeError, PeerError) as error:
             _LOGGER.warning("peer message unusable", extra={"from": addr[0], "reason": str(error)})
             return
         now_s = asyncio.get_running_loop().time()
-        peer = Peer(
+        # Parts that were sent to a server are valid also in a message that a later one overtook.
+        self._record_placements(state, now_s)
+        event = self.peer_table.record_message(self._to_peer(state, now_s))
+        if event == "old":
+            return
+        if event != "known":
+            self.logged_lost_peers.discard(state.name)
+            _LOGGER.info(
+                "peer joined, returned or restarted", extra={"peer": state.name, "event": event}
+            )
+            # A new process waits for the first messages of its peers before it recovers its index
+            # of cached parts.
+            self._announce_to([state.address], state.zone == self.zone, now_s)
+        self.introduction_attempts.pop(state.address, None)
+        self._record_addresses(state.known_addresses)
+        self._apply_loads(state, now_s)
+        if state.revision > self.store_view.replica.revision:
+            self._fetch_if_behind(now_s)
+        self.on_peer_state_applied()
+
+    def _record_placements(self, state: NodeState, now_s: float) -> None:
+        """Records the announced parts; those of a peer in the own zone go into the summaries."""
+        for placement in state.placements:
+            self.dispatcher.cached_parts.record_parts(placement.parts, placement.server_id, now_s)
+            if state.zone == self.zone:
+                self.zone_parts.add_parts(placement.server_id, placement.parts)
+
+    def _to_peer(self, state: NodeState, now_s: float) -> Peer:
+        queued = {} if state.HasField("summary") else _queued_requests(state)
+        return Peer(
             state.name,
             state.address,
             state.zone,
@@ -149,33 +215,39 @@
             state.stopping,
             state.follows_store,
             min(state.interval_ms / 1000, _MAX_INTERVAL_S),
-            {waiting.service: waiting.requests for waiting in state.waiting},
+            queued,
         )
-        event = self.peer_table.record_message(peer)
-        if event == "old":
+
+    def _record_addresses(self, addresses: Iterable[str]) -> None:
+        """Remembers the first usable addresses of unknown nodes among those in a message."""
+        known = self.peer_table.addresses
+        for address in list(addresses)[:_ADDRESSES_PER_MESSAGE]:
+            if address == self.address or address in known or not is_address(address):
+                continue
+            self.introduction_attempts.setdefault(address, 0)
+
+    def _apply_loads(self, state: NodeState, now_s: float) -> None:
+        if state.zone == self.zone:
+            loads = {
+                load.server_id: PeerLoad(load.running, load.prefill_tokens) for load in state.loads
+            }
+            self.dispatcher.directory.set_peer_loads(state.name, loads)
             return
-        if event != "known":
-            self.logged_lost_peers.discard(state.name)
-            _LOGGER.info(
-                "peer joined, returned or restarted", extra={"peer": state.name, "event": event}
-            )
-            # A new process waits for the first messages of its peers before it recovers its index
-            # of cached parts.
-            self._send([state.address], _ROUND_INTERVAL_S, 0.0, now_s)
-        self.received_addresses.update(
-            address
-            for address in state.known_addresses[:_ADDRESSES_PER_MESSAGE]
-            if is_address(address)
+        if not state.HasField("summary"):
+            return
+        summary = state.summary
+        interval_s = min(state.interval_ms / 1000, _MAX_INTERVAL_S)
+        self.summaries_received[state.zone] = (now_s, interval_s)
+        # The summaries of the senders of this node alternate.
+        self.peer_table.record_members(
+            state.zone, summary.members, now_s, interval_s / _SENDERS_PER_RECEIVER
         )
-        loads = {
-            load.server_id: PeerLoad(load.running, load.prefill_tokens) for load in state.loads
+        self.peer_table.queued_by_zone[state.zone] = _queued_requests(state)
+        zone_loads = {
+            load.server_key: PeerLoad(load.running, load.prefill_tokens) for load in summary.loads
         }
-        self.dispatcher.directory.set_peer_loads(state.name, loads)
-        for placement in state.placements:
-            self.dispatcher.cached_parts.record_parts(placement.parts, placement.server_id, now_s)
-        if state.revision > self.store_view.replica.revision:
-            self._fetch_if_behind(now_s)
-        self.on_peer_state_applied()
+        parts = max(1, summary.parts)
+        self.dispatcher.directory.set_zone_loads(state.zone, zone_loads, summary.part, parts)
 
     # Sending
 
@@ -197,98 +269,162 @@
             await asyncio.sleep(delay_s)
 
     def _check_pause(self, late_s: float) -> None:
-        """Keeps peers from being lost if this round is late because the process was paused."""
+        """Keeps peers from being lost if this round is late because the process was paused.
+
+        What this node knows of its zone is from before the pause, so it must not send summaries of
+        it until it has heard its peers again.
+        """
         if late_s <= _PAUSE_S:
             return
         _LOGGER.warning("process was paused", extra={"paused_s": round(late_s, 2)})
         self.peer_table.record_pause(late_s)
+        self.hears_zone_from_s = asyncio.get_running_loop().time()
 
     def _send_round(self, now_s: float) -> None:
-        self.announced_parts.append((now_s, self.dispatcher.take_unannounced_parts()))
-        zone_addresses, other_addresses = self._target_addresses()
+        parts_by_server = self.dispatcher.take_unannounced_parts()
+        self.own_parts.add_round(now_s, parts_by_server)
+        self.zone_parts.add_round(now_s, parts_by_server)
         self.round_number += 1
-        longest_period_s = max(
-            self._send_to_round_targets(zone_addresses, _DATAGRAMS_IN_ZONE_PER_S, now_s),
-            self._send_to_round_targets(other_addresses, _DATAGRAMS_TO_OTHER_ZONES_PER_S, now_s),
+        zone_targets = sorted(
+            peer.address for peer in self.peer_table.peers.values() if peer.zone == self.zone
         )
-        while self.announced_parts and now_s - self.announced_parts[0][0] > 2 * longest_period_s:
-            self.announced_parts.popleft()
-
-    def _send_to_round_targets(self, targets: list[str], per_s: float, now_s: float) -> float:
-        """Sends to the targets of this round; returns the seconds between two sends to a target.
-
-        The targets are divided among as many rounds as keep the rate below `per_s` datagrams.
+        round_targets, self.zone_period_s = self._round_targets(zone_targets, _STATES_IN_ZONE_PER_S)
+        # Each part is sent twice, since a datagram may be lost.
+        own_since_s = now_s - 2 * self.zone_period_s
+        self._send(round_targets, self._own_states(own_since_s, now_s))
+        summary_targets = self._summary_targets(now_s)
+        round_targets, self.summary_period_s = self._round_targets(
+            summary_targets, _SUMMARIES_PER_S
+        )
+        # Each part is sent once, but by every sender of the receiver; the first summary for a
+        # receiver has all parts since the start.
+        repeated_s = self.summary_period_s + _ROUND_INTERVAL_S
+        zone_since_s = now_s - repeated_s
+        if self.summarizing_from_s is None or now_s - self.summarizing_from_s < repeated_s:
+            zone_since_s = -math.inf
+        if self._may_summarize(now_s):
+            if self.summarizing_from_s is None:
+                self.summarizing_from_s = now_s
+            self._send(round_targets, self._summaries(zone_since_s, now_s))
+        else:
+            self._send(round_targets, [self._introduction(now_s)])
+        self._send(self._introduction_targets(), [self._introduction(now_s)])
+        if len(self.sent_in_round) > 2 * len(self.peer_table.addresses) + _ADDRESSES_PER_MESSAGE:
+            self.sent_in_round.clear()
+        self.own_parts.drop_before(own_since_s)
+        self.zone_parts.drop_before(zone_since_s)
+
+    def _round_targets(self, targets: list[str], per_s: float) -> tuple[list[str], float]:
+        """Returns the targets of this round, and the seconds between two sends to a target.
+
+        The targets are divided among as many rounds as keep the rate below `per_s` datagrams. Those
+        that have waited longest come first, so that new targets do not delay the others.
         """
         rounds = max(1, math.ceil(len(targets) / (per_s * _ROUND_INTERVAL_S)))
-        period_s = rounds * _ROUND_INTERVAL_S
-        round_targets = targets[self.round_number % rounds :: rounds]
-        # Each part is sent twice, since a datagram may be lost.
-        self._send(round_targets, period_s, 2 * period_s, now_s)
-        return period_s
-
-    def _target_addresses(self) -> tuple[list[str], list[str]]:
-        """Returns the addresses in this node's zone, and those of all other peers and seeds."""
-        zone_addresses = {
-            peer.address for peer in self.peer_table.peers.values() if peer.zone == self.zone
-        }
-        other_addresses = {
-            peer.address for peer in self.peer_table.peers.values() if peer.zone != self.zone
-        }
-        # The node at an address from a seed list or a peer becomes a peer once its message arrives.
-        other_addresses |= (
-            set(self.finder.seed_addresses()) | self.received_addresses
-        ) - zone_addresses
-        self.received_addresses.clear()
-        zone_addresses.discard(self.address)
-        other_addresses.discard(self.address)
-        return sorted(zone_addresses), sorted(other_addresses)
-
-    def _send(
-        self, targets: list[str], interval_s: float, parts_age_s: float, now_s: float
-    ) -> None:
-        """Sends this node's state to the targets, with the parts of the last `parts_age_s`."""
+        count = math.ceil(len(targets) / rounds)
+        chosen = nsmallest(count, targets, key=lambda target: self.sent_in_round.get(target, 0))
+        for target in chosen:
+            self.sent_in_round[target] = self.round_number
+        return chosen, rounds * _ROUND_INTERVAL_S
+
+    def _summary_targets(self, now_s: float) -> list[str]:
+        """Returns the addresses in other zones to which this node sends summaries of its zone.
+
+        Each node in another zone is assigned to `_SENDERS_PER_RECEIVER` nodes of this zone by
+        rendezvous hashing. All nodes of the zone come to the same result as soon as they agree on
+        which of them are live, and a change among them moves only a few assignments.
+        """
+        members = frozenset([*self._live_zone_members(now_s), self.node])
+        if members != self.assigned_among:
+            self.assigned_among = members
+            self.assignments.clear()
+        targets = []
+        for peer in self.peer_table.peers.values():
+            if peer.zone == self.zone:
+                continue
+            assigned = self.assignments.get(peer.name)
+            if assigned is None:
+                senders = rank_equally(peer.name, members, _SENDERS_PER_RECEIVER)
+                assigned = self.assignments[peer.name] = self.node in senders
+            if assigned:
+                targets.append(peer.address)
+        return sorted(targets)
+
+    def _live_zone_members(self, now_s: float) -> list[str]:
+        """Returns the names of the live peers in this node's zone."""
+        return [peer.name for peer in self.peer_table.live_peers(now_s) if peer.zone == self.zone]
+
+    def _may_summarize(self, now_s: float) -> bool:
+        """Whether this node has heard its zone for long enough to send summaries of it."""
+        delay_s = max(_MIN_SUMMARY_DELAY_S, 1.5 * self.zone_period_s)
+        return now_s - self.hears_zone_from_s >= delay_s
+
+    def _introduction_targets(self) -> list[str]:
+        """Returns some addresses without a known node, to which this node introduces itself.
+
+        The node at such an address becomes a peer once its message arrives.
+        """
+        known = self.peer_table.addresses
+        pending = sorted(self.introduction_attempts.keys() - known)
+        chosen = self.random.sample(pending, min(len(pending), _INTRODUCTIONS_PER_ROUND))
+        for address in chosen:
+            self.introduction_attempts[address] += 1
+            if self.introduction_attempts[address] >= _INTRODUCTION_ATTEMPTS:
+                del self.introduction_attempts[address]
+        seeds = set(self.finder.seed_addresses()) - known - {self.address, *chosen}
+        return chosen + sorted(seeds)
+
+    def _send(self, targets: list[str], states: Iterable[NodeState]) -> None:
         if self.transport is None or not targets:
             return
-        for state in self._build_messages(interval_s, parts_age_s, now_s):
+        for state in states:
             data = state.SerializeToString()
             for target in targets:
                 host, _colon, port = target.rpartition(":")
                 self.transport.sendto(data, (host, int(port)))
 
-    def _build_messages(
-        self, interval_s: float, parts_age_s: float, now_s: float
-    ) -> Iterator[NodeState]:
-        """Yields one message, and more of them if the parts do not fit into one datagram."""
-        state = self._build_state(interval_s, now_s)
-        sent = 0
-        for placement in self._announced_parts_since(now_s - parts_age_s):
-            if state.placements and (state.ByteSize() + placement.ByteSize() > _MAX_DATAGRAM_BYTES):
-                yield state
-                sent += 1
-                if sent == _MAX_DATAGRAMS_PER_ROUND:
-                    _LOGGER.warning("prompt parts left out of a message", extra={"sent": sent})
-                    return
-                del state.placements[:]
-                self.sequence += 1
-                state.sequence = self.sequence
-            state.placements.append(placement)
-        yield state
+    def announce(self) -> None:
+        """Sends this node's state to all peers immediately, for example when it shuts down."""
+        now_s = asyncio.get_running_loop().time()
+        others = [peer.address for peer in self.peer_table.peers.values() if peer.zone != self.zone]
+        self.announce_in_zone()
+        self._announce_to(others, False, now_s)
 
-    def _announced_parts_since(self, since_s: float) -> Iterator[Placement]:
-        """Yields the parts announced since `since_s`, latest first, split to fit into datagrams."""
-        for announced_at_s, parts_by_server in reversed(self.announced_parts):
-            if announced_at_s < since_s:
-                return
-            for server_id, parts in parts_by_server.items():
-                ordered = sorted(parts)
-                for start in range(0, len(ordered), _PARTS_PER_PLACEMENT):
-                    chunk = ordered[start : start + _PARTS_PER_PLACEMENT]
-                    yield Placement(server_id=server_id, parts=chunk)
-
-    def _build_state(self, interval_s: float, now_s: float) -> NodeState:
-        """Returns a message with this node's state, without prompt parts."""
+    def announce_in_zone(self) -> None:
+        """Sends this node's state to its zone immediately, since the store has changed."""
+        zone_targets = [
+            peer.address for peer in self.peer_table.peers.values() if peer.zone == self.zone
+        ]
+        self._announce_to(zone_targets, True, asyncio.get_running_loop().time())
+
+    def _announce_to(self, targets: list[str], in_zone: bool, now_s: float) -> None:
+        """Sends this node's state out of turn, without parts; regular messages go on as before."""
+        if in_zone:
+            self._send(targets, self._own_states(math.inf, now_s))
+        else:
+            self._send(targets, [self._introduction(now_s)])
+
+    # Messages
+
+    def _introduction(self, now_s: float) -> NodeState:
+        """Returns a message to a node of another or an unknown zone, without loads."""
+        state = self._basic_state()
+        interval_s = max(_INTRODUCTION_INTERVAL_S, self.summary_period_s)
+        state.interval_ms = int(interval_s * 1000)
+        self._add_addresses(state, now_s)
+        return state
+
+    def _summary_interval_ms(self, now_s: float) -> int:
+        """Returns the time until the next summary; while nodes are discovered, it may grow."""
+        interval_s = self.summary_period_s
+        if now_s - self.peer_table.started_s < _GROWTH_PERIOD_S:
+            interval_s = max(interval_s, _SENDERS_PER_RECEIVER * _INTRODUCTION_INTERVAL_S)
+        return int(interval_s * 1000)
+
+    def _basic_state(self) -> NodeState:
+        """Returns the next message with the fields that all kinds of messages have."""
         self.sequence += 1
-        state = NodeState(
+        return NodeState(
             name=self.node,
             address=self.address,
             zone=self.zone,
@@ -297,13 +433,21 @@
             revision=self.store_view.replica.revision,
             stopping=self.stopping,
             follows_store=self.is_following_store(),
-            interval_ms=int(interval_s * 1000),
         )
+
+    def _add_addresses(self, state: NodeState, now_s: float) -> None:
+        """Adds the addresses of some live peers to a message."""
+        peers = list(self.peer_table.peers.values())
+        for peer in self.random.sample(peers, min(len(peers), _ADDRESSES_PER_MESSAGE)):
+            if peer.is_live(now_s):
+                state.known_addresses.append(peer.address)
+
+    def _own_states(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
+        """Yields the messages with this node's state and the parts it has sent since a time."""
+        state = self._basic_state()
+        state.interval_ms = int(self.zone_period_s * 1000)
         if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
-            live = [peer.address for peer in self.peer_table.live_peers(now_s)]
-            state.known_addresses.extend(
-                self.random.sample(live, min(len(live), _ADDRESSES_PER_MESSAGE))
-            )
+            self._add_addresses(state, now_s)
         loads = local_loads(iter(self.dispatcher.directory.servers.values()))
         for server_id, load in loads.items():
             state.loads.add(
@@ -312,18 +456,72 @@
         for service, queue in self.dispatcher.queues.items():
             if len(queue):
                 state.waiting.add(service=service, requests=len(queue))
-        return state
+        return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
+
+    def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
+        """Yields the messages with the summary of this zone and its parts since a time."""
+        loads = self.dispatcher.directory.own_zone_loads()
+        parts = max(1, math.ceil(len(loads) / _SERVERS_PER_SUMMARY))
+        members = [name_hash(name) for name in self._live_zone_members(now_s)]
+        waiting = self._zone_queues(now_s)
+        for part in range(parts):
+            state = self._basic_state()
+            state.interval_ms = self._summary_interval_ms(now_s)
+            if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
+                self._add_addresses(state, now_s)
+            for service, requests in waiting.items():
+                state.waiting.add(service=service, requests=requests)
+            state.summary.CopyFrom(
+                ZoneSummary(
+                    members=[*members, name_hash(self.node)],
+                    part=part,
+                    parts=parts,
+                    loads=[
+                        ZoneLoad(
+                            server_key=key,
+                            running=load.running,
+                            prefill_tokens=max(0, load.prefill_tokens),
+                        )
+                        for key, load in loads.items()
+                        if key % parts == part
+                    ],
+                )
+            )
+            if part:
+                yield state
+                continue
+            placements = self.zone_parts.placements_since(parts_since_s)
+            yield from self._with_placements(state, placements)
+
+    def _zone_queues(self, now_s: float) -> dict[str, int]:
+        """Returns the requests queued in this zone, by service."""
+        waiting = {name: len(queue) for name, queue in self.dispatcher.queues.items() if len(queue)}
+        for peer in self.peer_table.live_peers(now_s):
+            if peer.zone != self.zone:
+                continue
+            for service, requests in peer.queued_requests.items():
+                waiting[service] = waiting.get(service, 0) + requests
+        return waiting
 
-    def announce(self) -> None:
-        """Sends this node's state to all peers immediately, for example when it shuts down."""
-        now_s = asyncio.get_running_loop().time()
-        zone_addresses, other_addresses = self._target_addresses()
-        self._send(zone_addresses + other_addresses, _ROUND_INTERVAL_S, 0.0, now_s)
+    def _with_placements(
+        self, state: NodeState, placements: Iterable[Placement]
+    ) -> Iterator[NodeState]:
+        """Yields a message, and copies of it if the parts do not fit into one datagram."""
+        sent = 0
+        for placement in placements:
+            if state.placements and state.ByteSize() + placement.ByteSize() > _MAX_DATAGRAM_BYTES:
+                yield state
+                sent += 1
+                if sent == _MAX_DATAGRAMS_PER_ROUND:
+                    _LOGGER.warning("prompt parts left out of a message", extra={"sent": sent})
+                    return
+                del state.placements[:]
+                self.sequence += 1
+                state.sequence = self.sequence
+            state.placements.append(placement)
+        yield state
 
-    def announce_in_zone(self) -> None:
-        """Sends this node's state to its zone immediately, since the store has changed."""
-        zone_addresses, _other_addresses = self._target_addresses()
-        self._send(zone_addresses, _ROUND_INTERVAL_S, 0.0, asyncio.get_running_loop().time())
+    # Lost peers
 
     def _handle_lost_peers(self, now_s: float) -> None:
         for peer in self.peer_table.lost_peers(now_s):
@@ -338,6 +536,14 @@
                 extra={"peer": peer.name, "silent_s": round(now_s - peer.last_seen_s, 2)},
             )
         self.peer_table.remove_expired_peers(now_s)
+        for zone, (received_s, interval_s) in list(self.summaries_received.items()):
+            limit_s = max(LIVE_TIMEOUT_S, _SUMMARY_TIMEOUT_INTERVALS * interval_s)
+            if now_s - received_s <= limit_s:
+                continue
+            del self.summaries_received[zone]
+            self.dispatcher.directory.set_zone_loads(zone, {})
+            self.peer_table.queued_by_zone.pop(zone, None)
+            _LOGGER.warning("no summary of a zone", extra={"zone": zone})
 
     # Copies of the store
 
@@ -388,18 +594,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answers a peer's request for changes or a full copy of the store, then closes."""
-        try:
-            async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                request = StoreCopyRequest.FromString(
-                    await _read_message(reader, MAX_COPY_REQUEST_BYTES)
-                )
-                data = zlib.compress(self._build_copy(request).SerializeToString(), level=1)
-                writer.write(_LENGTH.pack(len(data)) + data)
-                await writer.drain()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, DecodeError) as error:
-            _LOGGER.warning("copy of the store not sent", extra={"reason": repr(error)})
-        finally:
-            writer.close()
+        await serve_store_copy(self._build_copy, reader, writer)
 
     def _build_copy(self, request: StoreCopyRequest) -> StoreCopy:
         replica = self.store_view.replica
@@ -418,58 +613,9 @@
         return copy
 
 
-def _to_change(item: StoreItem) -> Change:
-    return Change(item.key, item.revision, None if item.deleted else item.value)
-
-
-async def _read_message(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
-    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > max_bytes:
-        raise DecodeError(f"a message of {length} bytes is too large")
-    return await reader.readexactly(length)
+def _queued_requests(state: NodeState) -> dict[str, int]:
+    return {waiting.service: waiting.requests for waiting in state.waiting}
 
 
-def _decompress(data: bytes) -> bytes:
-    """Returns the decompressed data.
-
-    Raises:
-        DecodeError: the result would exceed `_MAX_COPY_BYTES`, or the data is incomplete.
-        zlib.error: the data is not compressed data.
-    """
-    decompressor = zlib.decompressobj()
-    decompressed = decompressor.decompress(data, _MAX_COPY_BYTES)
-    if not decompressor.eof:
-        raise DecodeError("a copy of the store is incomplete or too large")
-    return decompressed
-
-
-async def fetch_store_copy(address: str, after: int, with_placements: bool) -> StoreCopy:
-    """Returns the copy of the store of the peer at `address`, or its changes after a revision.
-
-    `after` is the revision of this node's copy, 0 for none. The result consists of changes if the
-    log of the peer reaches back to it, otherwise of all items. `with_placements` adds the peer's
-    index of cached parts.
-
-    Raises:
-        PeerError: the peer cannot be reached, does not answer in time, or the answer is invalid.
-    """
-    host, port = parse_address(address)
-    request = StoreCopyRequest(after=after, with_placements=with_placements).SerializeToString()
-    writer: asyncio.StreamWriter | None = None
-    try:
-        async with asyncio.timeout(_FETCH_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
-            writer.write(_LENGTH.pack(len(request)) + request)
-            data = _decompress(await _read_message(reader, _MAX_COPY_BYTES))
-        return StoreCopy.FromString(data)
-    except (
-        OSError,
-        TimeoutError,
-        asyncio.IncompleteReadError,
-        zlib.error,
-        DecodeError,
-    ) as error:
-        raise PeerError(f"{address}: {error or 'timed out'}") from error
-    finally:
-        if writer is not None:
-            writer.close()
+def _to_change(item: StoreItem) -> Change:
+    return Change(item.key, item.revision, None if item.deleted else item.value)
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -16,7 +16,7 @@
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.http_client import HttpClient
 from tanagerworks.edge.interfaces import BackendDialect
-from tanagerworks.edge.peers import fetch_store_copy
+from tanagerworks.edge.store_copies import fetch_store_copy
 from tanagerworks.errors import BackendProtocolError, PeerError, PublishedStoreError
 from tanagerworks.routing.ranking import rank_equally
 
--- a/src/tanagerworks/membership/addresses.py
+++ b/src/tanagerworks/membership/addresses.py
@@ -1,5 +1,6 @@
 """Addresses of nodes as they stand in messages of peers."""
 
+from functools import lru_cache
 from ipaddress import IPv4Address
 
 from tanagerworks.errors import PeerError
@@ -7,7 +8,11 @@
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 
+# Addresses whose parsed form is kept; every message of a peer states its address.
+_CACHED_ADDRESSES = 4_096
 
+
+@lru_cache(maxsize=_CACHED_ADDRESSES)
 def parse_address(address: str) -> tuple[str, int]:
     """Returns the IPv4 address and the port of `IP:PORT`.
 
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -5,10 +5,10 @@
 callers.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from xxhash import xxh3_64_intdigest
+from xxhash import xxh3_64_intdigest, xxh32_intdigest
 
 # A peer is live for this time after its last message or for this number of its message intervals,
 # whichever is longer, so that the loss of a few datagrams has no effect. After that it is lost.
@@ -69,6 +69,12 @@
     def __init__(self, started_s: float) -> None:
         self.started_s = started_s
         self.peers: dict[str, Peer] = {}
+        # Addresses of the peers, also of lost ones.
+        self.addresses: set[str] = set()
+        # Names of peers by `name_hash`.
+        self.names_by_hash: dict[int, str] = {}
+        # Requests queued in other zones by service, by zone, as their last summaries state.
+        self.queued_by_zone: dict[str, Mapping[str, int]] = {}
 
     def record_message(self, received: Peer) -> str:
         """Records a peer's state from a message; returns how the state of the peer changed.
@@ -79,6 +85,8 @@
         ignored.
         """
         known = self.peers.get(received.name)
+        self.names_by_hash[name_hash(received.name)] = received.name
+        self.addresses.add(received.address)
         if known is None:
             self.peers[received.name] = received
             return "joined"
@@ -94,6 +102,25 @@
         self.peers[received.name] = received
         return "restarted"
 
+    def record_members(
+        self, zone: str, hashes: Iterable[int], now_s: float, interval_s: float
+    ) -> None:
+        """Records that a node of another zone hears these peers of its zone, by `name_hash`.
+
+        The next such message is expected within `interval_s`. Unknown peers are left out; their own
+        messages introduce them.
+        """
+        for member in hashes:
+            peer = self.peers.get(self.names_by_hash.get(member, ""))
+            if peer is not None and peer.zone == zone:
+                peer.last_seen_s = now_s
+                peer.message_interval_s = interval_s
+
+    def queued_requests(self, service: str, now_s: float) -> int:
+        """Returns the requests that peers have queued for a service."""
+        at_peers = sum(peer.queued_requests.get(service, 0) for peer in self.live_peers(now_s))
+        return at_peers + sum(queued.get(service, 0) for queued in self.queued_by_zone.values())
+
     def record_pause(self, paused_s: float) -> None:
         """Leaves the time in which this node was paused out of the silence of its peers.
 
@@ -120,6 +147,8 @@
             silent_s = now_s - peer.last_seen_s
             if peer.stopping or silent_s > PEER_EXPIRY_S:
                 del self.peers[peer.name]
+                del self.names_by_hash[name_hash(peer.name)]
+                self.addresses.discard(peer.address)
 
     def assumed_fleet_size(self, now_s: float) -> int:
         """Returns the number of nodes to divide limits of the fleet by, including this node.
@@ -149,5 +178,10 @@
         return followers_before < STORE_FOLLOWERS_PER_ZONE or not sees_other_zones
 
 
+def name_hash(name: str) -> int:
+    """Returns the 32-bit hash that identifies a node in summaries of zones."""
+    return xxh32_intdigest(name.encode())
+
+
 def _rank(name: str) -> int:
     return xxh3_64_intdigest(name.encode())
