Follow the store from one node of a zone in fleets of three zones

Cause: the dearest price of the large deployment are calls to the store; two nodes of each zone read every change. Change: with live peers in two other zones, one node of a zone follows the store. If it is lost, its zone learns of changes from the followers of other zones, whose revision is in the summaries, until the next node takes over.

--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -18,9 +18,10 @@
 # incarnation that arrives after a longer pause is a new process whose clock was set back.
 _MAX_REORDERING_S = 0.5
 # Nodes per availability zone that follow the published store themselves. The other nodes get its
-# changes from peers, since each read of the store has a price. A second follower covers the loss
-# of the first.
+# changes from peers, since each read of the store has a price. In a fleet of one or two zones, a
+# second follower covers the loss of the first; in a larger one, the followers of the other zones do.
 STORE_FOLLOWERS_PER_ZONE = 2
+_ZONES_WITH_ONE_FOLLOWER = 3
 # A lost peer counts towards the size of the fleet for this time after its last message.
 PEER_EXPIRY_S = 60.0
 # Minimum size of the fleet that is assumed until peers had time to answer, so that a new node does
@@ -164,18 +165,22 @@
     def must_follow_store(self, name: str, zone: str, now_s: float) -> bool:
         """Returns whether this node, called `name`, has to follow the store itself.
 
-        In each zone, the `STORE_FOLLOWERS_PER_ZONE` nodes with the lowest hash follow the store;
-        peers to which the store does not respond are skipped. A node that receives no messages
-        from other zones follows the store as well, to detect whether it is isolated.
+        In each zone, the nodes with the lowest hash follow the store: one if live peers are in
+        enough other zones, otherwise `STORE_FOLLOWERS_PER_ZONE`. Peers to which the store does not
+        respond are skipped. A node that receives no messages from other zones follows the store as
+        well, to detect whether it is isolated.
         """
         followers_before = 0
-        sees_other_zones = False
+        zones = {zone}
         for peer in self.live_peers(now_s):
             if peer.zone != zone:
-                sees_other_zones = True
+                zones.add(peer.zone)
             elif peer.follows_store and not peer.stopping and _rank(peer.name) < _rank(name):
                 followers_before += 1
-        return followers_before < STORE_FOLLOWERS_PER_ZONE or not sees_other_zones
+        if len(zones) == 1:
+            return True
+        needed = 1 if len(zones) >= _ZONES_WITH_ONE_FOLLOWER else STORE_FOLLOWERS_PER_ZONE
+        return followers_before < needed
 
 
 def name_hash(name: str) -> int:
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -158,6 +158,26 @@
     assert len(following) == STORE_FOLLOWERS_PER_ZONE
 
 
+def test_one_node_of_a_zone_follows_the_store_if_other_zones_do():
+    """Guards against reads of the store whose number grows with the fleet, and against none.
+
+    With followers in three zones, one follower of a zone suffices; without it, the next one takes
+    its place.
+    """
+    names = {f"node-{number}" for number in range(6)}
+
+    def followers(following, lost=()):
+        views = peer_tables_by_node(following, lost)
+        for view in views.values():
+            view.record_message(peer("outside-c", zone="zone-c"))
+        return required_followers({n: v for n, v in views.items() if n not in lost}, 0.0)
+
+    (first,) = followers(names)
+    assert followers({first}) == {first}
+    (second,) = followers(names - {first}, lost={first})
+    assert second != first
+
+
 def test_node_without_peers_in_other_zones_follows_the_store():
     """Guards against a partitioned zone in which no node detects the partition."""
     peer_table = PeerTable(started_s=-100.0)
