--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -19,7 +19,7 @@
 _MAX_REORDERING_S = 0.5
 # Nodes per availability zone that follow the published store themselves. The other nodes get its
 # changes from peers, since each read of the store has a price. In a fleet of one or two zones, a
-# second follower covers the loss of the first; in a larger one, the followers of the other zones do.
+# second follower covers the loss of the first; in a larger one, those of the other zones do.
 STORE_FOLLOWERS_PER_ZONE = 2
 _ZONES_WITH_ONE_FOLLOWER = 3
 # A lost peer counts towards the size of the fleet for this time after its last message.
