Keep the loads of other zones after a pause of the node

Cause: the time of a pause counted as silence of the other zones, so their loads were taken for zero until the next summaries. Change: the times of the last summaries are moved by the pause, as those of the peers are. Measured: test_exchange_patterns.py::test_paused_node_keeps_what_it_knew_of_ other_zones failed before and passes now.

--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -61,7 +61,7 @@
 # Shortest time after the start, or after a pause, before a node sends summaries. It has to hear its
 # zone first, as each summary replaces the one before.
 _MIN_SUMMARY_DELAY_S = 0.5
-# Regular messages between two nodes that one may miss before the other is lost.
+# The load of a zone counts as zero after this number of intervals without a summary of it.
 _SUMMARY_TIMEOUT_INTERVALS = 4.0
 # Message interval that introductions announce. Until the first summaries arrive, it keeps a peer of
 # another zone live.
@@ -278,6 +278,8 @@
             return
         _LOGGER.warning("process was paused", extra={"paused_s": round(late_s, 2)})
         self.peer_table.record_pause(late_s)
+        for zone, (received_s, interval_s) in self.summaries_received.items():
+            self.summaries_received[zone] = (received_s + late_s, interval_s)
         self.hears_zone_from_s = asyncio.get_running_loop().time()
 
     def _send_round(self, now_s: float) -> None:
--- a/tests/test_exchange_patterns.py
+++ b/tests/test_exchange_patterns.py
@@ -185,6 +185,27 @@
     run_in_virtual_time(scenario())
 
 
+def test_paused_node_keeps_what_it_knew_of_other_zones():
+    """Guards against a node that wakes up and takes the servers for idle until the next summary."""
+
+    async def scenario():
+        fleet = VirtualFleet(18, 3)
+        truth = load_servers(fleet)
+        fleet.start()
+        # Beyond the time in which longer intervals are announced.
+        await asyncio.sleep(10.0)
+        paused = fleet.nodes[4]
+        paused.pause()
+        await asyncio.sleep(6.0)
+        paused.wake()
+        # The first round after the pause comes before the datagrams are read.
+        for _check in range(50):
+            await asyncio.sleep(0.0005)
+            assert believed_loads(paused) == truth
+
+    run_in_virtual_time(scenario())
+
+
 def test_one_way_cut_between_zones_keeps_both_views_right():
     """Guards against a view that grows, or a node that is lost, where datagrams still arrive."""
 
