Keep a slow request at its server if no other one can take it

Cause: a stream that can resume was given up after 1 s without an event, and an idempotent request at half of its time, also when the retry budget was used up or no other server was left; the caller lost an answer that was on its way. Change: both stay at their server, a stream up to the limit of one that cannot resume, unless the budget and another server allow a retry. A collision of the hashes of two names no longer raises when their peers expire.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -233,6 +233,21 @@
         service = self.find_service(dispatch_request.service)
         return service is not None and bool(self.find_candidates(dispatch_request, service, now_s))
 
+    def has_alternative(self, dispatch_request: DispatchRequest, now_s: float) -> bool:
+        """Whether a request that is sent to a server could be sent to another one instead now.
+
+        The retry budget has to allow it, and a server that the request has not tried must not be at
+        a limit.
+        """
+        service = self.find_service(dispatch_request.service)
+        if service is None:
+            return False
+        nodes = self.peer_table.assumed_fleet_size(now_s)
+        if not self.retry_budget(service.name).remaining_retries(nodes, now_s):
+            return False
+        candidates = self.find_candidates(dispatch_request, service, now_s)
+        return any(not candidate.at_limit for candidate in candidates)
+
     def estimate_retry_after_s(self, dispatch_request: DispatchRequest, now_s: float) -> float:
         """Returns the estimated time until a server slot is free for the request, in seconds.
 
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -139,6 +139,16 @@
         """Whether the request may be sent once more if its present attempt fails."""
         return request.is_retryable() and request.send_count < request.route.max_attempts
 
+    def _can_move(self, request: RequestState) -> bool:
+        """Whether the request may be sent once more, and another server could take it now.
+
+        If not, a slow server is better than none.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return self._can_retry(request) and self.dispatcher.has_alternative(
+            request.dispatch_request, now_s
+        )
+
     def _read_timeout_s(self, request: RequestState) -> float | None:
         """Returns the time to wait for the head or the next data, or None for no limit.
 
@@ -157,8 +167,14 @@
         return self.stall_limits.end_after_s(request.route)
 
     async def _read_event(
-        self, connection: BackendConnection, timeout_s: float | None
+        self, request: RequestState, connection: BackendConnection
     ) -> h11.Response | h11.Data | h11.EndOfMessage:
+        """Returns the next event; waits for longer than the read timeout only without a choice.
+
+        Raises:
+            BackendTimeoutError: the server is silent, and another one could take the request.
+        """
+        timeout_s = self._read_timeout_s(request)
         if timeout_s is None:
             return await connection.next_event()
         try:
@@ -166,7 +182,9 @@
             async with PauseTolerantTimeout(now_s + timeout_s, timeout_s):
                 return await connection.next_event()
         except TimeoutError as error:
-            raise BackendTimeoutError(f"no response data for {timeout_s:.1f} s") from error
+            if self._can_move(request):
+                raise BackendTimeoutError(f"no response data for {timeout_s:.1f} s") from error
+        return await connection.next_event()
 
     async def _read_response(
         self,
@@ -175,7 +193,7 @@
         connection: BackendConnection,
         is_new: bool,
     ) -> tuple[HeaderList, str]:
-        event = await self._read_event(connection, self._read_timeout_s(request))
+        event = await self._read_event(request, connection)
         if not isinstance(event, h11.Response):
             raise BackendProtocolError("the response has no head")
         headers = list(event.headers)
@@ -240,7 +258,7 @@
         """Returns the body and whether it is complete; a large one is only read in part."""
         body = bytearray()
         while len(body) <= _MAX_BUFFERED_BYTES:
-            event = await self._read_event(connection, self._read_timeout_s(request))
+            event = await self._read_event(request, connection)
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body), True
             assert isinstance(event, h11.Data)
@@ -327,15 +345,21 @@
             BackendTimeoutError: no complete event within the stall limit.
             BackendError: the stream is incomplete.
         """
-        first_timeout_s = self._stall_timeout_s(request, first=True)
-        now_s = asyncio.get_running_loop().time()
-        try:
-            async with PauseTolerantTimeout(
-                now_s + first_timeout_s, first_timeout_s
-            ) as stall_timeout:
-                await self._relay_events(request, attempt, connection, response, stall_timeout)
-        except TimeoutError as error:
-            raise BackendTimeoutError("the stream stalled without a complete event") from error
+        loop = asyncio.get_running_loop()
+        attempt.last_event_s = loop.time()
+        limit_s = self._stall_timeout_s(request, first=True)
+        end_after_s = self.stall_limits.end_after_s(request.route)
+        while True:
+            try:
+                async with PauseTolerantTimeout(loop.time() + limit_s, limit_s) as stall_timeout:
+                    await self._relay_events(request, attempt, connection, response, stall_timeout)
+                    break
+            except TimeoutError as error:
+                limit_s = end_after_s - (loop.time() - attempt.last_event_s)
+                if limit_s <= 0.0 or self._can_move(request):
+                    raise BackendTimeoutError(
+                        "the stream stalled without a complete event"
+                    ) from error
         if request.event_splitter is not None and request.event_splitter.partial_event:
             raise BackendProtocolError("the stream ended inside an event")
         if not request.responder.started:
@@ -369,6 +393,7 @@
             attempt.end_prefill()
             data = bytes(event.data)
             if event_counter.feed(data):
+                attempt.last_event_s = loop.time()
                 stall_timeout.reschedule(loop.time() + stall_timeout_s)
             if event_splitter is not None:
                 data = event_splitter.feed(data)
@@ -379,6 +404,7 @@
                 continue
             stall_timeout.reschedule(None)
             await responder.drain()
+            attempt.last_event_s = loop.time()
             stall_timeout.reschedule(loop.time() + stall_timeout_s)
 
     # Accounting and cleanup
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -107,6 +107,8 @@
     prefill_counted: bool = True
     # Whether the attempt counts as a failure of the server.
     failed: bool = False
+    # Event loop time of the last complete event of a stream, or of the response head before it.
+    last_event_s: float = 0.0
     # Buffered 5xx responses of the server.
     responses: list[BackendResponse] = field(default_factory=list)
 
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -148,7 +148,7 @@
             silent_s = now_s - peer.last_seen_s
             if peer.stopping or silent_s > PEER_EXPIRY_S:
                 del self.peers[peer.name]
-                del self.names_by_hash[name_hash(peer.name)]
+                self.names_by_hash.pop(name_hash(peer.name), None)
                 self.addresses.discard(peer.address)
 
     def assumed_fleet_size(self, now_s: float) -> int:
--- a/tests/test_fault_stalled_streams.py
+++ b/tests/test_fault_stalled_streams.py
@@ -12,7 +12,7 @@
 
 from tanagerworks.edge.event_stream import EventCounter
 from tanagerworks.edge.stall import StallLimits
-from tests.edge_builders import MODEL_SERVICE, configuration, stream_route
+from tests.edge_builders import MODEL_SERVICE, configuration, route, stream_route
 from tests.platform_standin import (
     encode_chunk,
     read_response,
@@ -92,11 +92,61 @@
     config = configuration(routes=[stream_route(**FAST)])
     script = slow_events(0.6 * END_AFTER_S, 6)
     response, took_s = run_scenario([[script]], timed_request("/chat/x"), config, MODEL_SERVICE)
-    assert response.complete
+    assert (response.status, response.complete) == (200, True)
     assert response.body.count(b"data:") == 6
     assert took_s > 3 * END_AFTER_S
 
 
+def test_slow_sound_stream_that_could_resume_is_complete_without_another_server():
+    """Guards against a stream that is cut to resume it elsewhere although no other server can.
+
+    Its events are further apart than the limit after which streams resume.
+    """
+    config = configuration(routes=[stream_route("plan", resumable=True, max_attempts=3, **FAST)])
+    pause_s = 0.6 * END_AFTER_S
+    assert pause_s > SHORT_LIMITS.resume_after_s(config.routes[0], first=False)
+    response, _took_s = run_scenario(
+        [[slow_events(pause_s, 6)]], timed_request("/plan/x"), config, MODEL_SERVICE
+    )
+    assert (response.status, response.complete) == (200, True)
+    assert response.body.count(b"data:") == 6
+
+
+def test_slow_sound_stream_is_complete_when_the_retry_budget_is_used_up():
+    """Guards against a stream that is cut to resume it elsewhere although the budget forbids it."""
+    config = configuration(routes=[stream_route("plan", resumable=True, max_attempts=3, **FAST)])
+    script = slow_events(0.6 * END_AFTER_S, 4)
+
+    async def scenario(port, pipeline, servers):
+        budget = pipeline.dispatcher.retry_budget(MODEL_SERVICE)
+        budget.set_bounds(0.0, 0.0, 10.0)
+        response = await send_request(port, stream_request("/plan/x"))
+        return response, sum(len(server.requests) for server in servers)
+
+    response, runs = run_scenario(
+        [[script], [script]], with_short_limits(scenario), config, MODEL_SERVICE
+    )
+    assert (response.status, response.complete, runs) == (200, True, 1)
+    assert response.body.count(b"data:") == 4
+
+
+def test_slow_idempotent_request_is_answered_without_another_server():
+    """Guards against an answer that is given up at half of its time though no retry is possible."""
+
+    async def scenario(port, pipeline, servers):
+        async def slow(server, headers, reader, writer):
+            await asyncio.sleep(0.8)
+            writer.write(response_head(headers, "200 OK", "content-length: 2") + b"ok")
+
+        servers[0].script = [slow]
+        return await send_request(port, request_bytes("/desk-read/x"))
+
+    response = run_scenario(
+        [[respond_with()]], scenario, configuration(routes=[route(timeout_s=1.2, max_attempts=3)])
+    )
+    assert (response.status, response.body) == (200, b"ok")
+
+
 @pytest.mark.parametrize("events", [0, 3])
 @pytest.mark.parametrize("filler", [b"x", b": still here\n\n", b"\n\n", b"\r\n", b":"])
 def test_stalled_stream_ends_although_it_sends_bytes(filler, events):
