Bound the bodies that a process reads for itself

Cause: a listing of a cache or a page of the store was read until its time-out; a server that sends without end could fill the memory of the VM in that time. Change: more than 8 MB is an error and closes the connection.

--- a/src/tanagerworks/edge/http_client.py
+++ b/src/tanagerworks/edge/http_client.py
@@ -6,7 +6,10 @@
 
 from tanagerworks.edge.backend_connection import BackendConnection, open_connection
 from tanagerworks.edge.http_messages import RequestHead
-from tanagerworks.errors import BackendError, PublishedStoreError
+from tanagerworks.errors import BackendError, BackendProtocolError, PublishedStoreError
+
+# A page of the store has about 1 MB before it is encoded; listings of caches are far smaller.
+_MAX_BODY_BYTES = 8_000_000
 
 
 class HttpClient:
@@ -26,8 +29,8 @@
         """Returns the status and the body of the response.
 
         Raises:
-            PublishedStoreError: no complete response within `timeout_s` seconds, also if the
-                address is not that of the store.
+            PublishedStoreError: no complete response within `timeout_s` seconds or the size
+                limit, also if the address is not that of the store.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -55,6 +58,8 @@
                 return response.status_code, bytes(body)
             assert isinstance(event, h11.Data)
             body += event.data
+            if len(body) > _MAX_BODY_BYTES:
+                raise BackendProtocolError(f"the body exceeds {_MAX_BODY_BYTES} bytes")
 
     def _close(self) -> None:
         if self.connection is not None:
--- a/tests/test_fault_endless_bytes.py
+++ b/tests/test_fault_endless_bytes.py
@@ -11,7 +11,8 @@
 import pytest
 
 from tanagerworks.edge.event_stream import MAX_EVENT_BYTES, EventSplitter
-from tanagerworks.errors import BackendProtocolError
+from tanagerworks.edge.http_client import HttpClient
+from tanagerworks.errors import BackendProtocolError, PublishedStoreError
 from tanagerworks.published.model import CallerLimits
 from tests.edge_builders import (
     MODEL_SERVICE,
@@ -180,6 +181,28 @@
     assert not run_scenario([[respond_with()]], scenario, config, MODEL_SERVICE).complete
 
 
+@pytest.mark.parametrize("framing", ["chunked", "none"])
+def test_endless_body_for_a_get_of_the_process_itself_ends_with_an_error(framing):
+    """Guards against a listing of a cache, or a page of the store, that takes all memory."""
+
+    async def scenario(port, pipeline, servers):
+        if framing == "chunked":
+            source = EndlessServer(
+                lambda headers: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+                encode_chunk(PIECE),
+            )
+        else:
+            source = EndlessServer(lambda headers: b"HTTP/1.1 200 OK\r\n\r\n", PIECE)
+        servers[0].script = [source.act]
+        client = HttpClient(f"127.0.0.1:{servers[0].port}")
+        with pytest.raises(PublishedStoreError):
+            await client.get("/kv-list", 15.0)
+        await source.cut_off.wait()
+        return source.sent
+
+    assert run_scenario([[respond_with()]], scenario) < MAX_BYTES_READ
+
+
 def test_cost_of_an_event_without_end_grows_with_its_size_only():
     """Guards against a server that occupies the event loop with small pieces of a long event.
 
