Replace a check that could not fail in the test of idle connections

Cause: the test looked up a key that no pool has, which finds nothing whatever the code does. Change: it asserts that no idle connection may be used again. Bytes in this test arrive behind the answer; those that arrive later on an idle connection are the subject of test_fault_late_second_answer.py.

--- a/tests/test_fault_endless_bytes.py
+++ b/tests/test_fault_endless_bytes.py
@@ -114,7 +114,8 @@
         servers[0].script = [source.act]
         response = await send_request(port, request_bytes("/desk-read/x"))
         await source.cut_off.wait()
-        assert not pipeline.backend_exchange.pool.acquire("unknown", 0.0)
+        idle = pipeline.backend_exchange.pool.idle.values()
+        assert not any(kept.is_reusable() for connections in idle for kept in connections)
         return response.body, source.sent
 
     body, sent = run_scenario([[respond_with()]], scenario)
