Quarantine prompt parts that crash servers

Callers saw streams cut and 502 as one server after the other crashed, for as long as requests with one part in their prompts came.

Cause: failures were counted per server and forgotten with it. Nothing kept what the crashed servers had been about to answer, compared it between crashes or told other nodes.

Change: a node that sees a crash records the shared parts of the prompts whose answers were about to start. Nodes merge these records with every message. The fewest parts that explain the crashes are refused with 503 before a request is sent; an answer that gets under way clears its parts, and after the quarantine single requests probe. A retry waits for the check of the crashed server.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -12,8 +12,10 @@
     PromptChooser,
     ServerChooser,
 )
+from tanagerworks.dispatch.crash_evidence import CrashEvidence, ServerCrash, Suspect, process_key
 from tanagerworks.dispatch.directory import Directory
 from tanagerworks.dispatch.fleet_limits import ColdStartLimiter, RetryBudget
+from tanagerworks.dispatch.quarantine_gate import PartRefusal, QuarantineGate
 from tanagerworks.dispatch.request_queue import RequestQueue
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.membership.peer_table import PeerTable
@@ -78,6 +80,8 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.cold_start_limiters: dict[str, ColdStartLimiter] = {}
         self.cached_parts = CachedPartIndex()
+        self.crash_evidence = CrashEvidence()
+        self.quarantine_gate = QuarantineGate(name, peer_table, self.crash_evidence)
         # Keys of the parts sent since the last announcement to peers, by server id.
         self.unannounced_keys_by_server: dict[str, set[int]] = {}
         self.prompt_chooser: ServerChooser = PromptChooser(self.cached_parts)
@@ -184,6 +188,27 @@
             service, found, healthy_servers, dispatch_request.prompt, dispatch_request.zone, now_s
         )
 
+    def check_quarantine(
+        self, dispatch_request: DispatchRequest, now_s: float
+    ) -> PartRefusal | None:
+        """Returns why the request must not be sent because of a part of its prompt, or None."""
+        prompt = dispatch_request.prompt
+        if prompt is None or not self.crash_evidence.quarantines:
+            return None
+        return self.quarantine_gate.check_request(
+            dispatch_request.call_id, prompt.shared_part_ids, dispatch_request.deadline_s, now_s
+        )
+
+    def record_answer(self, dispatch_request: DispatchRequest, now_s: float) -> None:
+        """Records that the answer to a request is under way, so its prompt crashes no server."""
+        if dispatch_request.prompt is not None:
+            self.crash_evidence.record_answer(dispatch_request.prompt.shared_part_ids, now_s)
+
+    def record_crash(self, state: ServerState, suspects: dict[int, Suspect], now_s: float) -> None:
+        """Records a crash of a server with its suspects by `suspect_key`."""
+        process = process_key(state.server_id, state.entry.started_ms)
+        self.crash_evidence.merge_crash(process, ServerCrash(now_s, suspects), now_s)
+
     def record_start(self, dispatch_request: DispatchRequest, choice: Choice, now_s: float) -> None:
         """Counts a request that is about to be sent to the chosen server.
 
--- a/src/tanagerworks/edge/crash_detector.py
+++ b/src/tanagerworks/edge/crash_detector.py
@@ -6,10 +6,11 @@
 import asyncio
 import logging
 
-from tanagerworks.dispatch.dispatcher import DispatchRequest
+from tanagerworks.dispatch.crash_evidence import Suspect, suspect_key
+from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.backend_connection import open_connection
-from tanagerworks.edge.request_state import MAX_LOGGED_PARTS, Attempt
+from tanagerworks.edge.request_state import MAX_LOGGED_ID_LENGTH, MAX_LOGGED_PARTS, Attempt
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import BackendConnectError, BackendConnectionRefusedError
 
@@ -21,41 +22,44 @@
 class CrashDetector:
     """Checks each server process once when it disconnects, with one new connection."""
 
-    def __init__(self, metrics: EdgeMetrics) -> None:
+    def __init__(self, dispatcher: Dispatcher, metrics: EdgeMetrics) -> None:
+        self.dispatcher = dispatcher
         self.metrics = metrics
-        # Shared prompt parts of the attempts that ended before their answers began, by the server
-        # whose check is in progress.
-        self.parts_in_check: dict[str, set[str]] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        # The checks in progress, and the suspects found so far by part id, by server id.
+        self.checks: dict[str, asyncio.Task[None]] = {}
+        self.suspects: dict[str, dict[str, Suspect]] = {}
 
-    def record_disconnect(self, dispatch_request: DispatchRequest, attempt: Attempt) -> None:
-        """Starts a check of the attempt's server, or adds the attempt to the check in progress."""
+    def record_disconnect(
+        self, dispatch_request: DispatchRequest, attempt: Attempt
+    ) -> asyncio.Task[None] | None:
+        """Starts a check of the attempt's server, or adds the attempt to the check in progress.
+
+        Returns the check, or None if the server needs none. A server that is leaving ends on
+        purpose and is not checked.
+        """
         state = attempt.state
         if state.entry.leaving or state.removed:
-            return
-        prompt = dispatch_request.prompt
-        part_ids: tuple[str, ...] = ()
-        if prompt is not None and not attempt.answer_under_way:
-            part_ids = prompt.shared_part_ids
-        pending = self.parts_in_check.get(state.server_id)
-        if pending is not None:
-            pending.update(part_ids)
-            return
+            return None
+        found = _find_suspects(dispatch_request, attempt, asyncio.get_running_loop().time())
         if state.crashed:
-            self._record_parts(state, part_ids)
-            return
-        self.parts_in_check[state.server_id] = set(part_ids)
-        task = asyncio.get_running_loop().create_task(self._check(state))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+            self._record_crash(state, found)
+            return None
+        suspects = self.suspects.setdefault(state.server_id, {})
+        for part_id, suspect in found.items():
+            known = suspects.get(part_id)
+            suspects[part_id] = suspect if known is None else known.merge(suspect)
+        check = self.checks.get(state.server_id)
+        if check is None:
+            check = asyncio.get_running_loop().create_task(self._check(state))
+            self.checks[state.server_id] = check
+        return check
 
     async def _check(self, state: ServerState) -> None:
         try:
             connection = await open_connection(state.entry.host, state.entry.port, _CHECK_TIMEOUT_S)
             connection.close()
             _LOGGER.info(
-                "server closed a connection and accepts new ones",
-                extra={"server": state.server_id},
+                "server closed a connection and accepts new ones", extra={"server": state.server_id}
             )
         except BackendConnectionRefusedError:
             state.crashed = True
@@ -65,17 +69,36 @@
                 extra={"server": state.server_id, "reason": error.message},
             )
         finally:
-            part_ids = self.parts_in_check.pop(state.server_id)
-        if not state.crashed:
-            return
-        self.metrics.record_server_crash(state.entry.service)
-        self._record_parts(state, part_ids)
+            del self.checks[state.server_id]
+            suspects = self.suspects.pop(state.server_id)
+        if state.crashed:
+            self.metrics.record_server_crash(state.entry.service)
+            self._record_crash(state, suspects)
 
-    def _record_parts(self, state: ServerState, part_ids: set[str] | tuple[str, ...]) -> None:
+    def _record_crash(self, state: ServerState, suspects: dict[str, Suspect]) -> None:
         _LOGGER.warning(
             "server crashed",
             extra={
                 "server": state.server_id,
-                "parts_before_answer": sorted(part_ids)[:MAX_LOGGED_PARTS],
+                # The keys by which later records of all nodes name the parts.
+                "parts_before_answer": {
+                    part_id[:MAX_LOGGED_ID_LENGTH]: f"{suspect_key(part_id):016x}"
+                    for part_id in sorted(suspects)[:MAX_LOGGED_PARTS]
+                },
             },
         )
+        by_key = {suspect_key(part_id): suspect for part_id, suspect in suspects.items()}
+        self.dispatcher.record_crash(state, by_key, asyncio.get_running_loop().time())
+
+
+def _find_suspects(
+    dispatch_request: DispatchRequest, attempt: Attempt, now_s: float
+) -> dict[str, Suspect]:
+    """Returns the shared parts of a request whose answer was not under way, by part id."""
+    if dispatch_request.prompt is None or attempt.answer_under_way:
+        return {}
+    in_flight_s = now_s - attempt.sent_s
+    return {
+        part_id: Suspect(depth, in_flight_s)
+        for depth, part_id in enumerate(dispatch_request.prompt.shared_part_ids)
+    }
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from tanagerworks.dispatch.choice import Prompt
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.backend_connection import BackendConnection, ConnectionPool, open_connection
@@ -13,6 +14,8 @@
 from tanagerworks.edge.interfaces import BackendDialect, BackendRequestContext, ResponseMetadata
 from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.request_state import (
+    ANSWER_START_S,
+    MAX_LOGGED_ID_LENGTH,
     MAX_LOGGED_PARTS,
     RESPONSE_MARGIN_S,
     Attempt,
@@ -250,7 +253,7 @@
             self.send_response(request, response)
         if response.status >= 500:
             return SERVER_ERROR
-        self._record_success(attempt)
+        self._record_success(request, attempt)
         return "answered"
 
     async def _read_buffered_body(
@@ -366,7 +369,7 @@
         if not request.responder.started:
             self._start_response(request, response, _stated_length(response.headers))
         request.responder.finish()
-        self._record_success(attempt)
+        self._record_success(request, attempt)
         return "answered"
 
     async def _relay_events(
@@ -394,7 +397,7 @@
             attempt.end_prefill()
             data = bytes(event.data)
             if event_counter.feed(data):
-                attempt.record_event(loop.time())
+                self._record_event(request, attempt)
                 stall_timeout.reschedule(loop.time() + stall_timeout_s)
             if event_splitter is not None:
                 data = event_splitter.feed(data)
@@ -410,9 +413,25 @@
 
     # Accounting and cleanup
 
-    def _record_success(self, attempt: Attempt) -> None:
+    def _record_event(self, request: RequestState, attempt: Attempt) -> None:
+        """Records a complete event of a stream."""
         now_s = asyncio.get_running_loop().time()
+        attempt.last_event_s = now_s
+        if attempt.first_event_s is None:
+            attempt.first_event_s = now_s
+        if now_s - attempt.first_event_s >= ANSWER_START_S:
+            self._record_answer(request, attempt)
+
+    def _record_answer(self, request: RequestState, attempt: Attempt) -> None:
+        """Records, once per attempt, that the server has outlived the start of its answer."""
+        if attempt.answer_under_way:
+            return
         attempt.answer_under_way = True
+        self.dispatcher.record_answer(request.dispatch_request, asyncio.get_running_loop().time())
+
+    def _record_success(self, request: RequestState, attempt: Attempt) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._record_answer(request, attempt)
         attempt.state.record_success(now_s - attempt.sent_s)
 
     async def run_connection_cleanup(self, interval_s: float) -> None:
@@ -442,7 +461,7 @@
             "reason": error.message,
             "outcome": error.outcome.value,
             "under_way": attempt.answer_under_way,
-            "parts": prompt.shared_part_ids[:MAX_LOGGED_PARTS] if prompt is not None else None,
+            "parts": _logged_part_ids(prompt) if prompt is not None else None,
             "sends": request.send_count,
             "not_again": denial.value if denial is not None else None,
         },
@@ -460,3 +479,9 @@
 def _pool_key(state: ServerState) -> str:
     """Returns a key that changes when the server restarts or moves to another address."""
     return f"{state.server_id}/{state.entry.started_ms}/{state.entry.host}:{state.entry.port}"
+
+
+def _logged_part_ids(prompt: Prompt) -> list[str]:
+    """Returns the ids of the first shared parts of a prompt, shortened."""
+    ids = prompt.shared_part_ids[:MAX_LOGGED_PARTS]
+    return [part_id[:MAX_LOGGED_ID_LENGTH] for part_id in ids]
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -18,6 +18,11 @@
 
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import PeerLoad, local_loads
+from tanagerworks.edge.crash_reports import (
+    crash_reports,
+    merge_crash_reports,
+    recent_crash_reports,
+)
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.interfaces import PeerFinder
 from tanagerworks.edge.part_announcements import PartAnnouncements
@@ -175,8 +180,10 @@
             _LOGGER.warning("peer message unusable", extra={"from": addr[0], "reason": str(error)})
             return
         now_s = asyncio.get_running_loop().time()
-        # Parts that were sent to a server are valid also in a message that a later one overtook.
+        # Parts that were sent to a server and crashes are valid also in a message that a later one
+        # overtook.
         self._record_placements(state, now_s)
+        merge_crash_reports(self.dispatcher.crash_evidence, state.crashes, now_s)
         event = self.peer_table.record_message(self._to_peer(state, now_s))
         if event == "old":
             return
@@ -410,7 +417,7 @@
 
     def _introduction(self, now_s: float) -> NodeState:
         """Returns a message to a node of another or an unknown zone, without loads."""
-        state = self._basic_state()
+        state = self._basic_state(now_s)
         interval_s = max(_INTRODUCTION_INTERVAL_S, self.summary_period_s)
         state.interval_ms = int(interval_s * 1000)
         self._add_addresses(state, now_s)
@@ -423,7 +430,7 @@
             interval_s = max(interval_s, _SENDERS_PER_RECEIVER * _INTRODUCTION_INTERVAL_S)
         return int(interval_s * 1000)
 
-    def _basic_state(self) -> NodeState:
+    def _basic_state(self, now_s: float) -> NodeState:
         """Returns the next message with the fields that all kinds of messages have."""
         self.sequence += 1
         return NodeState(
@@ -435,6 +442,7 @@
             revision=self.store_view.replica.revision,
             stopping=self.stopping,
             follows_store=self.is_following_store(),
+            crashes=recent_crash_reports(self.dispatcher.crash_evidence, now_s),
         )
 
     def _add_addresses(self, state: NodeState, now_s: float) -> None:
@@ -446,7 +454,7 @@
 
     def _own_states(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
         """Yields the messages with this node's state and the parts it has sent since a time."""
-        state = self._basic_state()
+        state = self._basic_state(now_s)
         state.interval_ms = int(self.zone_period_s * 1000)
         if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
             self._add_addresses(state, now_s)
@@ -467,7 +475,7 @@
         members = [name_hash(name) for name in self._live_zone_members(now_s)]
         waiting = self._zone_queues(now_s)
         for part in range(parts):
-            state = self._basic_state()
+            state = self._basic_state(now_s)
             state.interval_ms = self._summary_interval_ms(now_s)
             if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
                 self._add_addresses(state, now_s)
@@ -612,6 +620,8 @@
         if request.with_placements:
             for server_id, parts in self.dispatcher.cached_parts.keys_by_server().items():
                 copy.placements.add(server_id=server_id, parts=parts)
+            now_s = asyncio.get_running_loop().time()
+            copy.crashes.extend(crash_reports(self.dispatcher.crash_evidence, now_s, math.inf))
         return copy
 
 
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -12,6 +12,7 @@
 import logging
 import random
 import time
+from collections.abc import Set
 
 from tanagerworks.dispatch.choice import Choice
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
@@ -95,7 +96,8 @@
         self.metrics = metrics
         self.placer = RequestPlacer(dispatcher)
         self.backend_exchange = BackendExchange(dispatcher, backend_dialect)
-        self.crash_detector = CrashDetector(metrics)
+        self.crash_detector = CrashDetector(dispatcher, metrics)
+        dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
         self.random = random.Random()
         self.durations = RouteDurations()
         # Event loop time by which all requests have to end; None unless shutting down.
@@ -324,12 +326,16 @@
                     error_response = attempt.responses[-1]
                 denial = self._decide_retry(request, error)
                 log_attempt_failure(request, attempt, error, denial)
+                check = None
                 if isinstance(error, BackendDisconnectedError):
-                    self.crash_detector.record_disconnect(request.dispatch_request, attempt)
+                    check = self.crash_detector.record_disconnect(request.dispatch_request, attempt)
                 self.metrics.record_attempt_failure(request.service, error.code, denial)
                 if error.outcome is not Outcome.NOT_RUN:
                     executed_error = error
                 if denial is None:
+                    if check is not None:
+                        # The prompt must not crash another server if it has crashed this one.
+                        await asyncio.wait({check})
                     continue
                 if error_response is not None and not request.responder.started:
                     return self.backend_exchange.send_response(request, error_response)
@@ -365,11 +371,24 @@
         self.metrics.record_retry(request.service)
         return None
 
+    def _on_quarantines_changed(self, begun: Set[int], ended: Set[int]) -> None:
+        quarantines = self.dispatcher.crash_evidence.quarantines
+        for key in begun:
+            _LOGGER.warning(
+                "prompt part quarantined",
+                extra={"part_key": f"{key:016x}", "crashes": quarantines[key].crashes},
+            )
+        for key in ended:
+            _LOGGER.info("quarantine ended", extra={"part_key": f"{key:016x}"})
+        if begun:
+            self.placer.wake_all_waiters()
+
     # account
 
     def _end_attempt(self, request: RequestState, attempt: Attempt) -> None:
         attempt.end_prefill()
         attempt.state.record_end(request.dispatch_request.call_id)
+        self.dispatcher.quarantine_gate.end_probe(request.dispatch_request.call_id)
         if request.event_splitter is not None:
             request.event_splitter.discard_partial_event()
         if attempt.failed:
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -6,8 +6,8 @@
 
 from tanagerworks.dispatch.choice import Choice
 from tanagerworks.dispatch.dispatcher import MAX_QUEUED_REQUESTS, Dispatcher, DispatchRequest
-from tanagerworks.edge.request_state import RequestState
-from tanagerworks.errors import CapacityError, NoServerError
+from tanagerworks.edge.request_state import MAX_LOGGED_ID_LENGTH, RequestState
+from tanagerworks.errors import CapacityError, NoServerError, PartQuarantinedError
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -30,12 +30,14 @@
         Waits in the queue of the service if no server has free capacity.
 
         Raises:
+            PartQuarantinedError: a part of the prompt has crashed servers.
             NoServerError: the service has no server that the request may be sent to.
             CapacityError: no server can run the request before its deadline, or the queue
                 is full.
         """
         dispatch_request = request.dispatch_request
         loop = asyncio.get_running_loop()
+        self._check_quarantine(dispatch_request)
         queue = self.dispatcher.queue(dispatch_request.service)
         choice = self.dispatcher.choose_server(dispatch_request, loop.time())
         if choice.state is not None and queue.count_ahead(dispatch_request.priority) == 0:
@@ -50,6 +52,19 @@
             )
         return await self._wait_for_server(request)
 
+    def _check_quarantine(self, dispatch_request: DispatchRequest) -> None:
+        refusal = self.dispatcher.check_quarantine(
+            dispatch_request, asyncio.get_running_loop().time()
+        )
+        if refusal is None:
+            return
+        error = PartQuarantinedError(
+            f"part {refusal.part_id[:MAX_LOGGED_ID_LENGTH]} of the prompt has crashed"
+            f" {refusal.crashes} servers"
+        )
+        error.retry_after_s = refusal.retry_after_s
+        raise error
+
     def _capacity_error(self, message: str, dispatch_request: DispatchRequest) -> CapacityError:
         error = CapacityError(message)
         error.retry_after_s = self.dispatcher.estimate_retry_after_s(
@@ -84,6 +99,7 @@
         try:
             while True:
                 event.clear()
+                self._check_quarantine(dispatch_request)
                 choice = self._choose_if_first(dispatch_request)
                 if choice is not None:
                     placed = True
@@ -122,6 +138,11 @@
                 event.set()
             return
 
+    def wake_all_waiters(self) -> None:
+        """Wakes all queued requests; called when some of them may have to be refused."""
+        for event in self.waiters.values():
+            event.set()
+
     def wake_first_waiters(self) -> None:
         """Wakes the first request of every queue; called when the state of servers has changed."""
         for service in self.dispatcher.queues:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -253,6 +253,9 @@
         add_gauge("tanager.belief.age", "s", "Age of what the node believes.", self._view_ages_s)
         add_gauge("tanager.fleet.size", "{node}", "Nodes heard and assumed.", self._fleet_size)
         add_gauge("tanager.server.running", "{request}", "Load by server.", self._server_loads)
+        add_gauge(
+            "tanager.parts.quarantined", "{part}", "Prompt parts refused.", self._quarantined_parts
+        )
         add_gauge("tanager.logs.dropped", "{record}", "Log records dropped.", self._dropped_logs)
 
     def _active_requests(self) -> dict[str, float]:
@@ -292,6 +295,9 @@
         servers = self.dispatcher.directory.servers.values()
         return {state.server_id: state.load(now_s) for state in servers}
 
+    def _quarantined_parts(self) -> dict[str, float]:
+        return {"node": len(self.dispatcher.crash_evidence.quarantines)}
+
     def _dropped_logs(self) -> dict[str, float]:
         handlers = logging.getLogger().handlers
         return {
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -13,6 +13,7 @@
 
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.edge.crash_reports import merge_crash_reports
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.http_client import HttpClient
 from tanagerworks.edge.interfaces import BackendDialect
@@ -129,6 +130,7 @@
                 self.dispatcher.cached_parts.record_parts(
                     placement.parts, placement.server_id, now_s
                 )
+            merge_crash_reports(self.dispatcher.crash_evidence, copy.crashes, now_s)
             _LOGGER.info(
                 "cache contents received",
                 extra={"peer": peer.name, "servers": len(copy.placements)},
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -17,6 +17,8 @@
 ANSWER_START_S = 0.1
 # Ids of prompt parts in one log record.
 MAX_LOGGED_PARTS = 16
+# Characters of the id of a prompt part in a log record; callers choose the ids.
+MAX_LOGGED_ID_LENGTH = 64
 
 
 class RequestKind(Enum):
@@ -121,14 +123,6 @@
     # Buffered 5xx responses of the server.
     responses: list[BackendResponse] = field(default_factory=list)
 
-    def record_event(self, now_s: float) -> None:
-        """Records a complete event of a stream."""
-        self.last_event_s = now_s
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        if now_s - self.first_event_s >= ANSWER_START_S:
-            self.answer_under_way = True
-
     def end_prefill(self) -> None:
         """Subtracts the prompt from the server's pending prefill; later calls have no effect."""
         if self.prefill_counted:
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -358,6 +358,12 @@
     retry_after_s = 0.5
 
 
+class PartQuarantinedError(CapacityError):
+    """A part of the prompt has crashed servers, so the request must not reach another one."""
+
+    code = "part_quarantined"
+
+
 class RouteTimeoutError(BackendTimeoutError):
     """The response to a request that was sent was not complete in time.
 
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -5,6 +5,7 @@
 
 from tanagerworks.dispatch.cached_parts import part_key
 from tanagerworks.dispatch.choice import Prompt, PromptPart
+from tanagerworks.dispatch.crash_evidence import ServerCrash, Suspect, suspect_key
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest, FleetBounds
 from tanagerworks.membership.peer_table import Peer, PeerTable
 from tanagerworks.published.model import (
@@ -117,6 +118,17 @@
     return DispatchRequest(**(fields | changes))
 
 
+def crash(crashed_at_s, *part_ids, in_flight_s=0.2, **changes):
+    """A crash with the given parts, the first part of the prompt first, as its suspects."""
+    return ServerCrash(
+        crashed_at_s,
+        {
+            suspect_key(part_id): Suspect(depth, in_flight_s, **changes)
+            for depth, part_id in enumerate(part_ids)
+        },
+    )
+
+
 BOUNDS = FleetBounds(
     repeat_ratio=0.2, repeat_minimum=50, repeat_window_s=10.0, cold_factor=1.5, cold_extra=5.0
 )
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -34,7 +34,7 @@
 
     async def scenario(port, pipeline, servers):
         await send_request(port, request_bytes("/chat/x", "c1", "POST", b"", *DEADLY_PROMPT))
-        await wait_until(lambda: not pipeline.crash_detector.parts_in_check)
+        await wait_until(lambda: not pipeline.crash_detector.checks)
         return pipeline.dispatcher.directory.servers["server-0"].crashed
 
     config = configuration(routes=[stream_route()])
@@ -43,7 +43,7 @@
     assert len(records(caplog, message)) == 1
     if crashed:
         # The last part is the request's own, so it is no suspect.
-        assert records(caplog, message)[0].parts_before_answer == ["a1", "dead"]
+        assert records(caplog, message)[0].parts_before_answer.keys() == {"a1", "dead"}
 
 
 def test_server_that_leaves_is_not_reported_as_crashed(caplog):
@@ -59,7 +59,7 @@
 
         servers[0].script = [action]
         await send_request(port, request_bytes("/chat/x", "c1", "POST", b"", *DEADLY_PROMPT))
-        await wait_until(lambda: not pipeline.crash_detector.parts_in_check)
+        await wait_until(lambda: not pipeline.crash_detector.checks)
         return state.crashed
 
     config = configuration(routes=[stream_route()])
--- a/tests/test_fault_deadly_part.py
+++ b/tests/test_fault_deadly_part.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from tests.edge_builders import MODEL_SERVICE, configuration, stream_route
+from tanagerworks.dispatch.crash_evidence import CrashEvidence
+from tanagerworks.edge.crash_reports import recent_crash_reports
+from tests.edge_builders import MODEL_SERVICE, configuration, crash, server_entry, stream_route
 from tests.platform_standin import (
     crash_at_start,
     request_bytes,
@@ -15,6 +17,7 @@
     send_request,
     stream_events,
 )
+from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
 
 SERVERS = 8
 # The operators allow three requests to reach servers once five have crashed.
@@ -59,3 +62,89 @@
     assert float(deadly[-1].headers["retry-after"]) > 0.0
     # Requests with the other parts are served until the end.
     assert [response.status for response in sound[-3:]] == [200] * 3
+
+
+def refusing_nodes(fleet):
+    """Returns the live nodes that refuse requests with the part."""
+    return [
+        node
+        for node in fleet.live_nodes()
+        if node.dispatcher.crash_evidence.find_quarantines(["dead"])
+    ]
+
+
+def crash_server(node, number):
+    """Lets a node see the crash of a server while it sends a request with the part."""
+    state = node.dispatcher.directory.servers[f"server-{number}"]
+    now_s = node.fleet.loop.time()
+    node.dispatcher.record_crash(state, crash(now_s, "a1", "dead").suspects, now_s)
+
+
+# Within this time of the fifth crash, requests with the part must not reach servers any more.
+CONTACT_S = 3.0
+
+
+async def fleet_with_two_crashes(count, zones, loss=0.0):
+    """Returns a fleet in which two nodes have each seen a crash, the second one just now."""
+    fleet = VirtualFleet(count, zones)
+    fleet.put_servers([server_entry(f"server-{number}") for number in range(2)])
+    fleet.start()
+    await asyncio.sleep(6.0)
+    fleet.loss = loss
+    crash_server(fleet.nodes[0], 0)
+    await asyncio.sleep(1.0)
+    crash_server(fleet.nodes[1], 1)
+    return fleet
+
+
+@pytest.mark.parametrize(("count", "zones", "loss"), [(6, 3, 0.1), (60, 3, 0.0), (195, 5, 0.0)])
+def test_all_nodes_learn_of_crashes_that_different_nodes_have_seen(count, zones, loss):
+    """Guards against a part that crashes servers once at every node of the fleet."""
+
+    async def scenario():
+        fleet = await fleet_with_two_crashes(count, zones, loss)
+        await asyncio.sleep(CONTACT_S)
+        assert len(refusing_nodes(fleet)) == count
+
+    run_in_virtual_time(scenario())
+
+
+def test_node_that_starts_later_learns_of_the_part():
+    """Guards against a restarted node that brings the part to servers again."""
+
+    async def scenario():
+        fleet = await fleet_with_two_crashes(6, 3)
+        # Longer than crashes without a quarantined part are reported.
+        await asyncio.sleep(20.0)
+        fleet.nodes[2].stop()
+        await asyncio.sleep(2.0)
+        fleet.restart(fleet.nodes[2])
+        await asyncio.sleep(0.5)
+        assert len(refusing_nodes(fleet)) == 6
+
+    run_in_virtual_time(scenario())
+
+
+def test_answer_at_one_node_ends_the_quarantine_at_all():
+    """Guards against a sound part that other nodes go on refusing after it was cleared."""
+
+    async def scenario():
+        fleet = await fleet_with_two_crashes(6, 3)
+        await asyncio.sleep(1.0)
+        assert len(refusing_nodes(fleet)) == 6
+        fleet.nodes[3].dispatcher.crash_evidence.record_answer(["dead"], fleet.loop.time())
+        await asyncio.sleep(1.0)
+        assert not refusing_nodes(fleet)
+
+    run_in_virtual_time(scenario())
+
+
+def test_report_fits_into_a_datagram():
+    """Guards against reports that IP fragments, or that crowd out the loads in a message."""
+    evidence = CrashEvidence()
+    for number in range(60):
+        parts = [f"{number}-{part}" for part in range(30)]
+        evidence.merge_crash(number, crash(number * 0.1, *parts), number * 0.1)
+    reports = recent_crash_reports(evidence, 6.0)
+    assert reports
+    assert sum(report.ByteSize() for report in reports) <= 480
