Break off streams that end with their connection inside an event

On routes that do not resume, callers got half an event and then a properly ended body, a complete success as far as they could see, and nothing was logged. A body with neither a length nor chunks ends with its connection, so its end alone does not say that it is whole; only routes that resume looked at the last event.

Every stream of events is now checked at its end: inside an event, or without any event and without a length or chunks, it is BackendDisconnectedError. The caller's body then ends without its last chunk, and the server is checked for a crash.

Four cases of the new test in test_fault_broken_answers.py failed before on the answer, four (routes that resume) on the logged error only.

--- a/src/tanagerworks/edge/event_stream.py
+++ b/src/tanagerworks/edge/event_stream.py
@@ -63,6 +63,10 @@
         self.line_empty = True
         self.has_field = False
 
+    def is_inside_event(self) -> bool:
+        """Returns whether the body so far ends inside a line or an event."""
+        return self.has_field or not self.line_empty
+
     def feed(self, data: bytes) -> bool:
         """Returns whether an event with at least one field is complete after `data`."""
         complete = False
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -26,6 +26,7 @@
 from tanagerworks.edge.stall import StallLimits
 from tanagerworks.errors import (
     BackendConnectError,
+    BackendDisconnectedError,
     BackendError,
     BackendMisdirectedError,
     BackendProtocolError,
@@ -364,8 +365,6 @@
                     raise BackendTimeoutError(
                         "the stream stalled without a complete event"
                     ) from error
-        if request.event_splitter is not None and request.event_splitter.partial_event:
-            raise BackendProtocolError("the stream ended inside an event")
         if not request.responder.started:
             self._start_response(request, response, _stated_length(response.headers))
         request.responder.finish()
@@ -383,6 +382,9 @@
         """Relays data until the end; postpones the timeout with each complete event.
 
         The time for which a slow caller keeps the node from reading does not count as a stall.
+
+        Raises:
+            BackendDisconnectedError: the server has broken off the stream.
         """
         loop = asyncio.get_running_loop()
         responder = request.responder
@@ -392,6 +394,7 @@
         while True:
             event = await connection.next_event()
             if isinstance(event, h11.EndOfMessage):
+                _check_stream_end(request, attempt, response, event_counter)
                 return
             assert isinstance(event, h11.Data)
             attempt.end_prefill()
@@ -476,6 +479,24 @@
     return int(length)
 
 
+def _check_stream_end(
+    request: RequestState, attempt: Attempt, response: BackendResponse, event_counter: EventCounter
+) -> None:
+    """Raises BackendDisconnectedError if a stream that seems to be complete is not.
+
+    The body of a response with neither a length nor chunks ends with the connection, for whatever
+    reason that ends.
+    """
+    content_type = find_header(response.headers, b"content-type") or b""
+    has_events = content_type.startswith(b"text/event-stream") or request.event_splitter is not None
+    if has_events and event_counter.is_inside_event():
+        raise BackendDisconnectedError("the stream ended inside an event")
+    has_length = find_header(response.headers, b"content-length") is not None
+    is_chunked = find_header(response.headers, b"transfer-encoding") is not None
+    if attempt.first_event_s is None and has_events and not (has_length or is_chunked):
+        raise BackendDisconnectedError("the stream ended without an event")
+
+
 def _pool_key(state: ServerState) -> str:
     """Returns a key that changes when the server restarts or moves to another address."""
     return f"{state.server_id}/{state.entry.started_ms}/{state.entry.host}:{state.entry.port}"
--- a/tests/test_fault_broken_answers.py
+++ b/tests/test_fault_broken_answers.py
@@ -121,6 +121,50 @@
     assert response.status == 502 or not response.complete
 
 
+def end_with_connection(sent):
+    """Sends a stream with neither a length nor chunks, `sent` of it, and closes the connection."""
+
+    async def action(server, headers, reader, writer):
+        writer.write(response_head(headers, "200 OK", "content-type: text/event-stream") + sent)
+        await writer.drain()
+        raise ConnectionResetError
+
+    return action
+
+
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 9))
+
+
+@pytest.mark.parametrize("sent", [EVENTS[:-1], EVENTS[:-9], EVENTS[:5], b""])
+@pytest.mark.parametrize("resumable", [False, True])
+def test_stream_that_ends_inside_an_event_is_broken_off(sent, resumable, caplog):
+    """Guards against a stream without a length that ends inside an event as a complete success."""
+    config = configuration(routes=[stream_route(resumable=resumable, max_attempts=1)])
+    response, _counts, _servers = run_scenario(
+        [[end_with_connection(sent)]],
+        single_request_scenario(request_bytes("/chat/x", method="POST")),
+        config,
+        MODEL_SERVICE,
+    )
+    assert response.status == 502 or not response.complete
+    failures = [record for record in caplog.records if record.message == "attempt failed"]
+    assert [record.error for record in failures] == ["backend_disconnected"]
+
+
+@pytest.mark.parametrize("resumable", [False, True])
+def test_stream_that_ends_with_its_connection_is_complete(resumable, caplog):
+    """Guards against a failure for a stream without a length all of whose events are whole."""
+    config = configuration(routes=[stream_route(resumable=resumable, max_attempts=1)])
+    response, _counts, _servers = run_scenario(
+        [[end_with_connection(EVENTS)]],
+        single_request_scenario(request_bytes("/chat/x", method="POST")),
+        config,
+        MODEL_SERVICE,
+    )
+    assert (response.status, response.body, response.complete) == (200, EVENTS, True)
+    assert "attempt failed" not in caplog.text
+
+
 def answer_after_broken_stream(status, body):
     """The first of two servers breaks off in event 5, the other sends another answer."""
 
