Read and log the limits that servers name in their answers

Server-Limit was not read, and no record told what a server had named to which node. A node now keeps the limit of each server process, logs its changes and exports them as a gauge; no decision uses it yet.

--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -52,6 +52,10 @@
     # Requests in progress that the server itself reported in a response, and when it arrived.
     reported_running: int = 0
     reported_at_s: float = float("-inf")
+    # Requests per second that the server takes from all nodes together, as an answer said that
+    # arrived at `limit_named_at_s`; None without a limit.
+    limit_per_s: float | None = None
+    limit_named_at_s: float = float("-inf")
     # Moving averages of the time to a complete response and of the share of failures.
     service_time_s: float = _FIRST_SERVICE_TIME_S
     failure_share: float = 0.0
@@ -108,6 +112,18 @@
             return self.total_running
         return max(self.total_running, self.reported_running)
 
+    def record_limit(self, limit_per_s: float | None, named_at_s: float) -> bool:
+        """Records the limit that an answer names, or None; returns whether the limit has changed.
+
+        An answer that arrived before the one known is ignored.
+        """
+        if named_at_s < self.limit_named_at_s:
+            return False
+        self.limit_named_at_s = named_at_s
+        changed = limit_per_s != self.limit_per_s
+        self.limit_per_s = limit_per_s
+        return changed
+
     def is_cold(self, now_s: float) -> bool:
         """Whether the server is still in its cold start."""
         return now_s < self.cold_until_s
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -207,12 +207,26 @@
         if metadata.load is not None:
             attempt.state.reported_running = metadata.load
             attempt.state.reported_at_s = asyncio.get_running_loop().time()
+        if metadata.signed:
+            self._record_limit(attempt.state, metadata.limit_per_s)
         response = BackendResponse(event.status_code, headers, metadata=metadata)
         if request.route.streams and 200 <= event.status_code < 300:
             return headers, await self._relay_stream(request, attempt, connection, response)
         result = await self._relay_buffered(request, attempt, connection, response)
         return headers, result
 
+    def _record_limit(self, state: ServerState, limit_per_s: float | None) -> None:
+        """Records the limit on its requests that a server names in an answer, or its end."""
+        if state.record_limit(limit_per_s, asyncio.get_running_loop().time()):
+            _LOGGER.info(
+                "server changed its limit",
+                extra={
+                    "server": state.server_id,
+                    "requests_per_s": limit_per_s,
+                    "source": "answer",
+                },
+            )
+
     def _check_request_id(
         self, request: RequestState, metadata: ResponseMetadata, status: int, is_new: bool
     ) -> None:
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -105,6 +105,8 @@
     signed: bool
     # Requests running and queued at the server; None if the response does not state it.
     load: int | None
+    # Requests per second that the server takes from all nodes together; None if it names no limit.
+    limit_per_s: float | None = None
 
 
 class CallerDialect(Protocol):
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -253,6 +253,7 @@
         add_gauge("tanager.belief.age", "s", "Age of what the node believes.", self._view_ages_s)
         add_gauge("tanager.fleet.size", "{node}", "Nodes heard and assumed.", self._fleet_size)
         add_gauge("tanager.server.running", "{request}", "Load by server.", self._server_loads)
+        add_gauge("tanager.server.limit", "{request}/s", "Limits of servers.", self._server_limits)
         add_gauge(
             "tanager.parts.quarantined", "{part}", "Prompt parts refused.", self._quarantined_parts
         )
@@ -295,6 +296,12 @@
         servers = self.dispatcher.directory.servers.values()
         return {state.server_id: state.load(now_s) for state in servers}
 
+    def _server_limits(self) -> dict[str, float]:
+        servers = self.dispatcher.directory.servers.values()
+        return {
+            state.server_id: state.limit_per_s for state in servers if state.limit_per_s is not None
+        }
+
     def _quarantined_parts(self) -> dict[str, float]:
         return {"node": len(self.dispatcher.crash_evidence.quarantines)}
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -154,6 +154,25 @@
     assert dialect.parse_response_head(200, [(b"x-tanagerworks-server-load", b"x,1")]).load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "limit_per_s"),
+    [
+        (b"2.6", 2.6),
+        (b" 40 ", 40.0),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"1e9", None),
+        (b"9" * 400, None),
+        (b"", None),
+    ],
+)
+def test_parse_server_limit(value, limit_per_s):
+    """Guards against a limit that is not read, and against arithmetic with an invalid one."""
+    head = BackendHttp().parse_response_head(200, [(b"server-limit", value)])
+    assert head.limit_per_s == limit_per_s
+
+
 def test_parse_cache_listing():
     """Guards against an invalid listing that ends the recovery of all caches."""
     dialect = BackendHttp()
