Keep the limits that servers name for the whole fleet

Callers saw nothing; servers in need got 25 requests in four seconds where 19 were allowed.

Cause: no decision used the limit that a server names in its answers. Nor would it have sufficed to obey it at each node, as a limit holds for all nodes together.

Change: the nodes that may send to a server share its limit equally, each with a bucket of one token; there are at most twice the limit and three of them. Limits and their ends are reported to peers with the age of the answer; the youngest holds.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -1,6 +1,6 @@
 """Combines the decisions of a node: which backend server gets a request, and when."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from tanagerworks.dispatch.cached_parts import CachedPartIndex
@@ -14,7 +14,12 @@
 )
 from tanagerworks.dispatch.crash_evidence import CrashEvidence, ServerCrash, Suspect, process_key
 from tanagerworks.dispatch.directory import Directory
-from tanagerworks.dispatch.fleet_limits import ColdStartLimiter, RetryBudget
+from tanagerworks.dispatch.fleet_limits import (
+    ColdStartLimiter,
+    NamedLimitLimiter,
+    RetryBudget,
+    SenderLimiter,
+)
 from tanagerworks.dispatch.quarantine_gate import PartRefusal, QuarantineGate
 from tanagerworks.dispatch.request_queue import RequestQueue
 from tanagerworks.dispatch.server_state import ServerState
@@ -75,10 +80,11 @@
         self.peer_table = peer_table
         self.directory = Directory()
         self.configuration: Configuration | None = None
-        # Queues and retry budgets by service, cold start limiters by server id.
+        # Queues and retry budgets by service, limiters by server id.
         self.queues: dict[str, RequestQueue] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.cold_start_limiters: dict[str, ColdStartLimiter] = {}
+        self.named_limit_limiters: dict[str, NamedLimitLimiter] = {}
         self.cached_parts = CachedPartIndex()
         self.crash_evidence = CrashEvidence()
         self.quarantine_gate = QuarantineGate(name, peer_table, self.crash_evidence)
@@ -144,26 +150,48 @@
     def _check_limits(self, state: ServerState, service: Service, nodes: int, now_s: float) -> bool:
         """Returns whether a limit allows this node no further request at the server now.
 
-        Adds the server's cold start limiter when it is cold, and removes it when it no longer is.
         For both limits of the service, 0 means no limit.
         """
         max_running = max(1.0, _USED_CONNECTION_SHARE * service.max_connections / nodes)
         if service.max_connections and state.running >= max_running:
             return True
+        self._update_limiters(state, service, now_s)
+        return not all(
+            self._may_send(limiter, state.server_id, nodes, now_s)
+            for limiter in self._limiters(state.server_id)
+        )
+
+    def _update_limiters(self, state: ServerState, service: Service, now_s: float) -> None:
+        """Adds the limiters that the server needs now and removes the others."""
+        server_id = state.server_id
+        if state.limit_per_s is None:
+            self.named_limit_limiters.pop(server_id, None)
+        elif server_id in self.named_limit_limiters:
+            self.named_limit_limiters[server_id].set_limit(state.limit_per_s)
+        else:
+            self.named_limit_limiters[server_id] = NamedLimitLimiter(state.limit_per_s)
         if not state.is_cold(now_s) or service.cold_requests_per_s <= 0.0:
-            self.cold_start_limiters.pop(state.server_id, None)
-            return False
+            self.cold_start_limiters.pop(server_id, None)
+            return
         bound = service.cold_requests_per_s * self.bounds.cold_factor + self.bounds.cold_extra
-        limiter = self.cold_start_limiters.get(state.server_id)
-        if limiter is None:
-            limiter = self.cold_start_limiters[state.server_id] = ColdStartLimiter(bound)
-        limiter.set_bound(bound)
+        if server_id in self.cold_start_limiters:
+            self.cold_start_limiters[server_id].set_bound(bound)
+        else:
+            self.cold_start_limiters[server_id] = ColdStartLimiter(bound)
+
+    def _limiters(self, server_id: str) -> Iterator[SenderLimiter]:
+        if server_id in self.named_limit_limiters:
+            yield self.named_limit_limiters[server_id]
+        if server_id in self.cold_start_limiters:
+            yield self.cold_start_limiters[server_id]
+
+    def _may_send(self, limiter: SenderLimiter, server_id: str, nodes: int, now_s: float) -> bool:
         senders = limiter.sender_count(nodes)
-        if senders < nodes and not self._may_send_to_cold_server(state.server_id, senders, now_s):
-            return True
-        return not limiter.has_token(nodes, now_s)
+        if senders < nodes and not self._is_sender(server_id, senders, now_s):
+            return False
+        return limiter.has_token(nodes, now_s)
 
-    def _may_send_to_cold_server(self, server_id: str, senders: int, now_s: float) -> bool:
+    def _is_sender(self, server_id: str, senders: int, now_s: float) -> bool:
         # Only live peers are ranked, so that no lost one takes the place of a sender. The number of
         # senders follows from the assumed fleet size, which includes lost peers.
         names = [peer.name for peer in self.peer_table.live_peers(now_s)]
@@ -212,14 +240,13 @@
     def record_start(self, dispatch_request: DispatchRequest, choice: Choice, now_s: float) -> None:
         """Counts a request that is about to be sent to the chosen server.
 
-        `ServerState.record_end` and `subtract_prefill_tokens` undo the count. A token of the cold
-        start limiter is not returned.
+        `ServerState.record_end` and `subtract_prefill_tokens` undo the count. Tokens of the
+        server's limiters are not returned.
         """
         assert choice.state is not None
         state = choice.state
         state.record_start(dispatch_request.call_id, choice.prefill_tokens)
-        limiter = self.cold_start_limiters.get(state.server_id)
-        if limiter is not None and state.is_cold(now_s):
+        for limiter in self._limiters(state.server_id):
             limiter.use_token()
 
     def record_sent(self, dispatch_request: DispatchRequest, server_id: str, now_s: float) -> None:
@@ -282,7 +309,7 @@
         service has no usable server.
         """
         states = list(self.directory.usable_servers(dispatch_request.service, now_s))
-        rate = sum(state.entry.slots / max(0.001, state.service_time_s) for state in states)
+        rate = sum(_requests_per_s(state) for state in states)
         if rate <= 0.0:
             return _RETRY_AFTER_WITHOUT_SERVERS_S
         ahead = self.queue(dispatch_request.service).count_ahead(dispatch_request.priority) + 1
@@ -304,3 +331,9 @@
         return self.retry_budget(service).acquire_retry(
             self.peer_table.assumed_fleet_size(now_s), now_s
         )
+
+
+def _requests_per_s(state: ServerState) -> float:
+    """Returns the requests a second that a server can complete, within the limit that it names."""
+    by_slots = state.entry.slots / max(0.001, state.service_time_s)
+    return by_slots if state.limit_per_s is None else min(by_slots, state.limit_per_s)
--- a/src/tanagerworks/dispatch/fleet_limits.py
+++ b/src/tanagerworks/dispatch/fleet_limits.py
@@ -6,24 +6,65 @@
 
 import math
 from collections import deque
+from typing import Protocol
 
 # Share of a limit that the nodes use together. The rest covers nodes that differ in their view of
 # the fleet, and requests that arrive at a server closer together than they were sent.
 _USED_SHARE = 0.8
+# A server that names a limit bears what it takes in this time, and a few requests, on top of it.
+_BURST_S = 2.0
+_EXTRA_SENDERS = 3
+# A server that names a lower limit gets this many requests a second, so that the end of the limit
+# is noticed.
+_MIN_NAMED_LIMIT_PER_S = 0.1
+
+
+class SenderLimiter(Protocol):
+    """Limits the requests of the fleet to one backend server.
+
+    Only some nodes, its senders, may send to it; each may send its share of the limit.
+    """
+
+    def sender_count(self, nodes: int) -> int:
+        """Returns how many of the `nodes` nodes are senders, at least 1."""
+
+    def has_token(self, nodes: int, now_s: float) -> bool:
+        """Returns whether this node, a sender, may send one more request now."""
+
+    def use_token(self) -> None:
+        """Uses the token that `has_token` reported."""
+
+
+class _TokenBucket:
+    """A token bucket with one token at most; the rate may change with each check."""
+
+    def __init__(self) -> None:
+        self.tokens = 1.0
+        self.refilled_at_s = float("-inf")
+
+    def refill(self, rate_per_s: float, now_s: float) -> bool:
+        """Adds the tokens since the last refill; returns whether there is a whole one."""
+        if math.isfinite(self.refilled_at_s):
+            self.tokens = min(1.0, self.tokens + rate_per_s * (now_s - self.refilled_at_s))
+        self.refilled_at_s = now_s
+        return self.tokens >= 1.0
+
+    def use_token(self) -> None:
+        """Uses one token."""
+        self.tokens -= 1.0
 
 
 class ColdStartLimiter:
-    """Limits this node's requests to one cold backend server; a token bucket with one token.
+    """Limits this node's requests to one cold backend server.
 
     A server accepts `bound_per_s` requests in any second, of which the fleet uses `_USED_SHARE`.
-    Only some nodes, its senders, may send to it. Each of k senders may send one request at once and
-    its share of the rest over the second, so k is at most half of what the fleet uses.
+    Each of k senders may send one request at once and its share of the rest over the second, so k
+    is at most half of what the fleet uses.
     """
 
     def __init__(self, bound_per_s: float) -> None:
         self.set_bound(bound_per_s)
-        self.tokens = 1.0
-        self.refilled_at_s = float("-inf")
+        self.bucket = _TokenBucket()
 
     def set_bound(self, bound_per_s: float) -> None:
         """Changes the bound; tokens that were used stay used."""
@@ -33,21 +74,43 @@
         """Returns how many of the `nodes` nodes are senders, at least 1."""
         return max(1, min(nodes, int(self.bound_per_s // 2)))
 
-    def _refill(self, nodes: int, now_s: float) -> None:
+    def has_token(self, nodes: int, now_s: float) -> bool:
+        """Returns whether this node, a sender, may send one more request now."""
         senders = self.sender_count(nodes)
-        rate = max(0.0, self.bound_per_s - senders) / senders
-        if math.isfinite(self.refilled_at_s):
-            self.tokens = min(1.0, self.tokens + rate * (now_s - self.refilled_at_s))
-        self.refilled_at_s = now_s
+        rate_per_s = max(0.0, self.bound_per_s - senders) / senders
+        return self.bucket.refill(rate_per_s, now_s)
+
+    def use_token(self) -> None:
+        """Uses the token that `has_token` reported."""
+        self.bucket.use_token()
+
+
+class NamedLimitLimiter:
+    """Limits this node's requests to a backend server that names how many it takes a second.
+
+    The senders use the whole limit, in equal shares. Each may send one request at once, so there
+    are fewer senders than requests that the server has to bear beyond its limit.
+    """
+
+    def __init__(self, limit_per_s: float) -> None:
+        self.set_limit(limit_per_s)
+        self.bucket = _TokenBucket()
+
+    def set_limit(self, limit_per_s: float) -> None:
+        """Changes the limit; tokens that were used stay used."""
+        self.limit_per_s = max(_MIN_NAMED_LIMIT_PER_S, limit_per_s)
+
+    def sender_count(self, nodes: int) -> int:
+        """Returns how many of the `nodes` nodes are senders, at least 1."""
+        return max(1, min(nodes, int(_BURST_S * self.limit_per_s) + _EXTRA_SENDERS))
 
     def has_token(self, nodes: int, now_s: float) -> bool:
-        """Refills the bucket; returns whether one more request may be sent now."""
-        self._refill(nodes, now_s)
-        return self.tokens >= 1.0
+        """Returns whether this node, a sender, may send one more request now."""
+        return self.bucket.refill(self.limit_per_s / self.sender_count(nodes), now_s)
 
     def use_token(self) -> None:
         """Uses the token that `has_token` reported."""
-        self.tokens -= 1.0
+        self.bucket.use_token()
 
 
 class RetryBudget:
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -56,6 +56,7 @@
     # arrived at `limit_named_at_s`; None without a limit.
     limit_per_s: float | None = None
     limit_named_at_s: float = float("-inf")
+    limit_changed_at_s: float = float("-inf")
     # Moving averages of the time to a complete response and of the share of failures.
     service_time_s: float = _FIRST_SERVICE_TIME_S
     failure_share: float = 0.0
@@ -120,9 +121,11 @@
         if named_at_s < self.limit_named_at_s:
             return False
         self.limit_named_at_s = named_at_s
-        changed = limit_per_s != self.limit_per_s
+        if limit_per_s == self.limit_per_s:
+            return False
         self.limit_per_s = limit_per_s
-        return changed
+        self.limit_changed_at_s = named_at_s
+        return True
 
     def is_cold(self, now_s: float) -> bool:
         """Whether the server is still in its cold start."""
--- a/src/tanagerworks/edge/crash_reports.py
+++ b/src/tanagerworks/edge/crash_reports.py
@@ -8,9 +8,8 @@
 # Regular messages report a crash for this time, several times the interval of messages in a large
 # fleet; after that, only the parts in quarantine.
 _REPORT_PERIOD_S = 10.0
-# Bytes of a datagram that reports may take, and suspects in one report, at about 18 bytes each.
-_MAX_REPORT_BYTES = 480
-_MAX_SUSPECTS_PER_REPORT = 16
+# Suspects in one report, at about 18 bytes each.
+_MAX_SUSPECTS_PER_REPORT = 10
 
 
 def crash_reports(evidence: CrashEvidence, now_s: float, max_age_s: float) -> Iterator[CrashReport]:
@@ -38,13 +37,16 @@
         )
 
 
-def recent_crash_reports(evidence: CrashEvidence, now_s: float) -> list[CrashReport]:
+def recent_crash_reports(
+    evidence: CrashEvidence, now_s: float, max_bytes: int
+) -> list[CrashReport]:
     """Returns the reports for a datagram, those of the latest crashes as far as they fit."""
     reports = []
     size = 0
     for report in crash_reports(evidence, now_s, _REPORT_PERIOD_S):
-        size += report.ByteSize()
-        if size > _MAX_REPORT_BYTES:
+        # Tag and length of the field.
+        size += report.ByteSize() + 3
+        if size > max_bytes:
             break
         reports.append(report)
     return reports
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -12,6 +12,7 @@
 from tanagerworks.edge.event_stream import EventCounter
 from tanagerworks.edge.http_messages import HeaderList, find_header
 from tanagerworks.edge.interfaces import BackendDialect, BackendRequestContext, ResponseMetadata
+from tanagerworks.edge.limit_reports import log_limit
 from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.request_state import (
     ANSWER_START_S,
@@ -218,14 +219,7 @@
     def _record_limit(self, state: ServerState, limit_per_s: float | None) -> None:
         """Records the limit on its requests that a server names in an answer, or its end."""
         if state.record_limit(limit_per_s, asyncio.get_running_loop().time()):
-            _LOGGER.info(
-                "server changed its limit",
-                extra={
-                    "server": state.server_id,
-                    "requests_per_s": limit_per_s,
-                    "source": "answer",
-                },
-            )
+            log_limit(state, "answer")
 
     def _check_request_id(
         self, request: RequestState, metadata: ResponseMetadata, status: int, is_new: bool
--- /dev/null
+++ b/src/tanagerworks/edge/limit_reports.py
@@ -0,0 +1,73 @@
+"""Reports of the limits that servers name, in messages between nodes."""
+
+import logging
+from collections.abc import Iterable
+
+from tanagerworks.dispatch.directory import Directory, server_key
+from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.rpc.edge_pb2 import LimitReport
+
+_LOGGER = logging.getLogger(__name__)
+
+# The end of a limit is reported for this time, several times the interval of messages.
+_ENDED_LIMIT_PERIOD_S = 10.0
+# Longest age of an answer that is believed, so that the arithmetic with it stays exact.
+_MAX_AGE_S = 3_600.0
+
+
+def limit_reports(directory: Directory, now_s: float, max_bytes: int) -> list[LimitReport]:
+    """Returns reports of the limits in force and of those that have ended lately.
+
+    Those that changed last come first, as far as they fit.
+    """
+    states = [
+        state
+        for state in directory.servers.values()
+        if state.limit_per_s is not None or now_s - state.limit_changed_at_s < _ENDED_LIMIT_PERIOD_S
+    ]
+    states.sort(key=lambda state: -state.limit_changed_at_s)
+    reports = []
+    size = 0
+    for state in states:
+        age_s = min(_MAX_AGE_S, max(0.0, now_s - state.limit_named_at_s))
+        report = LimitReport(
+            server_key=server_key(state.server_id),
+            age_ms=int(age_s * 1000),
+            requests_per_s=state.limit_per_s,
+        )
+        # Tag and length of the field.
+        size += report.ByteSize() + 3
+        if size > max_bytes:
+            break
+        reports.append(report)
+    return reports
+
+
+def merge_limit_reports(
+    directory: Directory, reports: Iterable[LimitReport], now_s: float, peer: str
+) -> None:
+    """Records the limits that a peer reports, as far as they are newer than those known."""
+    for report in reports:
+        state = directory.by_key.get(report.server_key)
+        if state is None or not _is_valid(report):
+            continue
+        limit_per_s = report.requests_per_s if report.HasField("requests_per_s") else None
+        if state.record_limit(limit_per_s, now_s - report.age_ms / 1000):
+            log_limit(state, f"peer {peer}")
+
+
+def _is_valid(report: LimitReport) -> bool:
+    # Infinite values and NaN fail the comparison as well.
+    return not report.HasField("requests_per_s") or 0.0 <= report.requests_per_s < 1e9
+
+
+def log_limit(state: ServerState, source: str) -> None:
+    """Logs that a server has changed its limit; `source` is "answer" or the peer that said so."""
+    _LOGGER.info(
+        "server changed its limit",
+        extra={
+            "server": state.server_id,
+            "requests_per_s": state.limit_per_s,
+            "source": source,
+        },
+    )
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -25,6 +25,7 @@
 )
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.interfaces import PeerFinder
+from tanagerworks.edge.limit_reports import limit_reports, merge_limit_reports
 from tanagerworks.edge.part_announcements import PartAnnouncements
 from tanagerworks.edge.store_copies import fetch_store_copy, serve_store_copy
 from tanagerworks.errors import PeerError
@@ -88,6 +89,9 @@
 _MAX_STORE_LAG_S = 0.3
 # A larger datagram could be fragmented by IP, and the loss of any fragment would lose all of it.
 _MAX_DATAGRAM_BYTES = 1_400
+# Bytes of a datagram that reports of crashed servers and of limits may take.
+_MAX_CRASH_BYTES = 400
+_MAX_LIMIT_BYTES = 300
 # Servers in one message of a summary, at about 11 bytes each.
 _SERVERS_PER_SUMMARY = 80
 # Maximum number of datagrams to one peer in a round. The listing of a server's cache, about 400
@@ -184,6 +188,7 @@
         # overtook.
         self._record_placements(state, now_s)
         merge_crash_reports(self.dispatcher.crash_evidence, state.crashes, now_s)
+        merge_limit_reports(self.dispatcher.directory, state.limits, now_s, state.name)
         event = self.peer_table.record_message(self._to_peer(state, now_s))
         if event == "old":
             return
@@ -417,10 +422,11 @@
 
     def _introduction(self, now_s: float) -> NodeState:
         """Returns a message to a node of another or an unknown zone, without loads."""
-        state = self._basic_state(now_s)
+        state = self._basic_state()
         interval_s = max(_INTRODUCTION_INTERVAL_S, self.summary_period_s)
         state.interval_ms = int(interval_s * 1000)
         self._add_addresses(state, now_s)
+        self._add_reports(state, now_s)
         return state
 
     def _summary_interval_ms(self, now_s: float) -> int:
@@ -430,7 +436,7 @@
             interval_s = max(interval_s, _SENDERS_PER_RECEIVER * _INTRODUCTION_INTERVAL_S)
         return int(interval_s * 1000)
 
-    def _basic_state(self, now_s: float) -> NodeState:
+    def _basic_state(self) -> NodeState:
         """Returns the next message with the fields that all kinds of messages have."""
         self.sequence += 1
         return NodeState(
@@ -442,7 +448,6 @@
             revision=self.store_view.replica.revision,
             stopping=self.stopping,
             follows_store=self.is_following_store(),
-            crashes=recent_crash_reports(self.dispatcher.crash_evidence, now_s),
         )
 
     def _add_addresses(self, state: NodeState, now_s: float) -> None:
@@ -452,9 +457,16 @@
             if peer.is_live(now_s):
                 state.known_addresses.append(peer.address)
 
+    def _add_reports(self, state: NodeState, now_s: float) -> None:
+        """Adds what this node knows of crashed servers and of limits, as far as there is room."""
+        room = min(_MAX_CRASH_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
+        state.crashes.extend(recent_crash_reports(self.dispatcher.crash_evidence, now_s, room))
+        room = min(_MAX_LIMIT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
+        state.limits.extend(limit_reports(self.dispatcher.directory, now_s, room))
+
     def _own_states(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
         """Yields the messages with this node's state and the parts it has sent since a time."""
-        state = self._basic_state(now_s)
+        state = self._basic_state()
         state.interval_ms = int(self.zone_period_s * 1000)
         if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
             self._add_addresses(state, now_s)
@@ -466,6 +478,7 @@
         for service, queue in self.dispatcher.queues.items():
             if len(queue):
                 state.waiting.add(service=service, requests=len(queue))
+        self._add_reports(state, now_s)
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -475,7 +488,7 @@
         members = [name_hash(name) for name in self._live_zone_members(now_s)]
         waiting = self._zone_queues(now_s)
         for part in range(parts):
-            state = self._basic_state(now_s)
+            state = self._basic_state()
             state.interval_ms = self._summary_interval_ms(now_s)
             if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
                 self._add_addresses(state, now_s)
@@ -497,6 +510,7 @@
                     ],
                 )
             )
+            self._add_reports(state, now_s)
             if part:
                 yield state
                 continue
--- a/tests/test_fault_deadly_part.py
+++ b/tests/test_fault_deadly_part.py
@@ -9,6 +9,7 @@
 
 from tanagerworks.dispatch.crash_evidence import CrashEvidence
 from tanagerworks.edge.crash_reports import recent_crash_reports
+from tanagerworks.rpc.edge_pb2 import NodeState
 from tests.edge_builders import MODEL_SERVICE, configuration, crash, server_entry, stream_route
 from tests.platform_standin import (
     crash_at_start,
@@ -145,6 +146,6 @@
     for number in range(60):
         parts = [f"{number}-{part}" for part in range(30)]
         evidence.merge_crash(number, crash(number * 0.1, *parts), number * 0.1)
-    reports = recent_crash_reports(evidence, 6.0)
+    reports = recent_crash_reports(evidence, 6.0, 400)
     assert reports
-    assert sum(report.ByteSize() for report in reports) <= 480
+    assert NodeState(crashes=reports).ByteSize() <= 400
--- a/tests/test_fault_server_limit.py
+++ b/tests/test_fault_server_limit.py
@@ -1,10 +1,14 @@
 """Fault: a server gets more requests than the limit that it names for all nodes together."""
 
+import asyncio
 import random
 
 import pytest
 
+from tanagerworks.dispatch.directory import Directory, server_key
 from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.edge.limit_reports import limit_reports, merge_limit_reports
+from tanagerworks.rpc.edge_pb2 import LimitReport, NodeState
 from tests.edge_builders import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -13,6 +17,7 @@
     peer,
     server_entry,
 )
+from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
 
 WINDOW_S = 4.0
 LIMITED = ("server-0", "server-1", "server-2")
@@ -83,3 +88,83 @@
     assert state.record_limit(None, 12.0)
     assert not state.record_limit(2.5, 11.5)
     assert state.limit_per_s is None
+
+
+# From this time after the first answer with a limit, all nodes have to keep it.
+CONTACT_S = 3.0
+
+
+def known_limits(fleet):
+    return [
+        node.dispatcher.directory.servers["server-0"].limit_per_s for node in fleet.live_nodes()
+    ]
+
+
+@pytest.mark.parametrize(("count", "zones", "loss"), [(6, 3, 0.1), (60, 3, 0.0)])
+def test_all_nodes_learn_of_a_limit_and_of_its_end(count, zones, loss):
+    """Guards against nodes that exceed a limit until a server names it to each of them."""
+
+    async def scenario():
+        fleet = VirtualFleet(count, zones)
+        fleet.put_servers([server_entry(server_id) for server_id in SERVERS])
+        fleet.start()
+        await asyncio.sleep(6.0)
+        fleet.loss = loss
+        state = fleet.nodes[0].dispatcher.directory.servers["server-0"]
+        for limit_per_s in (2.6, 1.7, None):
+            state.record_limit(limit_per_s, fleet.loop.time())
+            await asyncio.sleep(CONTACT_S)
+            assert known_limits(fleet) == [limit_per_s] * count
+
+    run_in_virtual_time(scenario())
+
+
+def test_node_that_starts_later_learns_of_the_limit():
+    """Guards against a restarted node that sends a server as much as one without a limit."""
+
+    async def scenario():
+        fleet = VirtualFleet(6, 3)
+        fleet.put_servers([server_entry(server_id) for server_id in SERVERS])
+        fleet.start()
+        await asyncio.sleep(6.0)
+        state = fleet.nodes[0].dispatcher.directory.servers["server-0"]
+        state.record_limit(2.5, fleet.loop.time())
+        await asyncio.sleep(20.0)
+        fleet.nodes[2].stop()
+        await asyncio.sleep(2.0)
+        fleet.restart(fleet.nodes[2])
+        await asyncio.sleep(0.5)
+        assert known_limits(fleet) == [2.5] * 6
+
+    run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1.0])
+def test_invalid_limit_of_a_peer_is_ignored(value):
+    """Guards against arithmetic with a value that no server can have named."""
+    directory = fleet_of(1, MODEL_SERVICE)[0].directory
+    report = LimitReport(server_key=server_key("server-0"), requests_per_s=value)
+    merge_limit_reports(directory, [report], 10.0, "peer")
+    assert directory.servers["server-0"].limit_per_s is None
+
+
+def test_reports_of_many_limits_fit_into_a_datagram():
+    """Guards against reports that IP fragments; the limits that changed last have to be sent."""
+    directory = Directory()
+    for number in range(700):
+        directory.put(server_entry(f"server-{number}"), 0.0)
+        directory.servers[f"server-{number}"].record_limit(2.5, float(number))
+    reports = limit_reports(directory, 700.0, 300)
+    assert NodeState(limits=reports).ByteSize() <= 300
+    assert reports[0].server_key == server_key("server-699")
+
+
+def test_caller_is_told_to_come_back_as_fast_as_the_limits_allow():
+    """Guards against callers who return at once to servers that take few requests."""
+    node = fleet_of(1, MODEL_SERVICE)[0]
+    request = dispatch_request("call-1", MODEL_SERVICE)
+    unlimited_s = node.estimate_retry_after_s(request, 1.0)
+    for state in node.directory.servers.values():
+        state.record_limit(0.25, 0.0)
+    assert node.estimate_retry_after_s(request, 1.0) == pytest.approx(1.0)
+    assert unlimited_s < 0.1
