Leave servers that name a limit out of the load bound

Cause: the load bound follows from the mean load. Limited servers have next to nothing in progress, so the others were above the bound, and the least loaded of them got each request, whatever it had cached. The bound now follows from the servers without a limit.

The new test failed before.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -301,7 +301,17 @@
 def _load_bound(
     candidates: Sequence[Candidate], healthy_servers: Sequence[ServerState], now_s: float
 ) -> float:
-    """Returns how many requests a server may have in progress, including the new one."""
+    """Returns how many requests a server may have in progress, including the new one.
+
+    Servers that name a limit on their requests do not count, unless all do: what they have in
+    progress says nothing of what the others can take.
+    """
+    candidates = [
+        candidate for candidate in candidates if candidate.state.limit_per_s is None
+    ] or candidates
+    healthy_servers = [
+        state for state in healthy_servers if state.limit_per_s is None
+    ] or healthy_servers
     candidate_mean = sum(candidate.load for candidate in candidates) / len(candidates)
     mean = sum(state.load(now_s) for state in healthy_servers) / max(1, len(healthy_servers))
     mean = min(mean, candidate_mean)
--- a/tests/test_fault_server_limit.py
+++ b/tests/test_fault_server_limit.py
@@ -15,6 +15,7 @@
     dispatch_request,
     dispatcher,
     peer,
+    prompt,
     server_entry,
 )
 from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
@@ -168,3 +169,22 @@
         state.record_limit(0.25, 0.0)
     assert node.estimate_retry_after_s(request, 1.0) == pytest.approx(1.0)
     assert unlimited_s < 0.1
+
+
+def test_prompts_stay_where_they_are_cached_while_other_servers_are_limited():
+    """Guards against prompts that move between servers because limited ones have little to do."""
+    node = fleet_of(1, MODEL_SERVICE)[0]
+    node.directory.put(server_entry("server-4"), 0.0)
+    for server_id in LIMITED:
+        node.directory.servers[server_id].record_limit(0.0, 0.0)
+    for server_id, running in (("server-3", 14), ("server-4", 12)):
+        node.directory.servers[server_id].running = running
+    request = dispatch_request("call-1", MODEL_SERVICE, prompt(("a", 9000), ("b", 100)))
+    node.record_sent(request, "server-3", 0.0)
+    # The first requests use what the limited servers take.
+    for number in range(len(LIMITED)):
+        first = dispatch_request(f"first-{number}", MODEL_SERVICE)
+        choice = node.choose_server(first, 0.1)
+        assert choice.state.server_id in LIMITED
+        node.record_start(first, choice, 0.1)
+    assert node.choose_server(request, 0.2).state.server_id == "server-3"
