Refuse requests that cannot start while their callers wait

Cause: a request was queued if it could end before its deadline, 12 or 15 s later, while callers of streams give up after two or three seconds without an event. The estimate also counted the whole limit of each server, of which a node may send only its share.

Now the answer has to begin before the caller gives up, and the node's own share of named limits counts.

The new test fails without the change.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -1,5 +1,6 @@
 """Combines the decisions of a node: which backend server gets a request, and when."""
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -67,6 +68,8 @@
     customer: str
     deadline_s: float
     prompt: Prompt | None
+    # When the caller gives up if its answer has not begun.
+    start_by_s: float = math.inf
     # Ids of the servers of earlier attempts, also of those that refused the connection.
     tried_server_ids: set[str] = field(default_factory=set)
 
@@ -267,19 +270,45 @@
         return self.queues.setdefault(service, RequestQueue())
 
     def can_finish_in_time(self, dispatch_request: DispatchRequest, now_s: float) -> bool:
-        """Whether a request that has to wait is expected to finish before its deadline.
+        """Whether a request that has to wait is expected to be answered while its caller waits.
 
-        False also if the service has no usable server, for example if all are ejected.
+        Its answer has to begin before the caller gives up and to end before the deadline. False
+        also if the service has no usable server, for example if all are ejected.
         """
         states = list(self.directory.usable_servers(dispatch_request.service, now_s))
         if not states:
             return False
+        starts_s = now_s + max(
+            self.estimate_retry_after_s(dispatch_request, now_s),
+            self._estimate_own_wait_s(dispatch_request, states, now_s),
+        )
         service_time_s = min(state.service_time_s for state in states)
         return (
-            now_s + self.estimate_retry_after_s(dispatch_request, now_s) + service_time_s
-            < dispatch_request.deadline_s
+            starts_s < dispatch_request.start_by_s
+            and starts_s + service_time_s < dispatch_request.deadline_s
         )
 
+    def _estimate_own_wait_s(
+        self, dispatch_request: DispatchRequest, states: Iterable[ServerState], now_s: float
+    ) -> float:
+        """Returns the estimated time until the requests queued here have been sent, in seconds.
+
+        This node may send its share only to servers that name a limit, even if others do not use
+        theirs.
+        """
+        nodes = self.peer_table.assumed_fleet_size(now_s)
+        rate = 0.0
+        for state in states:
+            limiter = self.named_limit_limiters.get(state.server_id)
+            if limiter is None:
+                rate += _requests_per_s(state)
+                continue
+            senders = limiter.sender_count(nodes)
+            if senders >= nodes or self._is_sender(state.server_id, senders, now_s):
+                rate += limiter.limit_per_s / senders
+        ahead = self.queue(dispatch_request.service).count_ahead(dispatch_request.priority) + 1
+        return ahead / rate if rate > 0.0 else math.inf
+
     def has_candidates(self, dispatch_request: DispatchRequest, now_s: float) -> bool:
         """Whether any server that the request has not tried may accept it, now or after a wait."""
         service = self.find_service(dispatch_request.service)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -191,8 +191,18 @@
         self._check_shutdown(route, arrived_s, deadline_s)
         service = self._pick_service(route, call)
         customer_name = customer.name if customer is not None else ""
+        start_by_s = deadline_s
+        if route.streams:
+            start_by_s = arrived_s + self.backend_exchange.stall_limits.patience_s(route)
         dispatch_request = DispatchRequest(
-            call.call_id, service, self.zone, priority, customer_name, deadline_s, call.prompt
+            call.call_id,
+            service,
+            self.zone,
+            priority,
+            customer_name,
+            deadline_s,
+            call.prompt,
+            start_by_s,
         )
         event_splitter = EventSplitter(call.last_event_id) if route.resumable else None
         return RequestState(
--- a/src/tanagerworks/edge/stall.py
+++ b/src/tanagerworks/edge/stall.py
@@ -28,11 +28,14 @@
         objective_s = route.objective_s if first else route.gap_objective_s
         return max(self.min_resume_s, self.resume_factor * objective_s)
 
-    def end_after_s(self, route: Route) -> float:
-        """Returns the limit for a stream that cannot resume."""
-        patience_s = max(
+    def patience_s(self, route: Route) -> float:
+        """Returns how long callers wait for the first event of a stream, or for the next one."""
+        return max(
             self.min_patience_s,
             self.patience_per_objective * route.objective_s,
             self.patience_per_gap * route.gap_objective_s,
         )
-        return self.patience_margin * patience_s
+
+    def end_after_s(self, route: Route) -> float:
+        """Returns the limit for a stream that cannot resume."""
+        return self.patience_margin * self.patience_s(route)
--- a/tests/test_fault_server_limit.py
+++ b/tests/test_fault_server_limit.py
@@ -188,3 +188,21 @@
         assert choice.state.server_id in LIMITED
         node.record_start(first, choice, 0.1)
     assert node.choose_server(request, 0.2).state.server_id == "server-3"
+
+
+def test_request_that_cannot_start_while_its_caller_waits_is_refused():
+    """Guards against callers who wait in a queue that their node's share of limits cannot serve."""
+    node = fleet_of(6, MODEL_SERVICE)[0]
+    for state in node.directory.servers.values():
+        state.record_limit(2.0, 0.0)
+    # Creates the limiters of the servers.
+    node.choose_server(dispatch_request("call-0", MODEL_SERVICE), 0.0)
+    # The fleet sends eight requests a second, this node a sixth of them.
+    in_time = dispatch_request("call-1", MODEL_SERVICE, start_by_s=2.0)
+    late = dispatch_request("call-2", MODEL_SERVICE, start_by_s=0.5)
+    assert node.can_finish_in_time(in_time, 0.0)
+    assert not node.can_finish_in_time(late, 0.0)
+    queue = node.queue(MODEL_SERVICE)
+    for number in range(2):
+        queue.push(f"queued-{number}", 1, "customer-1", 100.0, 10)
+    assert not node.can_finish_in_time(in_time, 0.0)
