Enforce the limit on a head that arrives whole

A caller's head of 64 KB, or with 10,000 headers, was accepted and sent on to a server although max_header_bytes was 16,384. The parser checks its limit only while a head is incomplete, so one that arrives in one piece was never checked. The size is now computed from the parsed head, with the tolerance that incomplete ones have; beyond it the answer is 431 and nothing is sent.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -22,6 +22,12 @@
 _READ_AHEAD_BYTES = 65_536
 # Unsent response bytes above which `Responder.drain` waits for a slow caller.
 _WRITE_BUFFER_BYTES = 262_144
+# Bytes beyond the limit on a head that are accepted: the parser counts what follows a head as well.
+_HEAD_TOLERANCE_BYTES = 1_024
+# Bytes of a head besides the method, the target and the headers, and besides a header's name and
+# value, at least.
+_REQUEST_LINE_BYTES = 12
+_HEADER_LINE_BYTES = 3
 # Time for which input is discarded after a response that closes the connection. Closing a socket
 # with unread input resets the connection, and the caller could lose the response.
 _LINGER_S = 1.0
@@ -97,7 +103,8 @@
         self.server = server
         self.limits = server.limits()
         self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes + 1024
+            h11.SERVER,
+            max_incomplete_event_size=self.limits.max_header_bytes + _HEAD_TOLERANCE_BYTES,
         )
         self.transport: asyncio.Transport | None = None
         self.head: RequestHead | None = None
@@ -208,6 +215,10 @@
             # Ambiguous framing allows request smuggling (RFC 9112, section 11.2).
             self._reject_request(400)
             return False
+        if _head_bytes(event) > self.limits.max_header_bytes + _HEAD_TOLERANCE_BYTES:
+            # The parser only checks a head that arrives in pieces.
+            self._reject_request(431)
+            return False
         has_body = chunked or b"content-length" in names
         self.head = RequestHead(event.method, event.target, headers, has_body)
         self.body = bytearray()
@@ -324,6 +335,12 @@
             self.timer = None
 
 
+def _head_bytes(event: h11.Request) -> int:
+    """Returns the least number of bytes that the head of a request can have had."""
+    size = len(event.method) + len(event.target) + _REQUEST_LINE_BYTES
+    return size + sum(len(name) + len(value) + _HEADER_LINE_BYTES for name, value in event.headers)
+
+
 class HttpServer:
     """One listening address and the connections accepted on it."""
 
--- a/tests/test_fault_malformed_input.py
+++ b/tests/test_fault_malformed_input.py
@@ -14,6 +14,7 @@
 from tanagerworks.edge import peers as peers_module
 from tanagerworks.edge.store_copies import MAX_COPY_REQUEST_BYTES, fetch_store_copy
 from tanagerworks.errors import PeerError
+from tanagerworks.published.model import CallerLimits
 from tanagerworks.rpc.edge_pb2 import NodeState, StoreCopy, StoreCopyRequest
 from tests.edge_builders import (
     MODEL_SERVICE,
@@ -471,3 +472,34 @@
         assert copy == StoreCopy()
 
     run_with_fleet(scenario, count=2)
+
+
+HEAD_LIMITS = CallerLimits(max_header_bytes=8_000, max_body_bytes=1_000)
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [("x-long: " + "a" * 64_000,), tuple(f"x-{number}: a" for number in range(10_000))],
+)
+def test_head_over_the_limit_is_refused_also_if_it_arrives_whole(extra):
+    """Guards against a head of any size that reaches a server because it came in one piece."""
+    config = configuration(limits=HEAD_LIMITS)
+    raw = request_bytes("/desk-read/x", "c1", "GET", b"", *extra)
+    response, counts, _servers = run_scenario(
+        [[respond_with()]], single_request_scenario(raw), config
+    )
+    assert response.status == 431
+    assert counts == [0]
+
+
+def test_head_at_the_limit_is_served():
+    """Guards against the refusal of a head that the operators allow."""
+    config = configuration(limits=HEAD_LIMITS)
+    short = request_bytes("/desk-read/x", "c1", "GET", b"", "x-long: ")
+    filler = "a" * (HEAD_LIMITS.max_header_bytes - len(short))
+    raw = request_bytes("/desk-read/x", "c1", "GET", b"", "x-long: " + filler)
+    assert len(raw) == HEAD_LIMITS.max_header_bytes
+    response, _counts, _servers = run_scenario(
+        [[respond_with()]], single_request_scenario(raw), config
+    )
+    assert response.status == 200
