Refuse a body by its stated length

A body whose Content-Length is over the limit was read up to the limit before the caller got 413, so callers sent megabytes for nothing. It is now refused with its head.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from tanagerworks.edge.http_messages import HeaderList, RequestHead
+from tanagerworks.edge.http_messages import HeaderList, RequestHead, find_header
 from tanagerworks.errors import TanagerError
 from tanagerworks.published.model import CallerLimits
 
@@ -219,6 +219,9 @@
             # The parser only checks a head that arrives in pieces.
             self._reject_request(431)
             return False
+        if _stated_body_bytes(headers) > self.limits.max_body_bytes:
+            self._reject_request(413)
+            return False
         has_body = chunked or b"content-length" in names
         self.head = RequestHead(event.method, event.target, headers, has_body)
         self.body = bytearray()
@@ -341,6 +344,11 @@
     return size + sum(len(name) + len(value) + _HEADER_LINE_BYTES for name, value in event.headers)
 
 
+def _stated_body_bytes(headers: HeaderList) -> int:
+    """Returns the length of the body that the head states, 0 if it states none."""
+    return int(find_header(headers, b"content-length") or 0)
+
+
 class HttpServer:
     """One listening address and the connections accepted on it."""
 
--- a/tests/test_fault_malformed_input.py
+++ b/tests/test_fault_malformed_input.py
@@ -503,3 +503,14 @@
         [[respond_with()]], single_request_scenario(raw), config
     )
     assert response.status == 200
+
+
+def test_body_of_a_stated_length_over_the_limit_is_refused_before_it_arrives():
+    """Guards against a caller who sends a body for nothing, and waits for the refusal."""
+    config = configuration(limits=HEAD_LIMITS)
+    raw = request_bytes("/desk-book/x", "c1", "POST", b"", "content-length: 1001")
+    response, counts, _servers = run_scenario(
+        [[respond_with()]], single_request_scenario(raw), config
+    )
+    assert response.status == 413
+    assert counts == [0]
