Report the likely suspects of a crash first, and all in turn

A node reported the first ten suspects of a crash, and kept the first 32, in the order in which its requests broke. At a busy server the part that crashes servers could be behind them: no other node would have heard of it, and the reporting node would have dropped it.

Suspects without known answers now come first, in random order, so that successive messages report all of them; a node keeps 96 per crash, the unanswered ones first.

--- a/src/tanagerworks/dispatch/crash_evidence.py
+++ b/src/tanagerworks/dispatch/crash_evidence.py
@@ -25,7 +25,8 @@
 # Evidence is dropped after this time, which is also the longest quarantine.
 EVIDENCE_RETENTION_S = 600.0
 _MAX_CRASHES = 64
-_MAX_SUSPECTS_PER_CRASH = 32
+# Parts beyond this number are left out, first those to which answers are known.
+_MAX_SUSPECTS_PER_CRASH = 96
 # Parts whose last answer is remembered, the most recent ones.
 _MAX_ANSWERED_PARTS = 4_096
 
@@ -103,7 +104,10 @@
         changed = crash is None
         if crash is None:
             crash = self.crashes[process] = ServerCrash(reported.crashed_at_s)
-        for key, suspect in reported.suspects.items():
+        unanswered_first = sorted(
+            reported.suspects.items(), key=lambda item: item[0] in self.answered_at_s
+        )
+        for key, suspect in unanswered_first:
             known = crash.suspects.get(key)
             if known is None and len(crash.suspects) >= _MAX_SUSPECTS_PER_CRASH:
                 continue
--- a/src/tanagerworks/edge/crash_reports.py
+++ b/src/tanagerworks/edge/crash_reports.py
@@ -1,57 +1,69 @@
 """Reports of crashed servers in messages between nodes."""
 
-from collections.abc import Iterable, Iterator
+import math
+import random
+from collections.abc import Iterable
 
 from tanagerworks.dispatch.crash_evidence import CrashEvidence, ServerCrash, Suspect
-from tanagerworks.rpc.edge_pb2 import CrashReport, SuspectPart
+from tanagerworks.rpc.edge_pb2 import CrashReport
 
 # Regular messages report a crash for this time, several times the interval of messages in a large
 # fleet; after that, only the parts in quarantine.
 _REPORT_PERIOD_S = 10.0
-# Suspects in one report, at about 18 bytes each.
-_MAX_SUSPECTS_PER_REPORT = 10
+# Bytes of a report without its suspects, and of a suspect, at most.
+_REPORT_BYTES = 20
+_SUSPECT_BYTES = 25
 
 
-def crash_reports(evidence: CrashEvidence, now_s: float, max_age_s: float) -> Iterator[CrashReport]:
-    """Yields reports of the crashes of the last `max_age_s` seconds and of quarantined parts.
-
-    The parts that are most likely to be the cause come first.
-    """
-    for process, crash in evidence.reports(now_s, max_age_s):
-        suspects = sorted(
-            crash.suspects.items(), key=lambda item: (item[1].cleared, item[1].answered_before)
-        )
-        yield CrashReport(
-            process=process,
-            age_ms=max(0, int((now_s - crash.crashed_at_s) * 1000)),
-            suspects=[
-                SuspectPart(
-                    part=key,
-                    depth=suspect.depth,
-                    in_flight_ms=max(0, int(suspect.in_flight_s * 1000)),
-                    answered_before=suspect.answered_before,
-                    cleared=suspect.cleared,
-                )
-                for key, suspect in suspects[:_MAX_SUSPECTS_PER_REPORT]
-            ],
-        )
+def crash_reports(evidence: CrashEvidence, now_s: float) -> list[CrashReport]:
+    """Returns reports of all known crashes with all their suspects."""
+    return [
+        _to_report(process, crash, now_s, list(crash.suspects))
+        for process, crash in evidence.reports(now_s, math.inf)
+    ]
 
 
 def recent_crash_reports(
     evidence: CrashEvidence, now_s: float, max_bytes: int
 ) -> list[CrashReport]:
-    """Returns the reports for a datagram, those of the latest crashes as far as they fit."""
+    """Returns the reports for a datagram, those of the latest crashes as far as they fit.
+
+    The likely suspects come first, in an order that differs from message to message, so that all
+    of them are reported in time.
+    """
     reports = []
-    size = 0
-    for report in crash_reports(evidence, now_s, _REPORT_PERIOD_S):
-        # Tag and length of the field.
-        size += report.ByteSize() + 3
-        if size > max_bytes:
+    for process, crash in evidence.reports(now_s, _REPORT_PERIOD_S):
+        room = (max_bytes - _REPORT_BYTES) // _SUSPECT_BYTES
+        if room < 1:
             break
+        keys = list(crash.suspects)
+        random.shuffle(keys)
+        keys.sort(key=lambda key: _innocence(crash.suspects[key]))
+        report = _to_report(process, crash, now_s, keys[:room])
         reports.append(report)
+        # Tag and length of the field.
+        max_bytes -= report.ByteSize() + 3
     return reports
 
 
+def _innocence(suspect: Suspect) -> tuple[bool, bool]:
+    return suspect.cleared, suspect.answered_before
+
+
+def _to_report(process: int, crash: ServerCrash, now_s: float, keys: Iterable[int]) -> CrashReport:
+    report = CrashReport(process=process, age_ms=max(0, int((now_s - crash.crashed_at_s) * 1000)))
+    for key in keys:
+        suspect = crash.suspects[key]
+        report.suspects.add(
+            part=key,
+            depth=suspect.depth,
+            in_flight_ms=max(0, int(suspect.in_flight_s * 1000)),
+            answered_before=suspect.answered_before,
+            cleared=suspect.cleared,
+        )
+    return report
+
+
 def merge_crash_reports(
     evidence: CrashEvidence, reports: Iterable[CrashReport], now_s: float
 ) -> None:
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -635,7 +635,7 @@
             for server_id, parts in self.dispatcher.cached_parts.keys_by_server().items():
                 copy.placements.add(server_id=server_id, parts=parts)
             now_s = asyncio.get_running_loop().time()
-            copy.crashes.extend(crash_reports(self.dispatcher.crash_evidence, now_s, math.inf))
+            copy.crashes.extend(crash_reports(self.dispatcher.crash_evidence, now_s))
         return copy
 
 
