Report crashes and limits only while they are news

A cleared part went on being refused by the nodes that had not cleared it themselves if its crashes were more than ten seconds old: only the parts in quarantine were reported of those, and a cleared part is none any more. Regular messages also repeated quarantined parts for up to ten minutes and limits for as long as they held, 13.4 KB/s instead of 5.9 for six nodes.

Regular messages now report what the sender has learned in the last ten seconds, which includes the clearing of an old crash. Messages to a node that starts or returns report what is in force; the copy of the store has all crashes.

--- a/src/tanagerworks/dispatch/crash_evidence.py
+++ b/src/tanagerworks/dispatch/crash_evidence.py
@@ -71,6 +71,8 @@
 
     crashed_at_s: float
     suspects: dict[int, Suspect] = field(default_factory=dict)
+    # When this node last learned something of the crash.
+    changed_at_s: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,7 @@
                 crash.suspects[key] = merged
                 changed = True
         if changed:
+            crash.changed_at_s = now_s
             self._update(now_s)
 
     def _add_answers(self, key: int, suspect: Suspect, crashed_at_s: float) -> Suspect:
@@ -142,6 +145,7 @@
                 suspect = crash.suspects.get(key)
                 if suspect is not None and not suspect.cleared and crash.crashed_at_s < now_s:
                     crash.suspects[key] = replace(suspect, cleared=True)
+                    crash.changed_at_s = now_s
                     changed = True
         while len(self.answered_at_s) > _MAX_ANSWERED_PARTS:
             self.answered_at_s.popitem(last=False)
@@ -203,21 +207,20 @@
                 found[part_id] = quarantine
         return found
 
-    def reports(self, now_s: float, max_age_s: float) -> Iterator[tuple[int, ServerCrash]]:
-        """Yields the crashes that peers may not know, latest first.
-
-        These are the crashes of the last `max_age_s` seconds, and those with a quarantined part,
-        reduced to their quarantined parts if they are older.
-        """
+    def changed_crashes(self, since_s: float) -> Iterator[tuple[int, ServerCrash]]:
+        """Yields the crashes that have changed for this node since a time, latest first."""
         for process, crash in reversed(self.crashes.items()):
-            if now_s - crash.crashed_at_s < max_age_s:
+            if crash.changed_at_s >= since_s:
                 yield process, crash
-                continue
+
+    def quarantine_crashes(self) -> Iterator[tuple[int, ServerCrash]]:
+        """Yields the crashes with quarantined parts, latest first, reduced to these parts."""
+        for process, crash in reversed(self.crashes.items()):
             suspects = {
                 key: suspect for key, suspect in crash.suspects.items() if key in self.quarantines
             }
             if suspects:
-                yield process, ServerCrash(crash.crashed_at_s, suspects)
+                yield process, ServerCrash(crash.crashed_at_s, suspects, crash.changed_at_s)
 
 
 def _count_independent(key: int, crashes: Iterable[ServerCrash]) -> int:
--- a/src/tanagerworks/edge/crash_reports.py
+++ b/src/tanagerworks/edge/crash_reports.py
@@ -7,32 +7,45 @@
 from tanagerworks.dispatch.crash_evidence import CrashEvidence, ServerCrash, Suspect
 from tanagerworks.rpc.edge_pb2 import CrashReport
 
-# Regular messages report a crash for this time, several times the interval of messages in a large
-# fleet; after that, only the parts in quarantine.
+# Regular messages report what this node has learned of a crash for this time, several times the
+# interval of messages in a large fleet.
 _REPORT_PERIOD_S = 10.0
 # Bytes of a report without its suspects, and of a suspect, at most.
 _REPORT_BYTES = 20
 _SUSPECT_BYTES = 25
 
 
-def crash_reports(evidence: CrashEvidence, now_s: float) -> list[CrashReport]:
+def all_crash_reports(evidence: CrashEvidence, now_s: float) -> list[CrashReport]:
     """Returns reports of all known crashes with all their suspects."""
     return [
         _to_report(process, crash, now_s, list(crash.suspects))
-        for process, crash in evidence.reports(now_s, math.inf)
+        for process, crash in evidence.changed_crashes(-math.inf)
     ]
 
 
+def quarantine_reports(evidence: CrashEvidence, now_s: float, max_bytes: int) -> list[CrashReport]:
+    """Returns reports of the latest crashes with quarantined parts, as far as they fit."""
+    return _fitting_reports(evidence.quarantine_crashes(), now_s, max_bytes)
+
+
 def recent_crash_reports(
     evidence: CrashEvidence, now_s: float, max_bytes: int
 ) -> list[CrashReport]:
-    """Returns the reports for a datagram, those of the latest crashes as far as they fit.
+    """Returns reports of what this node has learned lately of crashes, as far as they fit."""
+    crashes = evidence.changed_crashes(now_s - _REPORT_PERIOD_S)
+    return _fitting_reports(crashes, now_s, max_bytes)
+
+
+def _fitting_reports(
+    crashes: Iterable[tuple[int, ServerCrash]], now_s: float, max_bytes: int
+) -> list[CrashReport]:
+    """Returns the first reports of at most `max_bytes`.
 
     The likely suspects come first, in an order that differs from message to message, so that all
     of them are reported in time.
     """
     reports = []
-    for process, crash in evidence.reports(now_s, _REPORT_PERIOD_S):
+    for process, crash in crashes:
         room = (max_bytes - _REPORT_BYTES) // _SUSPECT_BYTES
         if room < 1:
             break
--- a/src/tanagerworks/edge/limit_reports.py
+++ b/src/tanagerworks/edge/limit_reports.py
@@ -9,22 +9,30 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# The end of a limit is reported for this time, several times the interval of messages.
-_ENDED_LIMIT_PERIOD_S = 10.0
+# Regular messages report a limit, or its end, for this time after it has changed, several times the
+# interval of messages in a large fleet.
+_REPORT_PERIOD_S = 10.0
 # Longest age of an answer that is believed, so that the arithmetic with it stays exact.
 _MAX_AGE_S = 3_600.0
 
 
-def limit_reports(directory: Directory, now_s: float, max_bytes: int) -> list[LimitReport]:
-    """Returns reports of the limits in force and of those that have ended lately.
+def all_limit_reports(directory: Directory, now_s: float, max_bytes: int) -> list[LimitReport]:
+    """Returns reports of the limits in force, those that changed last first, as far as they fit."""
+    limited = [state for state in directory.servers.values() if state.limit_per_s is not None]
+    return _fitting_reports(limited, now_s, max_bytes)
 
-    Those that changed last come first, as far as they fit.
-    """
-    states = [
+
+def recent_limit_reports(directory: Directory, now_s: float, max_bytes: int) -> list[LimitReport]:
+    """Returns reports of the limits that have changed or ended lately, as far as they fit."""
+    changed = [
         state
         for state in directory.servers.values()
-        if state.limit_per_s is not None or now_s - state.limit_changed_at_s < _ENDED_LIMIT_PERIOD_S
+        if now_s - state.limit_changed_at_s < _REPORT_PERIOD_S
     ]
+    return _fitting_reports(changed, now_s, max_bytes)
+
+
+def _fitting_reports(states: list[ServerState], now_s: float, max_bytes: int) -> list[LimitReport]:
     states.sort(key=lambda state: -state.limit_changed_at_s)
     reports = []
     size = 0
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -19,13 +19,18 @@
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import PeerLoad, local_loads
 from tanagerworks.edge.crash_reports import (
-    crash_reports,
+    all_crash_reports,
     merge_crash_reports,
+    quarantine_reports,
     recent_crash_reports,
 )
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.interfaces import PeerFinder
-from tanagerworks.edge.limit_reports import limit_reports, merge_limit_reports
+from tanagerworks.edge.limit_reports import (
+    all_limit_reports,
+    merge_limit_reports,
+    recent_limit_reports,
+)
 from tanagerworks.edge.part_announcements import PartAnnouncements
 from tanagerworks.edge.store_copies import fetch_store_copy, serve_store_copy
 from tanagerworks.errors import PeerError
@@ -426,7 +431,7 @@
         interval_s = max(_INTRODUCTION_INTERVAL_S, self.summary_period_s)
         state.interval_ms = int(interval_s * 1000)
         self._add_addresses(state, now_s)
-        self._add_reports(state, now_s)
+        self._add_reports(state, now_s, regular=False)
         return state
 
     def _summary_interval_ms(self, now_s: float) -> int:
@@ -457,12 +462,19 @@
             if peer.is_live(now_s):
                 state.known_addresses.append(peer.address)
 
-    def _add_reports(self, state: NodeState, now_s: float) -> None:
-        """Adds what this node knows of crashed servers and of limits, as far as there is room."""
+    def _add_reports(self, state: NodeState, now_s: float, regular: bool) -> None:
+        """Adds what this node knows of crashed servers and of limits, as far as there is room.
+
+        Regular messages report what has changed lately. Those to a node that may have missed it
+        report what is in force.
+        """
+        evidence, directory = self.dispatcher.crash_evidence, self.dispatcher.directory
+        to_crash_reports = recent_crash_reports if regular else quarantine_reports
+        to_limit_reports = recent_limit_reports if regular else all_limit_reports
         room = min(_MAX_CRASH_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
-        state.crashes.extend(recent_crash_reports(self.dispatcher.crash_evidence, now_s, room))
+        state.crashes.extend(to_crash_reports(evidence, now_s, room))
         room = min(_MAX_LIMIT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
-        state.limits.extend(limit_reports(self.dispatcher.directory, now_s, room))
+        state.limits.extend(to_limit_reports(directory, now_s, room))
 
     def _own_states(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
         """Yields the messages with this node's state and the parts it has sent since a time."""
@@ -478,7 +490,7 @@
         for service, queue in self.dispatcher.queues.items():
             if len(queue):
                 state.waiting.add(service=service, requests=len(queue))
-        self._add_reports(state, now_s)
+        self._add_reports(state, now_s, regular=math.isfinite(parts_since_s))
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -510,7 +522,7 @@
                     ],
                 )
             )
-            self._add_reports(state, now_s)
+            self._add_reports(state, now_s, regular=True)
             if part:
                 yield state
                 continue
@@ -635,7 +647,7 @@
             for server_id, parts in self.dispatcher.cached_parts.keys_by_server().items():
                 copy.placements.add(server_id=server_id, parts=parts)
             now_s = asyncio.get_running_loop().time()
-            copy.crashes.extend(crash_reports(self.dispatcher.crash_evidence, now_s))
+            copy.crashes.extend(all_crash_reports(self.dispatcher.crash_evidence, now_s))
         return copy
 
 
--- a/tests/test_fault_deadly_part.py
+++ b/tests/test_fault_deadly_part.py
@@ -8,8 +8,8 @@
 import pytest
 
 from tanagerworks.dispatch.crash_evidence import CrashEvidence, suspect_key
-from tanagerworks.edge.crash_reports import recent_crash_reports
-from tanagerworks.rpc.edge_pb2 import NodeState
+from tanagerworks.edge.crash_reports import merge_crash_reports, recent_crash_reports
+from tanagerworks.rpc.edge_pb2 import NodeState, StoreCopyRequest
 from tests.edge_builders import MODEL_SERVICE, configuration, crash, server_entry, stream_route
 from tests.platform_standin import (
     crash_at_start,
@@ -126,12 +126,13 @@
     run_in_virtual_time(scenario())
 
 
-def test_answer_at_one_node_ends_the_quarantine_at_all():
+@pytest.mark.parametrize("after_s", [1.0, 25.0])
+def test_answer_at_one_node_ends_the_quarantine_at_all(after_s):
     """Guards against a sound part that other nodes go on refusing after it was cleared."""
 
     async def scenario():
         fleet = await fleet_with_two_crashes(6, 3)
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(after_s)
         assert len(refusing_nodes(fleet)) == 6
         fleet.nodes[3].dispatcher.crash_evidence.record_answer(["dead"], fleet.loop.time())
         await asyncio.sleep(1.0)
@@ -140,6 +141,31 @@
     run_in_virtual_time(scenario())
 
 
+def test_old_crashes_cost_no_bytes():
+    """Guards against messages that repeat for minutes what all nodes know."""
+
+    async def bytes_per_s(fleet):
+        before = sum(node.bytes_sent for node in fleet.nodes)
+        await asyncio.sleep(5.0)
+        return (sum(node.bytes_sent for node in fleet.nodes) - before) / 5.0
+
+    async def scenario():
+        fleet = await fleet_with_two_crashes(6, 3)
+        recent = await bytes_per_s(fleet)
+        await asyncio.sleep(15.0)
+        for node in fleet.nodes:
+            node.dispatcher.directory.servers["server-0"].record_limit(2.6, 6.0)
+        old = await bytes_per_s(fleet)
+        for node in fleet.nodes:
+            node.dispatcher.crash_evidence.crashes.clear()
+            node.dispatcher.directory.servers["server-0"].limit_per_s = None
+        return recent, old, await bytes_per_s(fleet)
+
+    recent, old, without = run_in_virtual_time(scenario())
+    assert recent > 1.1 * without
+    assert old < 1.05 * without
+
+
 def test_reports_fit_into_a_datagram_and_tell_all_suspects_in_turn():
     """Guards against reports that IP fragments, and against a part that no report ever names."""
     evidence = CrashEvidence()
@@ -161,3 +187,18 @@
     evidence.record_answer(parts, 1.0)
     first = recent_crash_reports(evidence, 6.0, 400)[0].suspects[0]
     assert first.part == suspect_key("dead")
+
+
+def test_copy_for_a_starting_node_has_all_evidence():
+    """Guards against a node that starts between two crashes and counts only the second."""
+
+    async def scenario():
+        fleet = await fleet_with_two_crashes(2, 1)
+        request = StoreCopyRequest(with_placements=True)
+        return fleet.nodes[1].exchange._build_copy(request), fleet.loop.time()
+
+    copy, now_s = run_in_virtual_time(scenario())
+    evidence = CrashEvidence()
+    merge_crash_reports(evidence, copy.crashes, now_s)
+    assert len(evidence.crashes) == 2
+    assert evidence.find_quarantines(["a1", "dead"]).keys() == {"dead"}
--- a/tests/test_fault_server_limit.py
+++ b/tests/test_fault_server_limit.py
@@ -7,7 +7,7 @@
 
 from tanagerworks.dispatch.directory import Directory, server_key
 from tanagerworks.dispatch.server_state import ServerState
-from tanagerworks.edge.limit_reports import limit_reports, merge_limit_reports
+from tanagerworks.edge.limit_reports import all_limit_reports, merge_limit_reports
 from tanagerworks.rpc.edge_pb2 import LimitReport, NodeState
 from tests.edge_builders import (
     MODEL_SERVICE,
@@ -155,7 +155,7 @@
     for number in range(700):
         directory.put(server_entry(f"server-{number}"), 0.0)
         directory.servers[f"server-{number}"].record_limit(2.5, float(number))
-    reports = limit_reports(directory, 700.0, 300)
+    reports = all_limit_reports(directory, 700.0, 300)
     assert NodeState(limits=reports).ByteSize() <= 300
     assert reports[0].server_key == server_key("server-699")
 
