--- a/src/tanagerworks/dispatch/crash_evidence.py
+++ b/src/tanagerworks/dispatch/crash_evidence.py
@@ -99,7 +99,10 @@
         )
 
     def merge_crash(self, process: int, reported: ServerCrash, now_s: float) -> None:
-        """Adds what is reported of a crash to what is known of it."""
+        """Adds what is reported of a crash to what is known of it.
+
+        `process` is the `process_key` of the server. Times are in seconds of the caller's clock.
+        """
         if now_s - reported.crashed_at_s >= EVIDENCE_RETENTION_S:
             return
         crash = self.crashes.get(process)
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -68,7 +68,7 @@
     customer: str
     deadline_s: float
     prompt: Prompt | None
-    # When the caller gives up if its answer has not begun.
+    # When the caller gives up if its answer has not begun, on the clock of `deadline_s`.
     start_by_s: float = math.inf
     # Ids of the servers of earlier attempts, also of those that refused the connection.
     tried_server_ids: set[str] = field(default_factory=set)
--- a/src/tanagerworks/dispatch/fleet_limits.py
+++ b/src/tanagerworks/dispatch/fleet_limits.py
@@ -88,6 +88,7 @@
 class NamedLimitLimiter:
     """Limits this node's requests to a backend server that names how many it takes a second.
 
+    `limit_per_s` is in requests per second from all nodes together, times are in seconds.
     The senders use the whole limit, in equal shares. Each may send one request at once, so there
     are fewer senders than requests that the server has to bear beyond its limit.
     """
--- a/src/tanagerworks/edge/limit_reports.py
+++ b/src/tanagerworks/edge/limit_reports.py
@@ -54,7 +54,10 @@
 def merge_limit_reports(
     directory: Directory, reports: Iterable[LimitReport], now_s: float, peer: str
 ) -> None:
-    """Records the limits that a peer reports, as far as they are newer than those known."""
+    """Records the limits that a peer reports, as far as they are newer than those known.
+
+    `now_s` is event loop time; reports of unknown servers and invalid ones are ignored.
+    """
     for report in reports:
         state = directory.by_key.get(report.server_key)
         if state is None or not _is_valid(report):
