Log the listings of the store and the era of its answers

The log did not tell whether a listing after the outage was ignored, nor which state of the store an answer came from. A line for each listing now has its revision, the era that the store states in Store-Era, the revision of the replica and whether the listing is ignored.

--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -239,6 +239,17 @@
                 break
             after_key = page.items[-1].key
         self._record_response()
+        known_revision = self.store_view.replica.revision
+        _LOGGER.info(
+            "store listed",
+            extra={
+                "items": len(items),
+                "revision": first_revision,
+                "era": page.era,
+                "known_revision": known_revision,
+                "ignored": first_revision < known_revision,
+            },
+        )
         self.store_view.replace(items, first_revision, STORE_SOURCE)
         self.listed = True
 
--- a/src/tanagerworks/edge/http_client.py
+++ b/src/tanagerworks/edge/http_client.py
@@ -1,17 +1,31 @@
 """HTTP client for GET requests to one address over a persistent connection."""
 
 import asyncio
+from dataclasses import dataclass
 
 import h11
 
 from tanagerworks.edge.backend_connection import BackendConnection, open_connection
-from tanagerworks.edge.http_messages import RequestHead
+from tanagerworks.edge.http_messages import HeaderList, RequestHead, find_header
 from tanagerworks.errors import BackendError, BackendProtocolError, PublishedStoreError
 
 # A page of the store has about 1 MB before it is encoded; listings of caches are far smaller.
 _MAX_BODY_BYTES = 8_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A complete response."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+
 class HttpClient:
     """Sends GET requests to one address, one at a time over a persistent connection."""
 
@@ -25,8 +39,8 @@
         """Closes the connection."""
         self._close()
 
-    async def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
-        """Returns the status and the body of the response.
+    async def get(self, target: str, timeout_s: float) -> HttpResponse:
+        """Returns the complete response.
 
         Raises:
             PublishedStoreError: no complete response within `timeout_s` seconds or the size
@@ -42,7 +56,7 @@
             self._close()
             raise
 
-    async def _get(self, target: str) -> tuple[int, bytes]:
+    async def _get(self, target: str) -> HttpResponse:
         if self.connection is None or not self.connection.is_reusable():
             self._close()
             self.connection = await open_connection(self.host, self.port, 1.0)
@@ -55,7 +69,7 @@
         while True:
             event = await self.connection.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return response.status_code, bytes(body)
+                return HttpResponse(response.status_code, list(response.headers), bytes(body))
             assert isinstance(event, h11.Data)
             body += event.data
             if len(body) > _MAX_BODY_BYTES:
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -19,20 +19,26 @@
 class StorePage:
     """One page of the published store; `complete` is false if more pages follow.
 
-    `revision` is that of the store when it sent the page.
+    `revision` is that of the store when it sent the page. Revisions are comparable within an era: a
+    store that returns from an older copy starts a new one. The era is 0 if the page states none.
     """
 
     items: tuple[Change, ...]
     revision: int
     complete: bool
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeSet:
-    """Changes after the requested revision up to `revision`; empty if the wait timed out."""
+    """Changes after the requested revision up to `revision`; empty if the wait timed out.
+
+    The era is that of `StorePage`.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 class PublishedStore(Protocol):
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -155,12 +155,10 @@
         client = HttpClient(f"{state.entry.host}:{state.entry.port}")
         # `HttpClient` raises PublishedStoreError for any address, not only for that of the store.
         try:
-            status, body = await client.get(
-                self.backend_dialect.cache_listing_target, _LIST_TIMEOUT_S
-            )
-            if status != 200:
-                raise BackendProtocolError(f"cache listing got status {status}")
-            keys = self.backend_dialect.parse_cache_listing(body)
+            response = await client.get(self.backend_dialect.cache_listing_target, _LIST_TIMEOUT_S)
+            if response.status != 200:
+                raise BackendProtocolError(f"cache listing got status {response.status}")
+            keys = self.backend_dialect.parse_cache_listing(response.body)
         except (PublishedStoreError, BackendProtocolError) as error:
             _LOGGER.warning(
                 "cache contents not listed",
