--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -105,6 +105,7 @@
         self.items = {}
         self.history = []
         self.revision = 0
+        self.era = 1
         self.compacted = 0
         self.page_size = 2
         # "" serves; "busy" responds with 503; "silent" never responds; "garbage" sends no JSON.
@@ -144,6 +145,18 @@
         self.compacted = self.revision
         self.history.clear()
 
+    def copy(self):
+        """Returns a copy of the items, from which `restore` brings the store back."""
+        return dict(self.items), self.revision
+
+    def restore(self, copied):
+        """Goes back to a copy: later writes are lost, and their revisions are given out again."""
+        self.items, self.revision = dict(copied[0]), copied[1]
+        self.era += 1
+        self.compact()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _record(self, event):
         self.history.append(event)
         self.changed.set()
@@ -162,7 +175,8 @@
         parts = urlsplit(head.target.decode())
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         status, document = await self._read(parts.path, query)
-        responder.send_response(status, [], json.dumps(document).encode())
+        headers = [(b"store-era", str(self.era).encode())]
+        responder.send_response(status, headers, json.dumps(document).encode())
 
     async def _read(self, path, query):
         prefix = query.get("prefix", "")
@@ -174,12 +188,15 @@
             more = len(keys) > self.page_size
             return 200, {"entries": page, "has-more": more, "at": self.revision}
         after = int(query["after"])
-        if after < self.compacted:
+        if not self.compacted <= after <= self.revision:
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["wait-ms"]) / 1000):
-                while not [e for e in self.history if e["revision"] > after]:
+                era = self.era
+                while era == self.era and not [e for e in self.history if e["revision"] > after]:
                     await self.changed.wait()
+        if after > self.revision:
+            return 410, {}
         events = [e for e in self.history if e["revision"] > after]
         return 200, {"events": events, "at": self.revision}
 
