Order copies of the store by era and revision

Cause: nodes compared revisions across a restore, in which the store gives them out again. A listing at a lower revision was ignored, and so was a change at a revision that the replica had seen.

Change: replica, messages and copies carry the era that the store states in Store-Era.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,4 @@
 proto: env
 	$(PYTHON) -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src --grpc_python_out=src \
 		src/tanagerworks/rpc/tanager.proto
+	$(PYTHON) -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src src/tanagerworks/rpc/edge.proto
--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -11,7 +11,9 @@
 # Servers whose entries expired during an outage of the store register again within this time after
 # its end. Until then, a missing entry does not prove that its server has stopped.
 REREGISTRATION_S = 2.0
-
+# Operators write again within this time what a restored store has lost. Until then, a missing
+# evacuation does not prove that its zone is back in service.
+OPERATOR_REWRITE_S = 5.0
 
 # Prefix of the name under which the load of another zone is recorded; no node has it.
 _ZONE_PREFIX = "zone/"
@@ -44,6 +46,8 @@
         self.servers_by_peer: dict[str, set[str]] = {}
         self.held_deletions: dict[str, _HeldDeletion] = {}
         self.hold_deletions_until_s = float("-inf")
+        # Zones out of service whose evacuation the store has lost, and until when they stay out.
+        self.held_zone_returns: dict[str, float] = {}
         # Removed servers at which this node still has requests in progress. The entry of a server
         # that is only slow to renew it expires, but comes back.
         self.removed_servers: dict[str, ServerState] = {}
@@ -52,6 +56,27 @@
         """Delays deletions for `REREGISTRATION_S` from now, the end of an outage of the store."""
         self.hold_deletions_until_s = now_s + REREGISTRATION_S
 
+    def put_zone_out(self, zone: str) -> None:
+        """Takes a zone out of service."""
+        self.held_zone_returns.pop(zone, None)
+        self.zones_out.add(zone)
+
+    def return_zone(self, zone: str) -> None:
+        """Puts a zone back in service."""
+        self.held_zone_returns.pop(zone, None)
+        self.zones_out.discard(zone)
+
+    def hold_zone_return(self, zone: str, now_s: float) -> None:
+        """Keeps a zone out of service for `OPERATOR_REWRITE_S`, since its evacuation was lost."""
+        self.held_zone_returns[zone] = now_s + OPERATOR_REWRITE_S
+
+    def apply_held_returns(self, now_s: float) -> list[str]:
+        """Puts the zones back in service whose held return is due; returns them."""
+        due = [zone for zone, until_s in self.held_zone_returns.items() if now_s >= until_s]
+        for zone in due:
+            self.return_zone(zone)
+        return due
+
     def put(self, entry: ServerEntry, now_s: float) -> str:
         """Applies a published entry.
 
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -15,6 +15,7 @@
 from tanagerworks.errors import HistoryLostError, PublishedStoreError
 from tanagerworks.published.model import Configuration, ServerEntry, UnusableValue, ZoneOut
 from tanagerworks.published.replica import Change, Replica
+from tanagerworks.published.seen_writes import SeenWrites
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -25,6 +26,10 @@
 # Shortest outage of the store after which deletions are held back, since entries may have expired
 # while servers could not renew them.
 _MIN_OUTAGE_S = 1.0
+# Largest version of a configuration that messages between nodes can carry.
+_MAX_UINT64 = 2**64 - 1
+# Keys in the log line of a restored store.
+_MAX_LOGGED_KEYS = 20
 # Source of changes that were read from the store rather than received from a peer.
 STORE_SOURCE = "store"
 # Time for which the store may hold a read that only checks whether it responds.
@@ -47,6 +52,9 @@
         self.store = store
         self.dispatcher = dispatcher
         self.replica = Replica()
+        self.seen_writes = SeenWrites(store.decode_item)
+        # The item with the configuration in force; None before the first.
+        self.configuration_item: Change | None = None
         # The server and the zone that each key of the store published, to remove them when the key
         # is deleted.
         self.server_ids_by_key: dict[str, str] = {}
@@ -61,17 +69,68 @@
         """Whether a configuration and at least one server are known."""
         return self.dispatcher.configuration is not None and bool(self.dispatcher.directory.servers)
 
-    def apply(self, changes: Iterable[Change], revision: int, source: str) -> None:
+    def apply(self, changes: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
         """Applies changes up to `revision`; `source` is where they come from, for the log."""
-        self._apply_changes(self.replica.apply_changes(changes, revision), source)
+        self._apply_changes(self.replica.apply_changes(changes, revision, era), source)
 
-    def replace(self, items: Iterable[Change], revision: int, source: str) -> None:
-        """Replaces the view by a full listing as of `revision`, unless that is older."""
-        self._apply_changes(self.replica.replace_items(items, revision), source)
+    def replace(self, items: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
+        """Replaces the view by a full listing as of `revision`, unless that is older.
+
+        The first listing of a later era shows a store that was restored from an older copy. What
+        this node has seen since that copy stays in force until it is written again: the newer
+        configuration for good, servers and zones out of service that the listing lacks for a time.
+        """
+        if self.replica.era and era > self.replica.era:
+            self._apply_restored(items, revision, source, era)
+        else:
+            self._apply_changes(self.replica.replace_items(items, revision, era), source)
+
+    def _apply_restored(
+        self, items: Iterable[Change], revision: int, source: str, era: int
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        former_era, former_revision = self.replica.era, self.replica.revision
+        changes = self.replica.replace_items(items, revision, era)
+        self.dispatcher.directory.hold_deletions(now_s)
+        superseded = [change.key for change in changes if self.seen_writes.supersede(change)]
+        lost = [change.key for change in changes if change.value is None]
+        _LOGGER.warning(
+            "store was restored from an older copy",
+            extra={
+                "source": source,
+                "era": era,
+                "revision": revision,
+                "former_era": former_era,
+                "former_revision": former_revision,
+                "lost": lost[:_MAX_LOGGED_KEYS],
+                "superseded": superseded[:_MAX_LOGGED_KEYS],
+            },
+        )
+        for zone in [self.zones_by_key[key] for key in lost if key in self.zones_by_key]:
+            self.dispatcher.directory.hold_zone_return(zone, now_s)
+        ignored = {*superseded, *(key for key in lost if self.zones_by_key.pop(key, None))}
+        self._apply_changes([change for change in changes if change.key not in ignored], source)
+        if source == STORE_SOURCE:
+            self.on_store_changed()
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force, in the range of messages; 0 before the first."""
+        return min(max(self.dispatcher.version, 0), _MAX_UINT64)
+
+    def adopt_configuration(self, item: Change, source: str) -> None:
+        """Puts a peer's configuration in force if its version is newer, whatever the era.
+
+        Operators count versions up, so they order configurations also after the store has lost
+        the newest one.
+        """
+        if isinstance(self.store.decode_item(item), Configuration):
+            self._apply_changes([item], source)
 
     def _apply_changes(self, new_changes: list[Change], source: str) -> None:
         for change in new_changes:
             try:
+                self.seen_writes.record(change)
                 self._apply_change(change, source)
             except Exception:
                 # One bad value must not prevent the others from being applied.
@@ -95,6 +154,7 @@
             if current is not None and value.version <= current.version:
                 return
             self.dispatcher.apply_configuration(value)
+            self.configuration_item = change
             _LOGGER.info(
                 "configuration in force",
                 extra=extra | {"version": value.version, "routes": len(value.routes)},
@@ -111,7 +171,7 @@
                 )
         elif isinstance(value, ZoneOut):
             self.zones_by_key[change.key] = value.zone
-            directory.zones_out.add(value.zone)
+            directory.put_zone_out(value.zone)
             _LOGGER.info("zone out of service", extra=extra | {"zone": value.zone})
         elif isinstance(value, UnusableValue):
             _LOGGER.warning("published value unusable", extra=extra | {"reason": value.reason})
@@ -124,7 +184,7 @@
             _LOGGER.info("server entry", extra=extra | {"server": server_id, "event": event})
         zone = self.zones_by_key.pop(change.key, None)
         if zone is not None:
-            self.dispatcher.directory.zones_out.discard(zone)
+            self.dispatcher.directory.return_zone(zone)
             _LOGGER.info("zone back in service", extra=extra | {"zone": zone})
 
 
@@ -184,10 +244,13 @@
                 retry_s = _FIRST_RETRY_S
                 await asyncio.sleep(max(0.0, next_s - loop.time()))
                 continue
-            except HistoryLostError:
+            except HistoryLostError as error:
                 _LOGGER.warning(
                     "store history lost; listing anew",
-                    extra={"revision": self.store_view.replica.revision},
+                    extra={
+                        "revision": self.store_view.replica.revision,
+                        "reason": error.message,
+                    },
                 )
                 self.listed = False
             except PublishedStoreError as error:
@@ -215,18 +278,21 @@
         if not self.listed:
             await self._list()
         else:
-            revision = self.store_view.replica.revision
+            revision, era = self.store_view.replica.revision, self.store_view.replica.era
             self.metrics.record_store_call("changes")
             wait_s = _CHECK_WAIT_S if self.checking else self.wait_s
             change_set = await self.store.wait_for_changes(
                 revision, wait_s, wait_s + self.timeout_s
             )
             self._record_response()
-            self.store_view.apply(change_set.changes, change_set.revision, STORE_SOURCE)
+            if change_set.era not in (0, era):
+                raise HistoryLostError(f"the store is in era {change_set.era}")
+            # A copy of a later era may have arrived from a peer while the read waited.
+            self.store_view.apply(change_set.changes, change_set.revision, STORE_SOURCE, era)
 
     async def _list(self) -> None:
         items: list[Change] = []
-        first_revision = 0
+        first_revision = era = 0
         after_key = ""
         while True:
             self.metrics.record_store_call("list")
@@ -234,23 +300,27 @@
             # Later pages may be newer than the first. Changes after the first page's revision are
             # therefore read again.
             first_revision = first_revision or page.revision
+            era = era or page.era
+            if page.era != era:
+                raise HistoryLostError(f"the store went from era {era} to {page.era}")
             items.extend(page.items)
             if page.complete or not page.items:
                 break
             after_key = page.items[-1].key
         self._record_response()
-        known_revision = self.store_view.replica.revision
+        replica = self.store_view.replica
+        older = (era or replica.era, first_revision) < (replica.era, replica.revision)
         _LOGGER.info(
             "store listed",
             extra={
                 "items": len(items),
                 "revision": first_revision,
-                "era": page.era,
-                "known_revision": known_revision,
-                "ignored": first_revision < known_revision,
+                "era": era,
+                "known_revision": replica.revision,
+                "ignored": older,
             },
         )
-        self.store_view.replace(items, first_revision, STORE_SOURCE)
+        self.store_view.replace(items, first_revision, STORE_SOURCE, era)
         self.listed = True
 
     def _record_response(self) -> None:
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -157,7 +157,9 @@
         self.transport: asyncio.DatagramTransport | None = None
         # Addresses of unknown nodes that peers have sent, with the attempts made so far.
         self.introduction_attempts: dict[str, int] = {}
-        # Event loop time since which a peer has had a newer revision of the store than this node;
+        # Newest version of a configuration that a peer's copy had, usable or not.
+        self.fetched_version = 0
+        # Event loop time since which a peer has had a newer copy of the store than this node;
         # None if no peer has one.
         self.behind_since_s: float | None = None
         # Names of the lost peers whose loss has been logged.
@@ -194,7 +196,8 @@
         self._record_placements(state, now_s)
         merge_crash_reports(self.dispatcher.crash_evidence, state.crashes, now_s)
         merge_limit_reports(self.dispatcher.directory, state.limits, now_s, state.name)
-        event = self.peer_table.record_message(self._to_peer(state, now_s))
+        peer = self._to_peer(state, now_s)
+        event = self.peer_table.record_message(peer)
         if event == "old":
             return
         if event != "known":
@@ -208,7 +211,7 @@
         self.introduction_attempts.pop(state.address, None)
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
-        if state.revision > self.store_view.replica.revision:
+        if self._is_ahead(peer):
             self._fetch_if_behind(now_s)
         self.on_peer_state_applied()
 
@@ -233,6 +236,8 @@
             state.follows_store,
             min(state.interval_ms / 1000, _MAX_INTERVAL_S),
             queued,
+            state.era,
+            state.configuration_version,
         )
 
     def _record_addresses(self, addresses: Iterable[str]) -> None:
@@ -453,6 +458,8 @@
             revision=self.store_view.replica.revision,
             stopping=self.stopping,
             follows_store=self.is_following_store(),
+            era=self.store_view.replica.era,
+            configuration_version=self.store_view.configuration_version,
         )
 
     def _add_addresses(self, state: NodeState, now_s: float) -> None:
@@ -584,32 +591,50 @@
     # Copies of the store
 
     def _fetch_if_behind(self, now_s: float) -> None:
-        """Fetches changes of the store from a peer that has a newer revision.
+        """Fetches changes of the store from a peer whose copy or configuration is newer.
 
         A node that follows the store itself first waits `_MAX_STORE_LAG_S` for the store.
         """
-        revision = self.store_view.replica.revision
+        replica = self.store_view.replica
         if self.fetch_task is not None and not self.fetch_task.done():
             return
-        newer = [peer for peer in self.peer_table.live_peers(now_s) if peer.revision > revision]
+        newer = [peer for peer in self.peer_table.live_peers(now_s) if self._is_ahead(peer)]
         if not newer:
             self.behind_since_s = None
             return
         if self.behind_since_s is None:
             self.behind_since_s = now_s
         if (
-            revision
+            replica.revision
             and self.is_following_store()
             and now_s - self.behind_since_s < _MAX_STORE_LAG_S
         ):
             return
         # A peer in the same zone has the lowest latency and causes no traffic between zones.
-        best = max(newer, key=lambda peer: (peer.zone == self.zone, peer.revision))
-        self.fetch_task = asyncio.get_running_loop().create_task(self._fetch(best, revision))
+        # Among them, the latest era comes first: the copies of earlier ones are not used.
+        best = max(newer, key=lambda peer: (peer.era, peer.zone == self.zone, peer.revision))
+        self.fetch_task = asyncio.get_running_loop().create_task(self._fetch(best))
+
+    def _is_ahead(self, peer: Peer) -> bool:
+        """Returns whether the peer's copy of the store or its configuration is newer.
 
-    async def _fetch(self, peer: Peer, revision: int) -> None:
+        The configuration counts for itself: a peer may have one that a restored store has lost.
+        """
+        known_version = max(self.store_view.configuration_version, self.fetched_version)
+        return (
+            self.store_view.replica.is_older_than(peer.era, peer.revision)
+            or peer.configuration_version > known_version
+        )
+
+    async def _fetch(self, peer: Peer) -> None:
+        replica = self.store_view.replica
+        request = StoreCopyRequest(
+            after=replica.revision,
+            era=replica.era,
+            configuration_version=self.store_view.configuration_version,
+        )
         try:
-            copy = await fetch_store_copy(peer.address, revision, with_placements=False)
+            copy = await fetch_store_copy(peer.address, request)
         except PeerError as error:
             _LOGGER.warning(
                 "copy of the store not received",
@@ -622,9 +647,12 @@
             return
         source = f"peer {peer.name}"
         if copy.changes_only:
-            self.store_view.apply(map(_to_change, copy.items), copy.revision, source)
+            self.store_view.apply(map(_to_change, copy.items), copy.revision, source, copy.era)
         else:
-            self.store_view.replace(map(_to_change, copy.items), copy.revision, source)
+            self.store_view.replace(map(_to_change, copy.items), copy.revision, source, copy.era)
+        if copy.HasField("configuration"):
+            self.store_view.adopt_configuration(_to_change(copy.configuration), source)
+        self.fetched_version = max(self.fetched_version, peer.configuration_version)
 
     async def serve_store_copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -634,15 +662,14 @@
 
     def _build_copy(self, request: StoreCopyRequest) -> StoreCopy:
         replica = self.store_view.replica
-        changes = replica.changes_after(request.after) if request.after else None
-        copy = StoreCopy(revision=replica.revision, changes_only=changes is not None)
-        for item in replica.items.values() if changes is None else changes:
-            copy.items.add(
-                key=item.key,
-                revision=item.revision,
-                value=item.value or b"",
-                deleted=item.value is None,
-            )
+        changes = replica.changes_after(request.after, request.era) if request.after else None
+        copy = StoreCopy(
+            revision=replica.revision, era=replica.era, changes_only=changes is not None
+        )
+        copy.items.extend(map(_to_item, replica.items.values() if changes is None else changes))
+        newest = self.store_view.configuration_item
+        if newest is not None and self._lacks_configuration(request, newest):
+            copy.configuration.CopyFrom(_to_item(newest))
         if request.with_placements:
             for server_id, parts in self.dispatcher.cached_parts.keys_by_server().items():
                 copy.placements.add(server_id=server_id, parts=parts)
@@ -650,10 +677,26 @@
             copy.crashes.extend(all_crash_reports(self.dispatcher.crash_evidence, now_s))
         return copy
 
+    def _lacks_configuration(self, request: StoreCopyRequest, newest: Change) -> bool:
+        """Returns whether the items of a copy do not give the newest configuration to a peer."""
+        if self.store_view.configuration_version <= request.configuration_version:
+            return False
+        replica = self.store_view.replica
+        return request.era > replica.era or replica.items.get(newest.key) != newest
+
 
 def _queued_requests(state: NodeState) -> dict[str, int]:
     return {waiting.service: waiting.requests for waiting in state.waiting}
 
 
+def _to_item(change: Change) -> StoreItem:
+    return StoreItem(
+        key=change.key,
+        revision=change.revision,
+        value=change.value or b"",
+        deleted=change.value is None,
+    )
+
+
 def _to_change(item: StoreItem) -> Change:
     return Change(item.key, item.revision, None if item.deleted else item.value)
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -322,6 +322,8 @@
             await asyncio.sleep(_PERIODIC_CHECKS_INTERVAL_S)
             for server_id in self.dispatcher.directory.apply_held_deletions(loop.time()):
                 _LOGGER.info("server entry", extra={"server": server_id, "event": "gone"})
+            for zone in self.dispatcher.directory.apply_held_returns(loop.time()):
+                _LOGGER.info("zone back in service", extra={"zone": zone, "source": "timeout"})
             self.pipeline.placer.wake_first_waiters()
             isolated = self.store_view.complete and self.check_isolation()
             if isolated != self.caller_server.closing_connections:
--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -20,6 +20,7 @@
 from tanagerworks.edge.store_copies import fetch_store_copy
 from tanagerworks.errors import BackendProtocolError, PeerError, PublishedStoreError
 from tanagerworks.routing.ranking import rank_equally
+from tanagerworks.rpc.edge_pb2 import StoreCopyRequest
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -117,8 +118,15 @@
         for peer in peers:
             try:
                 # Only the index is used; the items of the store in the copy are discarded.
+                replica = self.store_view.replica
                 copy = await fetch_store_copy(
-                    peer.address, self.store_view.replica.revision, with_placements=True
+                    peer.address,
+                    StoreCopyRequest(
+                        after=replica.revision,
+                        era=replica.era,
+                        configuration_version=self.store_view.configuration_version,
+                        with_placements=True,
+                    ),
                 )
             except PeerError as error:
                 _LOGGER.warning(
--- a/src/tanagerworks/edge/store_copies.py
+++ b/src/tanagerworks/edge/store_copies.py
@@ -24,23 +24,22 @@
 _LENGTH = struct.Struct("!I")
 
 
-async def fetch_store_copy(address: str, after: int, with_placements: bool) -> StoreCopy:
+async def fetch_store_copy(address: str, request: StoreCopyRequest) -> StoreCopy:
     """Returns the copy of the store of the peer at `address`, or its changes after a revision.
 
-    `after` is the revision of this node's copy, 0 for none. The result consists of changes if the
-    log of the peer reaches back to it, otherwise of all items. `with_placements` adds the peer's
-    index of cached parts.
+    The result consists of changes if the log of the peer reaches back to the revision and the era
+    in the request, otherwise of all items.
 
     Raises:
         PeerError: the peer cannot be reached, does not answer in time, or the answer is invalid.
     """
     host, port = parse_address(address)
-    request = StoreCopyRequest(after=after, with_placements=with_placements).SerializeToString()
+    message = request.SerializeToString()
     writer: asyncio.StreamWriter | None = None
     try:
         async with asyncio.timeout(FETCH_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, port)
-            writer.write(_LENGTH.pack(len(request)) + request)
+            writer.write(_LENGTH.pack(len(message)) + message)
             data = _decompress(await _read_message(reader, _MAX_COPY_BYTES))
         return StoreCopy.FromString(data)
     except (
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -36,9 +36,9 @@
 class Peer:
     """State of another node's process as received in its last message.
 
-    `incarnation` orders the processes of a node, `sequence` the messages of one process. `revision`
-    is that of the peer's copy of the published store. `message_interval_s` is the longest time
-    until its next message to this node, as announced by the peer in this message.
+    `incarnation` orders the processes of a node, `sequence` the messages of one process. `era` and
+    `revision` are those of the peer's copy of the published store. `message_interval_s` is the
+    longest time until its next message to this node, as announced by the peer in this message.
     """
 
     name: str
@@ -53,6 +53,10 @@
     message_interval_s: float = 0.0
     # Requests in the peer's queues of all priorities, by service.
     queued_requests: Mapping[str, int] = field(default_factory=dict)
+    # 0 if the peer does not state it.
+    era: int = 0
+    # Version of the peer's configuration in force.
+    configuration_version: int = 0
 
     def is_live(self, now_s: float) -> bool:
         """Returns whether the last message of the peer arrived recently."""
--- a/src/tanagerworks/published/model.py
+++ b/src/tanagerworks/published/model.py
@@ -136,6 +136,8 @@
     cold_s: float
     # Start of the process in Unix milliseconds; None if the entry does not state it.
     started_ms: int | None
+    # Number of the write, counted by the process.
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tanagerworks/published/replica.py
+++ b/src/tanagerworks/published/replica.py
@@ -1,8 +1,10 @@
-"""A node's replica of the published store, versioned by the store's revision.
+"""A node's replica of the published store, versioned by the store's era and revision.
 
-The revision counts every change of the store, so of two replicas the one with the higher revision
-is newer, and a node may copy a peer's replica if it is newer. A replica never returns to an older
-state.
+The revision counts every change of the store. A store that is restored from an older copy starts a
+new era, in which it gives out the revisions after that copy again. So of two replicas the one with
+the higher pair of era and revision is newer, and a node may copy a peer's replica if it is newer. A
+replica never returns to an older state of an era, nor to an earlier era. The era 0 stands for the
+replica's own era: stores and peers of earlier versions do not state one.
 """
 
 from collections import deque
@@ -26,6 +28,7 @@
     """All items of the store as of `revision`, which is 0 before the first listing."""
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision = 0
         # The last write of each key that exists.
         self.items: dict[str, Change] = {}
@@ -33,9 +36,13 @@
         # `recent_changes` contains all changes after this revision.
         self.recent_after_revision = 0
 
-    def changes_after(self, revision: int) -> list[Change] | None:
-        """Returns the changes after a revision, or None if not all of them are kept."""
-        if revision < self.recent_after_revision:
+    def is_older_than(self, era: int, revision: int) -> bool:
+        """Returns whether a replica at `era` and `revision` is newer than this one."""
+        return (self.era, self.revision) < (era or self.era, revision)
+
+    def changes_after(self, revision: int, era: int = 0) -> list[Change] | None:
+        """Returns the changes after a revision of an era, or None if not all of them are kept."""
+        if era not in (0, self.era) or revision < self.recent_after_revision:
             return None
         return [change for change in self.recent_changes if change.revision > revision]
 
@@ -46,13 +53,16 @@
                 self.recent_after_revision, self.recent_changes.popleft().revision
             )
 
-    def apply_changes(self, changes: Iterable[Change], revision: int) -> list[Change]:
+    def apply_changes(self, changes: Iterable[Change], revision: int, era: int = 0) -> list[Change]:
         """Applies the changes up to `revision`; returns those that changed an item.
 
-        Changes may arrive repeatedly or late: for each key, the change with the highest revision
-        stays. A change of an unknown key at or below the replica's revision is ignored, because the
-        key has been deleted since. The changes may be in any order.
+        Changes of another era are ignored, as they do not follow this replica's items. Those of its
+        era may arrive repeatedly, late and in any order: for each key, the change with the highest
+        revision stays. A change of an unknown key at or below the replica's revision is ignored,
+        because the key has been deleted since.
         """
+        if era not in (0, self.era):
+            return []
         applied = []
         for change in sorted(changes, key=lambda change: change.revision):
             if change.revision > self.revision:
@@ -72,14 +82,17 @@
         self.revision = max(self.revision, revision)
         return applied
 
-    def replace_items(self, items: Iterable[Change], revision: int) -> list[Change]:
+    def replace_items(self, items: Iterable[Change], revision: int, era: int = 0) -> list[Change]:
         """Replaces all items by a listing as of `revision`; returns the changes that this makes.
 
         A listing older than this replica is ignored. Items missing from the listing are deleted,
-        except those that were written after it.
+        except those that were written after it in the same era.
         """
-        if revision < self.revision:
+        era = era or self.era
+        if (era, revision) < (self.era, self.revision):
             return []
+        if era > self.era:
+            return self._begin_era(items, revision, era)
         self.recent_changes.clear()
         self.recent_after_revision = revision
         listed = {item.key: item for item in items}
@@ -97,3 +110,20 @@
             applied.append(item)
         self.revision = revision
         return applied
+
+    def _begin_era(self, items: Iterable[Change], revision: int, era: int) -> list[Change]:
+        """Replaces all items by the first listing of an era; returns the changes that this makes.
+
+        Only the same write, with its revision and its value, leaves an item unchanged.
+        """
+        listed = {item.key: item for item in items}
+        applied = [Change(key, revision, None) for key in self.items if key not in listed]
+        for key, item in listed.items():
+            if self.items.get(key) != item:
+                applied.append(item)
+        self.items = listed
+        self.era = era
+        self.revision = revision
+        self.recent_changes.clear()
+        self.recent_after_revision = revision
+        return applied
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -12,7 +12,7 @@
 from tanagerworks.errors import PeerError
 from tanagerworks.membership.peer_table import PeerTable
 from tanagerworks.published.replica import Change
-from tanagerworks.rpc.edge_pb2 import NodeState
+from tanagerworks.rpc.edge_pb2 import NodeState, StoreCopyRequest
 from tests.edge_builders import BOUNDS, dispatch_request, prompt, server_entry
 from tests.platform_standin import WIRE_CONFIGURATION, WIRE_ENTRY, encode_with_changes, wait_until
 
@@ -127,7 +127,7 @@
             [Change("op/config", 9, encode_with_changes(WIRE_CONFIGURATION))], 9, STORE_SOURCE
         )
         await wait_until(lambda: second.store_view.replica.revision == 9)
-        copy = await fetch_store_copy(first.exchange.address, 0, with_placements=False)
+        copy = await fetch_store_copy(first.exchange.address, StoreCopyRequest())
         second.store_view.apply(
             [Change("op/config", 10, encode_with_changes(WIRE_CONFIGURATION, version=9))],
             10,
@@ -244,7 +244,7 @@
 
     async def run():
         with pytest.raises(PeerError):
-            await fetch_store_copy("127.0.0.1:1", 0, with_placements=False)
+            await fetch_store_copy("127.0.0.1:1", StoreCopyRequest())
 
         async def garbage(reader, writer):
             writer.write(b"\x00\x00\x00\x03abc")
@@ -253,7 +253,7 @@
         server = await asyncio.start_server(garbage, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         with pytest.raises(PeerError):
-            await fetch_store_copy(f"127.0.0.1:{port}", 0, with_placements=False)
+            await fetch_store_copy(f"127.0.0.1:{port}", StoreCopyRequest())
         server.close()
 
     asyncio.run(run())
--- a/tests/test_fault_malformed_input.py
+++ b/tests/test_fault_malformed_input.py
@@ -145,7 +145,7 @@
         server = await asyncio.start_server(respond, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         with pytest.raises(PeerError):
-            await fetch_store_copy(f"127.0.0.1:{port}", 0, with_placements=False)
+            await fetch_store_copy(f"127.0.0.1:{port}", StoreCopyRequest())
         server.close()
 
     tracemalloc.start()
@@ -162,7 +162,7 @@
 def test_fetch_from_an_unusable_address_raises_peer_error(address):
     """Guards against an exception that the callers of the fetch do not handle."""
     with pytest.raises(PeerError):
-        asyncio.run(fetch_store_copy(address, 0, with_placements=False))
+        asyncio.run(fetch_store_copy(address, StoreCopyRequest()))
 
 
 @pytest.mark.parametrize(
@@ -179,7 +179,9 @@
         writer.write_eof()
         assert await reader.read() == b""
         writer.close()
-        copy = await fetch_store_copy(nodes[0].exchange.address, 0, with_placements=True)
+        copy = await fetch_store_copy(
+            nodes[0].exchange.address, StoreCopyRequest(with_placements=True)
+        )
         assert copy.revision == 0
 
     run_with_fleet(scenario, count=2)
@@ -200,11 +202,11 @@
         calls = []
         fetch = peers_module.fetch_store_copy
 
-        async def fail_once(address, after, with_placements):
+        async def fail_once(address, request):
             calls.append(address)
             if len(calls) == 1:
                 raise RuntimeError("unforeseen")
-            return await fetch(address, after, with_placements)
+            return await fetch(address, request)
 
         peers_module.fetch_store_copy = fail_once
         try:
@@ -468,7 +470,9 @@
     """Guards against a check of copies that refuses those of a peer without any item."""
 
     async def scenario(nodes):
-        copy = await fetch_store_copy(nodes[0].exchange.address, 0, with_placements=True)
+        copy = await fetch_store_copy(
+            nodes[0].exchange.address, StoreCopyRequest(with_placements=True)
+        )
         assert copy == StoreCopy()
 
     run_with_fleet(scenario, count=2)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -77,7 +77,7 @@
     """Guards against units or phases that are parsed incorrectly."""
     parsed = parse_server_entry("i-1", json.dumps(WIRE_ENTRY).encode())
     assert parsed == ServerEntry(
-        "i-1", "models", "127.0.0.1", 8080, "zone-a", 64, False, 1.5, 1700000000000
+        "i-1", "models", "127.0.0.1", 8080, "zone-a", 64, False, 1.5, 1700000000000, 4
     )
     assert parse_server_entry("i-1", encode_with_changes(WIRE_ENTRY, phase="draining")).leaving
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -14,14 +14,17 @@
 
     def __init__(self):
         super().__init__()
+        self.era = 1
         self.revision = 0
         self.history = []
+        # The history of each era; one that was restored begins with that of the copy.
+        self.histories = {1: self.history}
         self.replica = Replica()
-        self.highest = 0
+        self.highest = (0, 0)
 
-    def state_at(self, revision):
+    def state_at(self, revision, era=None):
         state = {}
-        for change in self.history:
+        for change in self.histories[era or self.era]:
             if change.revision > revision:
                 break
             if change.value is None:
@@ -36,43 +39,66 @@
         value = None if deleted else str(self.revision).encode()
         self.history.append(Change(key, self.revision, value))
 
+    @rule(data=st.data())
+    def store_is_restored(self, data):
+        """Goes back to a copy; the revisions after it are given out again in the next era."""
+        self.revision = data.draw(st.integers(0, self.revision))
+        self.history = [change for change in self.history if change.revision <= self.revision]
+        self.era += 1
+        self.histories[self.era] = self.history
+
     @rule(data=st.data())
     def replica_applies_changes(self, data):
-        """Applies changes after the replica's revision in any order, some of them again."""
+        """Applies changes after the replica's revision in any order, some of them again.
+
+        They are of the store's era, which may be later than that of the replica.
+        """
         known = self.replica.revision
         until_revision = data.draw(st.integers(known, max(known, self.revision)))
         since = data.draw(st.integers(0, known))
         changes = [c for c in self.history if since < c.revision <= until_revision]
         changes = data.draw(st.permutations(changes))
-        self.replica.apply_changes(changes, until_revision)
+        self.replica.apply_changes(changes, until_revision, self.era)
 
     @rule(data=st.data())
     def replica_applies_listing(self, data):
-        """Applies a listing as of any revision, also one older than the replica (a slow peer)."""
-        at = data.draw(st.integers(0, self.revision))
-        self.replica.replace_items(list(self.state_at(at).values()), at)
+        """Applies a listing as of any revision, also one older than the replica (a slow peer).
+
+        It may be of an earlier era.
+        """
+        era = data.draw(st.integers(1, self.era))
+        newest = self.histories[era][-1].revision if self.histories[era] else 0
+        at = data.draw(st.integers(0, newest))
+        self.replica.replace_items(list(self.state_at(at, era).values()), at, era)
 
     @rule(data=st.data())
     def peer_catches_up(self, data):
-        """A peer at an older revision fetches the changes since then, or all items."""
+        """A peer at an older revision or era fetches the changes since then, or all items."""
+        if not self.replica.era:
+            return
         behind = Replica()
-        at = data.draw(st.integers(0, self.replica.revision))
-        behind.replace_items(list(self.state_at(at).values()), at)
-        changes = self.replica.changes_after(at)
+        era = data.draw(st.integers(1, self.replica.era))
+        newest = self.histories[era][-1].revision if self.histories[era] else 0
+        at = data.draw(st.integers(0, self.replica.revision if era == self.replica.era else newest))
+        behind.replace_items(list(self.state_at(at, era).values()), at, era)
+        changes = self.replica.changes_after(at, era)
         if changes is None:
-            behind.replace_items(list(self.replica.items.values()), self.replica.revision)
+            items = list(self.replica.items.values())
+            behind.replace_items(items, self.replica.revision, self.replica.era)
         else:
-            behind.apply_changes(changes, self.replica.revision)
+            behind.apply_changes(changes, self.replica.revision, self.replica.era)
         assert behind.items == self.replica.items
 
     @invariant()
     def equals_the_store_at_its_revision(self):
-        assert self.replica.items == self.state_at(self.replica.revision)
+        if self.replica.era:
+            assert self.replica.items == self.state_at(self.replica.revision, self.replica.era)
 
     @invariant()
     def never_returns_to_an_older_state(self):
-        assert self.replica.revision >= self.highest
-        self.highest = self.replica.revision
+        position = (self.replica.era, self.replica.revision)
+        assert position >= self.highest
+        self.highest = position
 
 
 ReplicaMachine.TestCase.settings = settings(
