Log the identity of requests whose attempt failed

The log names the call and the parts of the prompt, which a request that comes again does not share with its earlier calls or shares with sound requests.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -68,6 +68,8 @@
     customer: str
     deadline_s: float
     prompt: Prompt | None
+    # The `request_identity` of the request; "" if it has none.
+    identity: str = ""
     # When the caller gives up if its answer has not begun, on the clock of `deadline_s`.
     start_by_s: float = math.inf
     # Ids of the servers of earlier attempts, also of those that refused the connection.
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -17,6 +17,7 @@
 from tanagerworks.dispatch.choice import Choice
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
 from tanagerworks.dispatch.durations import RouteDurations
+from tanagerworks.dispatch.request_identity import request_identity
 from tanagerworks.edge.crash_detector import CrashDetector
 from tanagerworks.edge.event_stream import EventSplitter
 from tanagerworks.edge.exchange import SERVER_ERROR, BackendExchange, log_attempt_failure
@@ -202,6 +203,7 @@
             customer_name,
             deadline_s,
             call.prompt,
+            request_identity(head.method, call.host, head.target, customer_name, body),
             start_by_s,
         )
         event_splitter = EventSplitter(call.last_event_id) if route.resumable else None
