Reproduce a request that crashes one server after the other

Against stand-in servers that crash when they begin to run one body: 8 of 8 servers crash on a route of either plain kind and on a stream that must not be resumed; on a resumable one, sound requests are refused for the parts that they share with it.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -356,6 +356,19 @@
     return action
 
 
+def crash_on_body(body, otherwise):
+    """Crashes the server when it begins to run a request with this body."""
+
+    async def action(server, headers, reader, writer):
+        if server.bodies[-1] != body:
+            await otherwise(server, headers, reader, writer)
+            return
+        server.crash()
+        raise ConnectionResetError
+
+    return action
+
+
 def never_respond(closed=None):
     """Sends no response; sets `closed` when the connection closes."""
 
