Quarantine requests that crash servers

Cause: only parts of prompts could be suspects of a crash, and the parts of this request are shared with sound ones, whose answers clear them. On plain services there was no suspect at all.

Change: the request itself is a suspect, by a hash of what stays the same when it comes again (method, host, target, customer, body). It takes part in the evidence that nodes merge already.

--- a/src/tanagerworks/dispatch/crash_evidence.py
+++ b/src/tanagerworks/dispatch/crash_evidence.py
@@ -1,9 +1,10 @@
-"""Finds the prompt parts that crash backend servers and keeps requests with them from servers.
+"""Finds the requests and prompt parts that crash backend servers and keeps them from servers.
 
-A part is a suspect of a crash if a request with it was at the server and its answer was only about
-to start. An answer that gets under way after the crash clears the part: the server that gave it has
-survived. Crashes that a quarantined part explains are no evidence against the parts that occur
-beside it. Nodes merge their evidence, so that crashes seen by different nodes count together.
+A request and each shared part of its prompt are suspects of a crash if the request was at the
+server and its answer was only about to start. The request is known again by its identity. An answer
+that gets under way after the crash clears a suspect: the server that gave it has survived. Crashes
+that a quarantined suspect explains are no evidence against those that occur beside it. Nodes merge
+their evidence, so that crashes seen by different nodes count together.
 """
 
 import math
@@ -16,7 +17,9 @@
 # Servers that end within this time of each other may have a common cause that is no request, unless
 # the request was sent to the second one after the first had ended.
 COMMON_CAUSE_S = 0.5
-# Independent crashes that quarantine a part to which no answer was known before, and any other.
+# Depth of the identity of a request among its suspects: it occurs in fewer requests than any part.
+REQUEST_DEPTH = 1_000_000
+# Independent crashes that quarantine a suspect to which no answer was known before, and any other.
 _UNKNOWN_PART_CRASHES = 2
 _KNOWN_PART_CRASHES = 4
 # Duration of a quarantine after two crashes, and its growth with each further crash.
@@ -27,13 +30,13 @@
 _MAX_CRASHES = 64
 # Parts beyond this number are left out, first those to which answers are known.
 _MAX_SUSPECTS_PER_CRASH = 96
-# Parts whose last answer is remembered, the most recent ones.
+# Suspects whose last answer is remembered, the most recent ones.
 _MAX_ANSWERED_PARTS = 4_096
 
 
-def suspect_key(part_id: str) -> int:
-    """Returns the 64-bit hash that identifies a part of the prompts of any model."""
-    return xxh3_64_intdigest(part_id.encode())
+def suspect_key(suspect_id: str) -> int:
+    """Returns the 64-bit hash of the id of a prompt part, or of the identity of a request."""
+    return xxh3_64_intdigest(suspect_id.encode())
 
 
 def process_key(server_id: str, started_ms: int | None) -> int:
@@ -43,8 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
-    """A part that may be the cause of a crash; `depth` is its place in the prompt, from 0.
+    """What may be the cause of a crash: a part of prompts, or a request.
 
+    `depth` is the place of a part in its prompt, from 0, or `REQUEST_DEPTH`.
     `in_flight_s` is the time for which the latest request with it had been at the server.
     """
 
@@ -77,10 +81,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
-    """A part that no request may bring to a server before `until_s`."""
+    """A suspect that must not reach a server before `until_s`."""
 
     until_s: float
     crashes: int
+    # Whether the suspect is a request rather than a part of prompts.
+    is_request: bool
 
 
 class CrashEvidence:
@@ -93,7 +99,7 @@
         self.quarantines: dict[int, Quarantine] = {}
         # Time of the last answer by `suspect_key`; the least recent first.
         self.answered_at_s: OrderedDict[int, float] = OrderedDict()
-        # Called with the parts whose quarantine has begun and those whose quarantine has ended.
+        # Called with the suspects whose quarantine has begun and those whose quarantine has ended.
         self.on_quarantines_changed: Callable[[Set[int], Set[int]], None] = (
             lambda _begun, _ended: None
         )
@@ -137,11 +143,11 @@
             cleared=suspect.cleared or cleared,
         )
 
-    def record_answer(self, part_ids: Iterable[str], now_s: float) -> None:
-        """Records that an answer to a prompt with these shared parts is under way."""
+    def record_answer(self, suspect_ids: Iterable[str], now_s: float) -> None:
+        """Records that an answer to a request with these identities is under way."""
         changed = False
-        for part_id in part_ids:
-            key = suspect_key(part_id)
+        for suspect_id in suspect_ids:
+            key = suspect_key(suspect_id)
             self.answered_at_s[key] = now_s
             self.answered_at_s.move_to_end(key)
             for crash in self.crashes.values():
@@ -156,7 +162,7 @@
             self._update(now_s)
 
     def _update(self, now_s: float) -> None:
-        """Drops old crashes and quarantines the fewest parts that explain the others."""
+        """Drops old crashes and quarantines the fewest suspects that explain the others."""
         for process, crash in list(self.crashes.items()):
             expired = now_s - crash.crashed_at_s >= EVIDENCE_RETENTION_S
             if expired or len(self.crashes) > _MAX_CRASHES:
@@ -166,7 +172,7 @@
         unexplained = list(self.crashes.values())
         while found := self._strongest_cases(unexplained):
             for key, crashes in found.items():
-                self.quarantines[key] = _quarantine(crashes)
+                self.quarantines[key] = _quarantine(key, crashes)
             unexplained = [crash for crash in unexplained if not found.keys() & crash.suspects]
         if former.keys() != self.quarantines.keys():
             self.on_quarantines_changed(
@@ -174,10 +180,10 @@
             )
 
     def _strongest_cases(self, crashes: Iterable[ServerCrash]) -> dict[int, list[ServerCrash]]:
-        """Returns the parts with the most evidence and their crashes; empty if none has enough.
+        """Returns the suspects with the most evidence and their crashes; empty if none has enough.
 
-        Among parts in equally many crashes, an answer known before speaks for a part; of the others
-        the deepest is taken, since it occurs in the fewest prompts.
+        Among those in equally many crashes, an answer known before speaks for a suspect; of the
+        others the deepest is taken, since it occurs in the fewest requests.
         """
         cases: dict[int, list[ServerCrash]] = {}
         for crash in crashes:
@@ -199,15 +205,15 @@
                 best[key] = found
         return best
 
-    def find_quarantines(self, part_ids: Iterable[str]) -> dict[str, Quarantine]:
-        """Returns the quarantines of the parts of a prompt, by id."""
+    def find_quarantines(self, suspect_ids: Iterable[str]) -> dict[str, Quarantine]:
+        """Returns the quarantines that concern a request with these identities, by id."""
         if not self.quarantines:
             return {}
         found = {}
-        for part_id in part_ids:
-            quarantine = self.quarantines.get(suspect_key(part_id))
+        for suspect_id in suspect_ids:
+            quarantine = self.quarantines.get(suspect_key(suspect_id))
             if quarantine is not None:
-                found[part_id] = quarantine
+                found[suspect_id] = quarantine
         return found
 
     def changed_crashes(self, since_s: float) -> Iterator[tuple[int, ServerCrash]]:
@@ -217,7 +223,7 @@
                 yield process, crash
 
     def quarantine_crashes(self) -> Iterator[tuple[int, ServerCrash]]:
-        """Yields the crashes with quarantined parts, latest first, reduced to these parts."""
+        """Yields the crashes with quarantined suspects, latest first, reduced to these."""
         for process, crash in reversed(self.crashes.items()):
             suspects = {
                 key: suspect for key, suspect in crash.suspects.items() if key in self.quarantines
@@ -227,7 +233,7 @@
 
 
 def _count_independent(key: int, crashes: Iterable[ServerCrash]) -> int:
-    """Returns how many crashes with a part cannot have had a common cause that is no request."""
+    """Returns how many crashes with a suspect cannot have had a common cause that is no request."""
     count = 0
     counted_s = -math.inf
     for crash in sorted(crashes, key=lambda crash: crash.crashed_at_s):
@@ -238,7 +244,9 @@
     return count
 
 
-def _quarantine(crashes: list[ServerCrash]) -> Quarantine:
+def _quarantine(key: int, crashes: list[ServerCrash]) -> Quarantine:
     growth = _QUARANTINE_GROWTH ** (len(crashes) - _UNKNOWN_PART_CRASHES)
     duration_s = min(_FIRST_QUARANTINE_S * growth, EVIDENCE_RETENTION_S)
-    return Quarantine(max(crash.crashed_at_s for crash in crashes) + duration_s, len(crashes))
+    until_s = max(crash.crashed_at_s for crash in crashes) + duration_s
+    is_request = any(crash.suspects[key].depth == REQUEST_DEPTH for crash in crashes)
+    return Quarantine(until_s, len(crashes), is_request)
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -21,7 +21,7 @@
     RetryBudget,
     SenderLimiter,
 )
-from tanagerworks.dispatch.quarantine_gate import PartRefusal, QuarantineGate
+from tanagerworks.dispatch.quarantine_gate import QuarantineGate, QuarantineRefusal
 from tanagerworks.dispatch.request_queue import RequestQueue
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.membership.peer_table import PeerTable
@@ -75,6 +75,12 @@
     # Ids of the servers of earlier attempts, also of those that refused the connection.
     tried_server_ids: set[str] = field(default_factory=set)
 
+    @property
+    def suspect_ids(self) -> tuple[str, ...]:
+        """Ids under which the request may be quarantined: the shared parts, then its identity."""
+        part_ids = self.prompt.shared_part_ids if self.prompt is not None else ()
+        return (*part_ids, self.identity) if self.identity else part_ids
+
 
 class Dispatcher:
     """Chooses servers for one node; owns its server directory, request queues and part index."""
@@ -223,19 +229,20 @@
 
     def check_quarantine(
         self, dispatch_request: DispatchRequest, now_s: float
-    ) -> PartRefusal | None:
-        """Returns why the request must not be sent because of a part of its prompt, or None."""
-        prompt = dispatch_request.prompt
-        if prompt is None or not self.crash_evidence.quarantines:
+    ) -> QuarantineRefusal | None:
+        """Returns why the request must not be sent because of crashed servers, or None."""
+        if not self.crash_evidence.quarantines:
             return None
         return self.quarantine_gate.check_request(
-            dispatch_request.call_id, prompt.shared_part_ids, dispatch_request.deadline_s, now_s
+            dispatch_request.call_id,
+            dispatch_request.suspect_ids,
+            dispatch_request.deadline_s,
+            now_s,
         )
 
     def record_answer(self, dispatch_request: DispatchRequest, now_s: float) -> None:
-        """Records that the answer to a request is under way, so its prompt crashes no server."""
-        if dispatch_request.prompt is not None:
-            self.crash_evidence.record_answer(dispatch_request.prompt.shared_part_ids, now_s)
+        """Records that the answer to a request is under way, so it crashes no server."""
+        self.crash_evidence.record_answer(dispatch_request.suspect_ids, now_s)
 
     def record_crash(self, state: ServerState, suspects: dict[int, Suspect], now_s: float) -> None:
         """Records a crash of a server with its suspects by `suspect_key`."""
--- a/src/tanagerworks/edge/crash_detector.py
+++ b/src/tanagerworks/edge/crash_detector.py
@@ -6,11 +6,11 @@
 import asyncio
 import logging
 
-from tanagerworks.dispatch.crash_evidence import Suspect, suspect_key
+from tanagerworks.dispatch.crash_evidence import REQUEST_DEPTH, Suspect, suspect_key
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.backend_connection import open_connection
-from tanagerworks.edge.request_state import MAX_LOGGED_ID_LENGTH, MAX_LOGGED_PARTS, Attempt
+from tanagerworks.edge.request_state import MAX_LOGGED_ID_LENGTH, MAX_LOGGED_SUSPECTS, Attempt
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import BackendConnectError, BackendConnectionRefusedError
 
@@ -25,7 +25,7 @@
     def __init__(self, dispatcher: Dispatcher, metrics: EdgeMetrics) -> None:
         self.dispatcher = dispatcher
         self.metrics = metrics
-        # The checks in progress, and the suspects found so far by part id, by server id.
+        # The checks in progress, and the suspects found so far by their id, by server id.
         self.checks: dict[str, asyncio.Task[None]] = {}
         self.suspects: dict[str, dict[str, Suspect]] = {}
 
@@ -45,9 +45,9 @@
             self._record_crash(state, found)
             return None
         suspects = self.suspects.setdefault(state.server_id, {})
-        for part_id, suspect in found.items():
-            known = suspects.get(part_id)
-            suspects[part_id] = suspect if known is None else known.merge(suspect)
+        for suspect_id, suspect in found.items():
+            known = suspects.get(suspect_id)
+            suspects[suspect_id] = suspect if known is None else known.merge(suspect)
         check = self.checks.get(state.server_id)
         if check is None:
             check = asyncio.get_running_loop().create_task(self._check(state))
@@ -80,25 +80,27 @@
             "server crashed",
             extra={
                 "server": state.server_id,
-                # The keys by which later records of all nodes name the parts.
-                "parts_before_answer": {
-                    part_id[:MAX_LOGGED_ID_LENGTH]: f"{suspect_key(part_id):016x}"
-                    for part_id in sorted(suspects)[:MAX_LOGGED_PARTS]
+                # The keys by which later records of all nodes name the suspects.
+                "before_answer": {
+                    suspect_id[:MAX_LOGGED_ID_LENGTH]: f"{suspect_key(suspect_id):016x}"
+                    for suspect_id in sorted(suspects)[:MAX_LOGGED_SUSPECTS]
                 },
             },
         )
-        by_key = {suspect_key(part_id): suspect for part_id, suspect in suspects.items()}
+        by_key = {suspect_key(suspect_id): suspect for suspect_id, suspect in suspects.items()}
         self.dispatcher.record_crash(state, by_key, asyncio.get_running_loop().time())
 
 
 def _find_suspects(
     dispatch_request: DispatchRequest, attempt: Attempt, now_s: float
 ) -> dict[str, Suspect]:
-    """Returns the shared parts of a request whose answer was not under way, by part id."""
-    if dispatch_request.prompt is None or attempt.answer_under_way:
+    """Returns a request whose answer was not under way and its shared parts, by id."""
+    if attempt.answer_under_way:
         return {}
     in_flight_s = now_s - attempt.sent_s
     return {
-        part_id: Suspect(depth, in_flight_s)
-        for depth, part_id in enumerate(dispatch_request.prompt.shared_part_ids)
+        suspect_id: Suspect(
+            REQUEST_DEPTH if suspect_id == dispatch_request.identity else depth, in_flight_s
+        )
+        for depth, suspect_id in enumerate(dispatch_request.suspect_ids)
     }
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -203,7 +203,7 @@
             customer_name,
             deadline_s,
             call.prompt,
-            request_identity(head.method, call.host, head.target, customer_name, body),
+            request_identity(head.method, call.host, head.target, customer_name, body, call.prompt),
             start_by_s,
         )
         event_splitter = EventSplitter(call.last_event_id) if route.resumable else None
@@ -386,12 +386,13 @@
     def _on_quarantines_changed(self, begun: Set[int], ended: Set[int]) -> None:
         quarantines = self.dispatcher.crash_evidence.quarantines
         for key in begun:
+            quarantine = quarantines[key]
             _LOGGER.warning(
-                "prompt part quarantined",
-                extra={"part_key": f"{key:016x}", "crashes": quarantines[key].crashes},
+                "request quarantined" if quarantine.is_request else "prompt part quarantined",
+                extra={"key": f"{key:016x}", "crashes": quarantine.crashes},
             )
         for key in ended:
-            _LOGGER.info("quarantine ended", extra={"part_key": f"{key:016x}"})
+            _LOGGER.info("quarantine ended", extra={"key": f"{key:016x}"})
         if begun:
             self.placer.wake_all_waiters()
 
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -7,7 +7,12 @@
 from tanagerworks.dispatch.choice import Choice
 from tanagerworks.dispatch.dispatcher import MAX_QUEUED_REQUESTS, Dispatcher, DispatchRequest
 from tanagerworks.edge.request_state import MAX_LOGGED_ID_LENGTH, RequestState
-from tanagerworks.errors import CapacityError, NoServerError, PartQuarantinedError
+from tanagerworks.errors import (
+    CapacityError,
+    NoServerError,
+    PartQuarantinedError,
+    RequestQuarantinedError,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,6 +36,7 @@
 
         Raises:
             PartQuarantinedError: a part of the prompt has crashed servers.
+            RequestQuarantinedError: the request itself has crashed servers.
             NoServerError: the service has no server that the request may be sent to.
             CapacityError: no server can run the request before its deadline, or the queue
                 is full.
@@ -58,10 +64,16 @@
         )
         if refusal is None:
             return
-        error = PartQuarantinedError(
-            f"part {refusal.part_id[:MAX_LOGGED_ID_LENGTH]} of the prompt has crashed"
-            f" {refusal.crashes} servers"
-        )
+        error: CapacityError
+        if refusal.is_request:
+            error = RequestQuarantinedError(
+                f"{refusal.suspect_id} has crashed {refusal.crashes} servers"
+            )
+        else:
+            error = PartQuarantinedError(
+                f"part {refusal.suspect_id[:MAX_LOGGED_ID_LENGTH]} of the prompt has crashed"
+                f" {refusal.crashes} servers"
+            )
         error.retry_after_s = refusal.retry_after_s
         raise error
 
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -255,7 +255,10 @@
         add_gauge("tanager.server.running", "{request}", "Load by server.", self._server_loads)
         add_gauge("tanager.server.limit", "{request}/s", "Limits of servers.", self._server_limits)
         add_gauge(
-            "tanager.parts.quarantined", "{part}", "Prompt parts refused.", self._quarantined_parts
+            "tanager.parts.quarantined",
+            "{suspect}",
+            "Prompt parts and requests refused.",
+            self._quarantined_parts,
         )
         add_gauge("tanager.logs.dropped", "{record}", "Log records dropped.", self._dropped_logs)
 
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -17,6 +17,8 @@
 ANSWER_START_S = 0.1
 # Ids of prompt parts in one log record.
 MAX_LOGGED_PARTS = 16
+# Ids of suspects of a crash in one log record.
+MAX_LOGGED_SUSPECTS = 32
 # Characters of the id of a prompt part in a log record; callers choose the ids.
 MAX_LOGGED_ID_LENGTH = 64
 
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -364,6 +364,12 @@
     code = "part_quarantined"
 
 
+class RequestQuarantinedError(CapacityError):
+    """The same request has crashed servers, so it must not reach another one."""
+
+    code = "request_quarantined"
+
+
 class RouteTimeoutError(BackendTimeoutError):
     """The response to a request that was sent was not complete in time.
 
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -43,7 +43,9 @@
     assert len(records(caplog, message)) == 1
     if crashed:
         # The last part is the request's own, so it is no suspect.
-        assert records(caplog, message)[0].parts_before_answer.keys() == {"a1", "dead"}
+        *parts, identity = sorted(records(caplog, message)[0].before_answer)
+        assert parts == ["a1", "dead"]
+        assert identity.startswith("request:")
 
 
 def test_server_that_leaves_is_not_reported_as_crashed(caplog):
--- a/tests/test_fault_deadly_request.py
+++ b/tests/test_fault_deadly_request.py
@@ -8,11 +8,20 @@
 
 import pytest
 
+from tanagerworks.dispatch.crash_evidence import (
+    REQUEST_DEPTH,
+    CrashEvidence,
+    ServerCrash,
+    Suspect,
+    suspect_key,
+)
+from tanagerworks.dispatch.request_identity import request_identity
 from tests.edge_builders import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
     configuration,
     non_idempotent_route,
+    prompt,
     route,
     stream_route,
 )
@@ -72,3 +81,48 @@
     assert float(deadly[-1].headers["retry-after"]) > 0.0
     # Requests with the same path, customer and parts are served until the end.
     assert [response.status for response in sound[-3:]] == [200] * 3
+
+
+def crash_with_requests(number, *identities):
+    """The crash of a server at second `number`, at which requests with these identities were."""
+    suspects = {suspect_key(name): Suspect(REQUEST_DEPTH, 0.1) for name in identities}
+    return number, ServerCrash(float(number), suspects)
+
+
+def test_sound_request_cut_beside_a_deadly_one_is_not_refused():
+    """Guards against refusing a caller whose request was twice at a server that crashed."""
+    evidence = CrashEvidence()
+    for process, crash in (
+        crash_with_requests(1, "deadly", "sound"),
+        crash_with_requests(2, "deadly"),
+        crash_with_requests(3, "deadly", "sound"),
+    ):
+        evidence.merge_crash(process, crash, crash.crashed_at_s)
+    assert set(evidence.find_quarantines(["deadly", "sound"])) == {"deadly"}
+
+
+def test_request_rather_than_its_parts_is_refused():
+    """Guards against refusing all requests of a route for the shared parts of a deadly one."""
+    evidence = CrashEvidence()
+    for process in (1, 2):
+        _process, crash = crash_with_requests(process, "deadly")
+        crash.suspects[suspect_key("part")] = Suspect(0, 0.1)
+        evidence.merge_crash(process, crash, crash.crashed_at_s)
+    found = evidence.find_quarantines(["part", "deadly"])
+    assert set(found) == {"deadly"}
+    assert found["deadly"].is_request
+
+
+def test_node_that_never_saw_the_request_refuses_it_by_its_identity():
+    """Guards against an identity that differs between nodes or between two calls."""
+    fields = (b"POST", "host.example", b"/book/x?a=1", "customer-1", b"body")
+    identity = request_identity(*fields, prompt(("a1", 500), ("own-1", 20)))
+    assert identity == request_identity(*fields, prompt(("a1", 500), ("own-2", 20)))
+    for position, other in enumerate((b"GET", "other", b"/book/x?a=2", "customer-2", b"bod")):
+        changed = (*fields[:position], other, *fields[position + 1 :])
+        assert request_identity(*changed, None) != identity
+    # Without a body, only the prompt tells requests of one path apart.
+    empty = fields[:-1] + (b"",)
+    assert request_identity(*empty, prompt(("a1", 500))) != request_identity(
+        *empty, prompt(("b2", 500))
+    )
