Report the suspects of all recent crashes rather than of the latest

Cause: a message named suspects of the latest crash until it was full. With several crashes in a few seconds, nodes did not hear the suspects of the earlier ones, and so not what they have in common.

Change: a message names the suspects that occur in most of the eight latest crashes first.

--- a/src/tanagerworks/edge/crash_reports.py
+++ b/src/tanagerworks/edge/crash_reports.py
@@ -2,7 +2,10 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable
+from heapq import nsmallest
+from itertools import islice
 
 from tanagerworks.dispatch.crash_evidence import CrashEvidence, ServerCrash, Suspect
 from tanagerworks.rpc.edge_pb2 import CrashReport
@@ -10,8 +13,10 @@
 # Regular messages report what this node has learned of a crash for this time, several times the
 # interval of messages in a large fleet.
 _REPORT_PERIOD_S = 10.0
-# Bytes of a report without its suspects, and of a suspect, at most.
-_REPORT_BYTES = 20
+# Crashes whose suspects one message may name, the latest ones.
+_MAX_CRASHES_PER_MESSAGE = 8
+# Bytes of a report without its suspects but with its tag and length, and of a suspect, at most.
+_REPORT_BYTES = 23
 _SUSPECT_BYTES = 25
 
 
@@ -39,24 +44,31 @@
 def _fitting_reports(
     crashes: Iterable[tuple[int, ServerCrash]], now_s: float, max_bytes: int
 ) -> list[CrashReport]:
-    """Returns the first reports of at most `max_bytes`.
+    """Returns reports of at most `max_bytes`, with the likely suspects of all crashes first.
 
-    The likely suspects come first, in an order that differs from message to message, so that all
-    of them are reported in time.
+    These are those in most crashes. Equally likely ones come in an order that differs from message
+    to message, so that all of them are reported in time.
     """
-    reports = []
-    for process, crash in crashes:
-        room = (max_bytes - _REPORT_BYTES) // _SUSPECT_BYTES
-        if room < 1:
-            break
-        keys = list(crash.suspects)
-        random.shuffle(keys)
-        keys.sort(key=lambda key: _innocence(crash.suspects[key]))
-        report = _to_report(process, crash, now_s, keys[:room])
-        reports.append(report)
-        # Tag and length of the field.
-        max_bytes -= report.ByteSize() + 3
-    return reports
+    latest = dict(islice(crashes, _MAX_CRASHES_PER_MESSAGE))
+    occurrences = Counter(key for crash in latest.values() for key in crash.suspects)
+    ranked = [
+        (_innocence(suspect), -occurrences[key], random.random(), process, key)
+        for process, crash in latest.items()
+        for key, suspect in crash.suspects.items()
+    ]
+    keys_by_process: dict[int, list[int]] = {}
+    for _innocent, _occurrences, _random, process, key in nsmallest(
+        max_bytes // _SUSPECT_BYTES, ranked
+    ):
+        needed = _SUSPECT_BYTES + (0 if process in keys_by_process else _REPORT_BYTES)
+        if needed > max_bytes:
+            continue
+        max_bytes -= needed
+        keys_by_process.setdefault(process, []).append(key)
+    return [
+        _to_report(process, latest[process], now_s, keys)
+        for process, keys in keys_by_process.items()
+    ]
 
 
 def _innocence(suspect: Suspect) -> tuple[bool, bool]:
--- a/tests/test_fault_deadly_request.py
+++ b/tests/test_fault_deadly_request.py
@@ -23,6 +23,7 @@
     non_idempotent_route,
     prompt,
     route,
+    server_entry,
     stream_route,
 )
 from tests.platform_standin import (
@@ -33,10 +34,13 @@
     send_request,
     stream_events,
 )
+from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
 
 SERVERS = 8
 # The operators allow three retries once the request has crashed three servers.
 MAX_CRASHES = 3
+# Nodes have to know of the request within this time of the crash that shows it.
+CONTACT_S = 3.0
 # Time between two requests.
 INTERVAL_S = 0.3
 DEADLY_BODY = b"deadly"
@@ -113,6 +117,38 @@
     assert found["deadly"].is_request
 
 
+@pytest.mark.parametrize(("count", "zones"), [(6, 3), (60, 3)])
+def test_all_nodes_learn_of_a_deadly_request_among_many(count, zones):
+    """Guards against a deadly request that other nodes learn of too late, or never.
+
+    Each crash has as many suspects as a busy server of a large fleet. Two of five crashes are due
+    to the request.
+    """
+
+    async def scenario():
+        fleet = VirtualFleet(count, zones)
+        fleet.put_servers([server_entry(f"server-{number}") for number in range(5)])
+        fleet.start()
+        await asyncio.sleep(6.0)
+        for number, node in enumerate(fleet.nodes[:5]):
+            identities = [f"request:{number}-{other}" for other in range(60)]
+            if number in (0, 3):
+                identities.append("request:deadly")
+            _process, crash = crash_with_requests(number, *identities)
+            state = node.dispatcher.directory.servers[f"server-{number}"]
+            node.dispatcher.record_crash(state, crash.suspects, fleet.loop.time())
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(CONTACT_S)
+        refusing = [
+            node
+            for node in fleet.live_nodes()
+            if node.dispatcher.crash_evidence.find_quarantines(["request:deadly"])
+        ]
+        assert len(refusing) == count
+
+    run_in_virtual_time(scenario())
+
+
 def test_node_that_never_saw_the_request_refuses_it_by_its_identity():
     """Guards against an identity that differs between nodes or between two calls."""
     fields = (b"POST", "host.example", b"/book/x?a=1", "customer-1", b"body")
