Take no error text as the continuation of a stream

Operators of similar systems saw the text of an error inside a stream. Here a success status was enough: a second server that answered 200 with a text had it added to the stream of the first, and the stream ended as complete.

Cause: the status alone decided whether a response continues a stream. Now it also has to be signed and be a stream of events, or have the content type of the start; otherwise the attempt has failed and the caller sees that the stream is incomplete.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -332,6 +332,7 @@
         """Sends the head; a body of unknown length is sent in chunks."""
         headers = self.backend_dialect.response_headers(response.headers)
         request.status = response.status
+        request.content_type = find_header(response.headers, b"content-type") or b""
         request.responder.start(response.status, headers, body_bytes)
         request.first_byte_s = asyncio.get_running_loop().time() - request.arrived_s
 
@@ -356,9 +357,12 @@
 
         Raises:
             BackendTimeoutError: no complete event within the stall limit.
+            BackendProtocolError: the response does not continue the stream that has begun.
             BackendError: the stream is incomplete.
         """
         loop = asyncio.get_running_loop()
+        if request.responder.started:
+            _check_continuation(request, response)
         attempt.last_event_s = loop.time()
         limit_s = self._stall_timeout_s(request, first=True)
         end_after_s = self.stall_limits.end_after_s(request.route)
@@ -489,6 +493,22 @@
     return int(length)
 
 
+def _check_continuation(request: RequestState, response: BackendResponse) -> None:
+    """Raises BackendProtocolError if a success does not continue the stream that has begun.
+
+    A server can answer with the text of an error under a status of success.
+    """
+    assert response.metadata is not None
+    content_type = find_header(response.headers, b"content-type") or b""
+    has_events = content_type.startswith(b"text/event-stream")
+    if response.metadata.signed and (has_events or content_type == request.content_type):
+        return
+    raise BackendProtocolError(
+        f"the response of type {content_type!r} does not continue a stream of type"
+        f" {request.content_type!r}"
+    )
+
+
 def _check_stream_end(
     request: RequestState, attempt: Attempt, response: BackendResponse, event_counter: EventCounter
 ) -> None:
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -69,6 +69,8 @@
     # Server of the latest attempt; "" before the first.
     server_id: str = ""
     event_splitter: EventSplitter | None = None
+    # Content-Type of the response that has begun; empty before that or if it has none.
+    content_type: bytes = b""
     # Status of the server's response that the caller got, and seconds from the arrival of the
     # request to the head of that response; None if the caller got no server's response.
     status: int | None = None
