Decode what servers say of themselves in one place

Load, limit, leaving (Server-Leaving) and a pause (Retry-After of a 503) are one type, decoded once by the adapter. Values that cannot be read are logged and count as not stated; a pause is at most 600 s. Only answers that the addressed server gave count: signed, or with the id of the request. Nothing uses the two new fields yet.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -205,20 +205,23 @@
         headers = list(event.headers)
         metadata = self.backend_dialect.parse_response_head(event.status_code, headers)
         self._check_request_id(request, metadata, event.status_code, is_new)
-        if metadata.load is not None:
-            attempt.state.reported_running = metadata.load
-            attempt.state.reported_at_s = asyncio.get_running_loop().time()
-        if metadata.signed:
-            self._record_limit(attempt.state, metadata.limit_per_s)
+        if metadata.is_own:
+            self._record_statement(attempt.state, metadata)
         response = BackendResponse(event.status_code, headers, metadata=metadata)
         if request.route.streams and 200 <= event.status_code < 300:
             return headers, await self._relay_stream(request, attempt, connection, response)
         result = await self._relay_buffered(request, attempt, connection, response)
         return headers, result
 
-    def _record_limit(self, state: ServerState, limit_per_s: float | None) -> None:
-        """Records the limit on its requests that a server names in an answer, or its end."""
-        if state.record_limit(limit_per_s, asyncio.get_running_loop().time()):
+    def _record_statement(self, state: ServerState, metadata: ResponseMetadata) -> None:
+        """Records what a server says of itself in an answer."""
+        now_s = asyncio.get_running_loop().time()
+        statement = metadata.statement
+        if statement.load is not None:
+            state.reported_running = statement.load
+            state.reported_at_s = now_s
+        # A refusal without a signature may leave out a limit that is in force.
+        if metadata.signed and state.record_limit(statement.limit_per_s, now_s):
             log_limit(state, "answer")
 
     def _check_request_id(
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -98,6 +98,20 @@
     copy_from: str | None
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStatement:
+    """What a server says of itself in a response."""
+
+    # Requests running and queued at the server; None if not stated.
+    load: int | None = None
+    # Requests per second that the server takes from all nodes together; None without a limit.
+    limit_per_s: float | None = None
+    # The server is leaving and wants no new requests.
+    leaving: bool = False
+    # Seconds for which the server wants no requests from this node; None if not stated.
+    pause_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """What the headers of a backend server's response say, independent of the wire format."""
@@ -109,10 +123,15 @@
     call_id: str | None
     # The response carries the server's signature.
     signed: bool
-    # Requests running and queued at the server; None if the response does not state it.
-    load: int | None
-    # Requests per second that the server takes from all nodes together; None if it names no limit.
-    limit_per_s: float | None = None
+    statement: ServerStatement
+
+    @property
+    def is_own(self) -> bool:
+        """Whether the response comes from the server to which the request was addressed.
+
+        Another process at its address neither signs a response nor knows the id of the request.
+        """
+        return not self.wrong_server and (self.signed or self.call_id is not None)
 
 
 class CallerDialect(Protocol):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -150,8 +150,9 @@
     assert (refused.not_run, refused.wrong_server) == (True, False)
     assert dialect.parse_response_head(421, []).wrong_server
     failed = dialect.parse_response_head(503, [(b"x-tanagerworks-server-load", b"3, 1,8")])
-    assert (failed.not_run, failed.load) == (False, 4)
-    assert dialect.parse_response_head(200, [(b"x-tanagerworks-server-load", b"x,1")]).load is None
+    assert (failed.not_run, failed.statement.load) == (False, 4)
+    unreadable = dialect.parse_response_head(200, [(b"x-tanagerworks-server-load", b"x,1")])
+    assert unreadable.statement.load is None
 
 
 @pytest.mark.parametrize(
@@ -170,7 +171,45 @@
 def test_parse_server_limit(value, limit_per_s):
     """Guards against a limit that is not read, and against arithmetic with an invalid one."""
     head = BackendHttp().parse_response_head(200, [(b"server-limit", value)])
-    assert head.limit_per_s == limit_per_s
+    assert head.statement.limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "pause_s"),
+    [
+        (503, [b"2"], 2.0),
+        (503, [b" 0.25 "], 0.25),
+        (503, [b"0"], 0.0),
+        (503, [b"1", b"4"], 4.0),
+        (503, [b"1", b"soon"], 1.0),
+        (503, [b"90000"], 600.0),
+        (503, [b""], None),
+        (503, [b"-1"], None),
+        (503, [b"nan"], None),
+        (503, [b"9" * 400], None),
+        (503, [b"\xff"], None),
+        (503, [b"Fri, 31 Dec 1999 23:59:59 GMT"], None),
+        (503, [], None),
+        (429, [b"2"], None),
+        (200, [b"2"], None),
+    ],
+)
+def test_parse_pause_of_a_server(status, values, pause_s):
+    """Guards against a pause that is not read, and against an unbounded or invalid one."""
+    headers = [(b"retry-after", value) for value in values]
+    head = BackendHttp().parse_response_head(status, headers)
+    assert head.statement.pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving"),
+    [([b"1"], True), ([b" 1 "], True), ([b"0", b"1"], True), ([b"0"], False), ([b""], False)],
+)
+def test_parse_server_leaving(values, leaving):
+    """Guards against a server that says it leaves and is not heard, whatever the status."""
+    headers = [(b"server-leaving", value) for value in values]
+    for status in (200, 429, 500, 503):
+        assert BackendHttp().parse_response_head(status, headers).statement.leaving is leaving
 
 
 def test_parse_cache_listing():
