Send nothing new to servers that say that they leave

Nodes knew only what the store says of a server.

Change: from such an answer on, the process gets no request, retry, resumed stream or probe of this node; requests that wait in the queue are refused at once if no other server is left. The word holds until the process ends, also if its entry expires and comes back. The reason of a refusal names the servers that said so, with the age of the answer.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -15,6 +15,8 @@
 # evacuation does not prove that its zone is back in service.
 OPERATOR_REWRITE_S = 5.0
 
+# Processes that are remembered after their removal, the latest ones.
+_MAX_LEFT_PROCESSES = 1_024
 # Prefix of the name under which the load of another zone is recorded; no node has it.
 _ZONE_PREFIX = "zone/"
 
@@ -24,6 +26,10 @@
     return xxh32_intdigest(server_id.encode())
 
 
+def _process(entry: ServerEntry) -> tuple[str, int | None]:
+    return entry.server_id, entry.started_ms
+
+
 @dataclass(frozen=True, slots=True)
 class _HeldDeletion:
     # Also the key in `Directory.held_deletions`.
@@ -51,6 +57,9 @@
         # Removed servers at which this node still has requests in progress. The entry of a server
         # that is only slow to renew it expires, but comes back.
         self.removed_servers: dict[str, ServerState] = {}
+        # Removed processes whose answers said that they leave, and when the first did. An entry may
+        # expire and come back while its process is leaving.
+        self.left_processes: dict[tuple[str, int | None], float] = {}
 
     def hold_deletions(self, now_s: float) -> None:
         """Delays deletions for `REREGISTRATION_S` from now, the end of an outage of the store."""
@@ -99,6 +108,7 @@
                 self._rebuild_index()
             return "leaving" if entry.leaving and not was_leaving else "updated"
         state = ServerState(entry, now_s + entry.cold_s)
+        state.leaving_said_at_s = self.left_processes.get(_process(entry))
         if known is not None:
             for peer, load in known.peer_loads.items():
                 state.set_peer_load(peer, load)
@@ -140,6 +150,10 @@
     def _remove(self, server_id: str) -> None:
         state = self.servers.pop(server_id)
         state.removed = True
+        if state.leaving_said_at_s is not None and state.entry.started_ms is not None:
+            self.left_processes[_process(state.entry)] = state.leaving_said_at_s
+            if len(self.left_processes) > _MAX_LEFT_PROCESSES:
+                del self.left_processes[next(iter(self.left_processes))]
         self.removed_servers[server_id] = state
         self.removed_servers = {
             removed_id: removed
@@ -198,7 +212,7 @@
         Not usable are those that are leaving, removed, ejected, or in a zone out of service.
         """
         for state in self.by_service.get(service, ()):
-            if state.entry.leaving or state.removed:
+            if state.leaving or state.removed:
                 continue
             if state.entry.zone in self.zones_out:
                 continue
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -35,6 +35,8 @@
 MAX_QUEUED_REQUESTS = 256
 # Retry delay for a service without usable servers: about the heartbeat period of servers.
 _RETRY_AFTER_WITHOUT_SERVERS_S = 1.0
+# Servers named in the reason of a refusal.
+_MAX_DESCRIBED_SERVERS = 8
 # Shortest retry delay for which the caller's new connection is worth its cost.
 _MIN_RETRY_AFTER_S = 0.05
 
@@ -153,9 +155,7 @@
         return [
             state
             for state in self.directory.by_service.get(service.name, ())
-            if not (
-                state.entry.leaving or state.removed or state.entry.zone in self.directory.zones_out
-            )
+            if not (state.leaving or state.removed or state.entry.zone in self.directory.zones_out)
         ]
 
     def _check_limits(self, state: ServerState, service: Service, nodes: int, now_s: float) -> bool:
@@ -323,6 +323,17 @@
         service = self.find_service(dispatch_request.service)
         return service is not None and bool(self.find_candidates(dispatch_request, service, now_s))
 
+    def describe_unusable_servers(self, service: str, now_s: float) -> str:
+        """Returns why servers of a service get no new requests, for the log; "" if all do."""
+        reasons = []
+        for state in self.directory.by_service.get(service, ()):
+            if state.leaving_said_at_s is not None:
+                age_s = now_s - state.leaving_said_at_s
+                reasons.append(f"{state.server_id} said {age_s:.1f} s ago that it leaves")
+            elif state.entry.leaving:
+                reasons.append(f"{state.server_id} is leaving")
+        return "; ".join(reasons[:_MAX_DESCRIBED_SERVERS])
+
     def has_alternative(self, dispatch_request: DispatchRequest, now_s: float) -> bool:
         """Whether a request that is sent to a server could be sent to another one instead now.
 
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -57,6 +57,8 @@
     limit_per_s: float | None = None
     limit_named_at_s: float = float("-inf")
     limit_changed_at_s: float = float("-inf")
+    # When an answer first said that the process is leaving; None if none did.
+    leaving_said_at_s: float | None = None
     # Moving averages of the time to a complete response and of the share of failures.
     service_time_s: float = _FIRST_SERVICE_TIME_S
     failure_share: float = 0.0
@@ -72,6 +74,11 @@
         """Id under which the server registered."""
         return self.entry.server_id
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the process is leaving, as its entry or one of its answers says."""
+        return self.entry.leaving or self.leaving_said_at_s is not None
+
     @property
     def total_running(self) -> int:
         """Requests in progress at the server, of this node and its peers."""
@@ -127,6 +134,16 @@
         self.limit_changed_at_s = named_at_s
         return True
 
+    def record_leaving(self, said_at_s: float) -> bool:
+        """Records an answer that says that the process is leaving; returns whether it is the first.
+
+        The process does not take that back: an answer without the statement may be older.
+        """
+        if self.leaving_said_at_s is not None:
+            return False
+        self.leaving_said_at_s = said_at_s
+        return True
+
     def is_cold(self, now_s: float) -> bool:
         """Whether the server is still in its cold start."""
         return now_s < self.cold_until_s
--- a/src/tanagerworks/edge/crash_detector.py
+++ b/src/tanagerworks/edge/crash_detector.py
@@ -38,7 +38,7 @@
         purpose and is not checked.
         """
         state = attempt.state
-        if state.entry.leaving or state.removed:
+        if state.leaving or state.removed:
             return None
         found = _find_suspects(dispatch_request, attempt, asyncio.get_running_loop().time())
         if state.crashed:
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -119,7 +119,7 @@
     def _check_accepts_work(self, state: ServerState) -> None:
         """Raises BackendConnectError if the server must not get new work."""
         if (
-            state.entry.leaving
+            state.leaving
             or state.removed
             or state.entry.zone in self.dispatcher.directory.zones_out
         ):
@@ -220,6 +220,11 @@
         if statement.load is not None:
             state.reported_running = statement.load
             state.reported_at_s = now_s
+        if statement.leaving and state.record_leaving(now_s):
+            _LOGGER.info(
+                "server says that it leaves",
+                extra={"server": state.server_id, "running": state.running},
+            )
         # A refusal without a signature may leave out a limit that is in force.
         if metadata.signed and state.record_limit(statement.limit_per_s, now_s):
             log_limit(state, "answer")
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -50,14 +50,23 @@
             queue.charge(dispatch_request.priority, dispatch_request.customer)
             self.dispatcher.record_start(dispatch_request, choice, loop.time())
             return choice
-        if not self.dispatcher.has_candidates(dispatch_request, loop.time()):
-            raise NoServerError(f"no backend server may take the request: {choice.reason}")
+        self._check_candidates(dispatch_request)
         if not self.dispatcher.can_finish_in_time(dispatch_request, loop.time()):
             raise self._capacity_error(
                 "the queue cannot be served before the deadline", dispatch_request
             )
         return await self._wait_for_server(request)
 
+    def _check_candidates(self, dispatch_request: DispatchRequest) -> None:
+        """Raises NoServerError if no server may take the request, now or after a wait."""
+        now_s = asyncio.get_running_loop().time()
+        if self.dispatcher.has_candidates(dispatch_request, now_s):
+            return
+        unusable = self.dispatcher.describe_unusable_servers(dispatch_request.service, now_s)
+        raise NoServerError(
+            f"no backend server may take the request: {unusable or 'none is known'}"
+        )
+
     def _check_quarantine(self, dispatch_request: DispatchRequest) -> None:
         refusal = self.dispatcher.check_quarantine(
             dispatch_request, asyncio.get_running_loop().time()
@@ -116,6 +125,7 @@
                 if choice is not None:
                     placed = True
                     return choice
+                self._check_candidates(dispatch_request)
                 if dispatch_request.call_id not in queue.queues[dispatch_request.priority].entries:
                     raise self._capacity_error(
                         "dropped from the full queue for another customer's request",
@@ -126,9 +136,9 @@
             del self.waiters[dispatch_request.call_id]
             if placed:
                 queue.remove_served(dispatch_request.call_id, dispatch_request.priority)
-                self.wake_first_waiter(dispatch_request.service)
             else:
                 queue.remove(dispatch_request.call_id, dispatch_request.priority)
+            self.wake_first_waiter(dispatch_request.service)
 
     def _choose_if_first(self, dispatch_request: DispatchRequest) -> Choice | None:
         """Returns the choice if the request is first in the queue and a server is free."""
