Respect the time for which a server wants no requests

Nodes ignored the header and sent on.

Change: each node keeps the time for each server process, lengthened by a random share so that nodes return one after the other, and returns with one request, then two, four. Meanwhile requests go elsewhere, wait if a server wants them in time, or are refused at once; Retry-After follows from the earliest server.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -303,14 +303,14 @@
 ) -> float:
     """Returns how many requests a server may have in progress, including the new one.
 
-    Servers that name a limit on their requests do not count, unless all do: what they have in
-    progress says nothing of what the others can take.
+    Servers that name a limit on their requests or want none do not count, unless all do: what they
+    have in progress says nothing of what the others can take.
     """
     candidates = [
-        candidate for candidate in candidates if candidate.state.limit_per_s is None
+        candidate for candidate in candidates if _shows_load(candidate.state, now_s)
     ] or candidates
     healthy_servers = [
-        state for state in healthy_servers if state.limit_per_s is None
+        state for state in healthy_servers if _shows_load(state, now_s)
     ] or healthy_servers
     candidate_mean = sum(candidate.load for candidate in candidates) / len(candidates)
     mean = sum(state.load(now_s) for state in healthy_servers) / max(1, len(healthy_servers))
@@ -321,6 +321,10 @@
     )
 
 
+def _shows_load(state: ServerState, now_s: float) -> bool:
+    return state.limit_per_s is None and state.accepts_another(now_s)
+
+
 class PlainChooser:
     """Chooses the server with the least expected time to the response, in seconds."""
 
--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -16,7 +16,7 @@
 OPERATOR_REWRITE_S = 5.0
 
 # Processes that are remembered after their removal, the latest ones.
-_MAX_LEFT_PROCESSES = 1_024
+_MAX_REMOVED_PROCESSES = 1_024
 # Prefix of the name under which the load of another zone is recorded; no node has it.
 _ZONE_PREFIX = "zone/"
 
@@ -26,10 +26,6 @@
     return xxh32_intdigest(server_id.encode())
 
 
-def _process(entry: ServerEntry) -> tuple[str, int | None]:
-    return entry.server_id, entry.started_ms
-
-
 @dataclass(frozen=True, slots=True)
 class _HeldDeletion:
     # Also the key in `Directory.held_deletions`.
@@ -57,9 +53,9 @@
         # Removed servers at which this node still has requests in progress. The entry of a server
         # that is only slow to renew it expires, but comes back.
         self.removed_servers: dict[str, ServerState] = {}
-        # Removed processes whose answers said that they leave, and when the first did. An entry may
-        # expire and come back while its process is leaving.
-        self.left_processes: dict[tuple[str, int | None], float] = {}
+        # Removed processes that said that they leave or want no requests for a time. An entry may
+        # expire and come back while that holds.
+        self.removed_processes: dict[tuple[str, int], ServerState] = {}
 
     def hold_deletions(self, now_s: float) -> None:
         """Delays deletions for `REREGISTRATION_S` from now, the end of an outage of the store."""
@@ -108,7 +104,7 @@
                 self._rebuild_index()
             return "leaving" if entry.leaving and not was_leaving else "updated"
         state = ServerState(entry, now_s + entry.cold_s)
-        state.leaving_said_at_s = self.left_processes.get(_process(entry))
+        self._restore_statements(state)
         if known is not None:
             for peer, load in known.peer_loads.items():
                 state.set_peer_load(peer, load)
@@ -150,10 +146,7 @@
     def _remove(self, server_id: str) -> None:
         state = self.servers.pop(server_id)
         state.removed = True
-        if state.leaving_said_at_s is not None and state.entry.started_ms is not None:
-            self.left_processes[_process(state.entry)] = state.leaving_said_at_s
-            if len(self.left_processes) > _MAX_LEFT_PROCESSES:
-                del self.left_processes[next(iter(self.left_processes))]
+        self._keep_statements(state)
         self.removed_servers[server_id] = state
         self.removed_servers = {
             removed_id: removed
@@ -162,6 +155,28 @@
         }
         self._rebuild_index()
 
+    def _keep_statements(self, state: ServerState) -> None:
+        """Remembers what a removed process has said, if its entry tells processes apart."""
+        started_ms = state.entry.started_ms
+        if started_ms is None:
+            return
+        if state.leaving_said_at_s is None and not state.resume_allowance:
+            return
+        self.removed_processes[state.server_id, started_ms] = state
+        if len(self.removed_processes) > _MAX_REMOVED_PROCESSES:
+            del self.removed_processes[next(iter(self.removed_processes))]
+
+    def _restore_statements(self, state: ServerState) -> None:
+        """Applies what a process said before its entry was removed."""
+        if state.entry.started_ms is None:
+            return
+        removed = self.removed_processes.pop((state.server_id, state.entry.started_ms), None)
+        if removed is None:
+            return
+        state.leaving_said_at_s = removed.leaving_said_at_s
+        if removed.resume_allowance:
+            state.record_pause(removed.paused_until_s, removed.pause_said_at_s)
+
     def _rebuild_index(self) -> None:
         self.by_service = {}
         self.by_key = {server_key(server_id): state for server_id, state in self.servers.items()}
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -159,10 +159,12 @@
         ]
 
     def _check_limits(self, state: ServerState, service: Service, nodes: int, now_s: float) -> bool:
-        """Returns whether a limit allows this node no further request at the server now.
+        """Returns whether a limit or a pause allows this node no request at the server now.
 
         For both limits of the service, 0 means no limit.
         """
+        if not state.accepts_another(now_s):
+            return True
         max_running = max(1.0, _USED_CONNECTION_SHARE * service.max_connections / nodes)
         if service.max_connections and state.running >= max_running:
             return True
@@ -307,7 +309,7 @@
         """
         nodes = self.peer_table.assumed_fleet_size(now_s)
         rate = 0.0
-        for state in states:
+        for state in _unpaused(states, now_s):
             limiter = self.named_limit_limiters.get(state.server_id)
             if limiter is None:
                 rate += _requests_per_s(state)
@@ -332,6 +334,13 @@
                 reasons.append(f"{state.server_id} said {age_s:.1f} s ago that it leaves")
             elif state.entry.leaving:
                 reasons.append(f"{state.server_id} is leaving")
+            elif state.is_paused(now_s):
+                age_s = now_s - state.pause_said_at_s
+                left_s = state.paused_until_s - now_s
+                reasons.append(
+                    f"{state.server_id} said {age_s:.1f} s ago that it wants no requests,"
+                    f" {left_s:.1f} s are left"
+                )
         return "; ".join(reasons[:_MAX_DESCRIBED_SERVERS])
 
     def has_alternative(self, dispatch_request: DispatchRequest, now_s: float) -> bool:
@@ -355,9 +364,13 @@
         Ahead of it are the requests queued here that are at least as urgent, all requests queued at
         the peers as last reported, and those that servers have in progress beyond their slots. The
         result is at least `_MIN_RETRY_AFTER_S`. It is `_RETRY_AFTER_WITHOUT_SERVERS_S` if the
-        service has no usable server.
+        service has no usable server, and the time until the earliest one wants requests again if
+        none wants any now.
         """
-        states = list(self.directory.usable_servers(dispatch_request.service, now_s))
+        pause_s = self.remaining_pause_s(dispatch_request.service, now_s)
+        if pause_s > 0.0:
+            return max(_MIN_RETRY_AFTER_S, pause_s)
+        states = _unpaused(self.directory.usable_servers(dispatch_request.service, now_s), now_s)
         rate = sum(_requests_per_s(state) for state in states)
         if rate <= 0.0:
             return _RETRY_AFTER_WITHOUT_SERVERS_S
@@ -366,6 +379,13 @@
         ahead += sum(max(0, state.load(now_s) - state.entry.slots) for state in states)
         return max(_MIN_RETRY_AFTER_S, ahead / rate)
 
+    def remaining_pause_s(self, service: str, now_s: float) -> float:
+        """Returns the time until a usable server of a service wants requests, 0 if one does."""
+        states = list(self.directory.usable_servers(service, now_s))
+        if not states:
+            return 0.0
+        return max(0.0, min(state.paused_until_s for state in states) - now_s)
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Returns this node's share of the retry budget of a service."""
         found = self.retry_budgets.get(service)
@@ -382,6 +402,12 @@
         )
 
 
+def _unpaused(states: Iterable[ServerState], now_s: float) -> list[ServerState]:
+    """Returns the servers that want requests, or all of them if none does."""
+    found = list(states)
+    return [state for state in found if not state.is_paused(now_s)] or found
+
+
 def _requests_per_s(state: ServerState) -> float:
     """Returns the requests a second that a server can complete, within the limit that it names."""
     by_slots = state.entry.slots / max(0.001, state.service_time_s)
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -59,6 +59,14 @@
     limit_changed_at_s: float = float("-inf")
     # When an answer first said that the process is leaving; None if none did.
     leaving_said_at_s: float | None = None
+    # Until when the process wants no requests of this node, as answers said, the last of them at
+    # `pause_said_at_s`.
+    paused_until_s: float = float("-inf")
+    pause_said_at_s: float = float("-inf")
+    # After a pause, requests that this node may have in progress at the server beside those from
+    # before; 0 for no bound. The ids of these requests.
+    resume_allowance: int = 0
+    resumed_call_ids: set[str] = field(default_factory=set)
     # Moving averages of the time to a complete response and of the share of failures.
     service_time_s: float = _FIRST_SERVICE_TIME_S
     failure_share: float = 0.0
@@ -144,6 +152,36 @@
         self.leaving_said_at_s = said_at_s
         return True
 
+    def record_pause(self, until_s: float, said_at_s: float) -> None:
+        """Records an answer that asks for no requests until a time; a longer pause is kept.
+
+        After it, this node begins with one request at a time. The number doubles with each answer
+        that asks for no other pause.
+        """
+        self.paused_until_s = max(self.paused_until_s, until_s)
+        self.pause_said_at_s = said_at_s
+        self.resume_allowance = 1
+        self.resumed_call_ids.clear()
+
+    def record_acceptance(self, now_s: float) -> None:
+        """Records an answer that asks for no pause."""
+        if not self.resume_allowance or self.is_paused(now_s):
+            return
+        self.resume_allowance *= 2
+        if self.resume_allowance >= self.entry.slots:
+            self.resume_allowance = 0
+            self.resumed_call_ids.clear()
+
+    def is_paused(self, now_s: float) -> bool:
+        """Whether the time has not passed for which the server wants no requests."""
+        return now_s < self.paused_until_s
+
+    def accepts_another(self, now_s: float) -> bool:
+        """Whether neither a pause nor the gradual return after it keeps requests of this node."""
+        if self.is_paused(now_s):
+            return False
+        return not self.resume_allowance or len(self.resumed_call_ids) < self.resume_allowance
+
     def is_cold(self, now_s: float) -> bool:
         """Whether the server is still in its cold start."""
         return now_s < self.cold_until_s
@@ -161,12 +199,15 @@
         """Counts a request that is about to be sent; the first after an ejection is a probe."""
         self.running += 1
         self.prefill_tokens += prefill_tokens
+        if self.resume_allowance:
+            self.resumed_call_ids.add(call_id)
         if self.consecutive_failures >= FAILURES_TO_EJECT and self.probe_call_id is None:
             self.probe_call_id = call_id
 
     def record_end(self, call_id: str) -> None:
         """Subtracts a request that has ended; only the end of the probe itself ends the probe."""
         self.running -= 1
+        self.resumed_call_ids.discard(call_id)
         if self.probe_call_id == call_id:
             self.probe_call_id = None
 
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import random
+from collections.abc import Callable
 
 import h11
 
@@ -47,6 +49,9 @@
 # A retryable request that gets no data for this share of its route's timeout is retried at another
 # server, which then still has time to respond.
 _READ_TIMEOUT_SHARE = 0.5
+# Random factor on the time for which a server wants no requests, so that nodes do not return to it
+# together.
+_PAUSE_SPREAD = (1.0, 1.5)
 # Result of a request whose buffered response has a 5xx status.
 SERVER_ERROR = "server_error"
 
@@ -59,6 +64,9 @@
         self.backend_dialect = backend_dialect
         self.pool = ConnectionPool()
         self.stall_limits = StallLimits()
+        self.random = random.Random()
+        # Called with a server that wants no requests until `paused_until_s`.
+        self.on_pause: Callable[[ServerState], None] = lambda _state: None
 
     async def run_attempt(self, request: RequestState, attempt: Attempt) -> str:
         """Sends a request to one server, relays the response and returns the result.
@@ -121,6 +129,7 @@
         if (
             state.leaving
             or state.removed
+            or state.is_paused(asyncio.get_running_loop().time())
             or state.entry.zone in self.dispatcher.directory.zones_out
         ):
             raise BackendConnectError("the server went out of service while connecting to it")
@@ -225,6 +234,20 @@
                 "server says that it leaves",
                 extra={"server": state.server_id, "running": state.running},
             )
+        if statement.pause_s:
+            until_s = now_s + statement.pause_s * self.random.uniform(*_PAUSE_SPREAD)
+            state.record_pause(until_s, now_s)
+            self.on_pause(state)
+            _LOGGER.info(
+                "server wants no requests",
+                extra={
+                    "server": state.server_id,
+                    "named_s": statement.pause_s,
+                    "until_s": round(until_s - now_s, 2),
+                },
+            )
+        else:
+            state.record_acceptance(now_s)
         # A refusal without a signature may leave out a limit that is in force.
         if metadata.signed and state.record_limit(statement.limit_per_s, now_s):
             log_limit(state, "answer")
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -18,6 +18,7 @@
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
 from tanagerworks.dispatch.durations import RouteDurations
 from tanagerworks.dispatch.request_identity import request_identity
+from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.crash_detector import CrashDetector
 from tanagerworks.edge.event_stream import EventSplitter
 from tanagerworks.edge.exchange import SERVER_ERROR, BackendExchange, log_attempt_failure
@@ -97,6 +98,7 @@
         self.metrics = metrics
         self.placer = RequestPlacer(dispatcher)
         self.backend_exchange = BackendExchange(dispatcher, backend_dialect)
+        self.backend_exchange.on_pause = self._wake_after_pause
         self.crash_detector = CrashDetector(dispatcher, metrics)
         dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
         self.random = random.Random()
@@ -353,6 +355,9 @@
                     return self.backend_exchange.send_response(request, error_response)
                 if executed_error is not None:
                     raise executed_error from error
+                if isinstance(error, BackendRefusedError):
+                    pause_s = self.placer.retry_after_pause_s(request.service)
+                    error.retry_after_s = pause_s or error.retry_after_s
                 raise
             finally:
                 self._end_attempt(request, attempt)
@@ -396,6 +401,12 @@
         if begun:
             self.placer.wake_all_waiters()
 
+    def _wake_after_pause(self, state: ServerState) -> None:
+        """Lets the first queued request choose again once a server wants requests."""
+        asyncio.get_running_loop().call_at(
+            state.paused_until_s, self.placer.wake_first_waiter, state.entry.service
+        )
+
     # account
 
     def _end_attempt(self, request: RequestState, attempt: Attempt) -> None:
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -18,6 +18,8 @@
 
 # Random factor on Retry-After when no capacity is free, so that callers do not retry all at once.
 _RETRY_AFTER_SPREAD = (0.5, 1.5)
+# The same while no server wants requests: callers that return sooner would be refused again.
+_PAUSED_RETRY_AFTER_SPREAD = (1.0, 1.2)
 
 
 class RequestPlacer:
@@ -87,12 +89,23 @@
         raise error
 
     def _capacity_error(self, message: str, dispatch_request: DispatchRequest) -> CapacityError:
-        error = CapacityError(message)
+        now_s = asyncio.get_running_loop().time()
+        unusable = self.dispatcher.describe_unusable_servers(dispatch_request.service, now_s)
+        error = CapacityError(f"{message} ({unusable})" if unusable else message)
+        paused = self.dispatcher.remaining_pause_s(dispatch_request.service, now_s) > 0.0
+        spread = _PAUSED_RETRY_AFTER_SPREAD if paused else _RETRY_AFTER_SPREAD
         error.retry_after_s = self.dispatcher.estimate_retry_after_s(
-            dispatch_request, asyncio.get_running_loop().time()
-        ) * self.random.uniform(*_RETRY_AFTER_SPREAD)
+            dispatch_request, now_s
+        ) * self.random.uniform(*spread)
         return error
 
+    def retry_after_pause_s(self, service: str) -> float | None:
+        """Returns when callers may return if no server wants requests now, else None."""
+        pause_s = self.dispatcher.remaining_pause_s(service, asyncio.get_running_loop().time())
+        if pause_s <= 0.0:
+            return None
+        return pause_s * self.random.uniform(*_PAUSED_RETRY_AFTER_SPREAD)
+
     async def _wait_for_server(self, request: RequestState) -> Choice:
         dispatch_request = request.dispatch_request
         queue = self.dispatcher.queue(dispatch_request.service)
