Count no time as an outage in which peers followed the store

Cause: a node that takes over the following of the store counted the time in which it did not follow as silence of the store, so that it held the deletion of servers for two seconds.

Change: the silence begins with the last answer to this node or the last message of a peer that follows the store, whichever is later.

Evidence: test_node_that_takes_over_from_a_follower_holds_no_deletion failed before and passes.

--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -326,7 +326,9 @@
     def _record_response(self) -> None:
         now_s = asyncio.get_running_loop().time()
         if not self.connected:
-            silent_s = now_s - self.last_response_s
+            # While this node does not follow the store, those that do show that it answers.
+            peer_table = self.store_view.dispatcher.peer_table
+            silent_s = now_s - max(self.last_response_s, peer_table.store_followed_s)
             if _MIN_OUTAGE_S < silent_s < math.inf:
                 self.store_view.dispatcher.directory.hold_deletions(now_s)
             _LOGGER.info("store answers", extra={"silent_s": _rounded(silent_s)})
