--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -62,6 +62,20 @@
     assert "connection closed before the answer" in timeline.conclusion
 
 
+def test_timeline_shows_what_servers_said_and_what_is_quarantined(tmp_path):
+    """Guards against a refusal whose cause is in the logs and not in the timeline."""
+    causes = [
+        ("store was restored from an older copy", {"era": 2}),
+        ("request quarantined", {"key": "00ff", "crashes": 2}),
+        ("server says that it leaves", {"server": "a"}),
+        ("server wants no requests", {"server": "a", "named_s": 2.0}),
+    ]
+    lines = [log_line(20.0 + n / 10, cause, **fields) for n, (cause, fields) in enumerate(causes)]
+    path = write_log(tmp_path, "log", [*SERVER_LOST, *lines])
+    shown = build_timeline(read_log_lines([path]), "c1").state_lines
+    assert {cause for cause, _fields in causes} <= {line.message for line in shown}
+
+
 def test_process_that_was_killed(tmp_path):
     """Guards against a request that has no last line because its process was killed."""
     first = write_log(tmp_path, "a", ["   1.5 node-1 " + SERVER_LOST[0]])
