Name zones out of service in the product's words

Three comments and two docstrings used the platform's term, which test_import_direction.py allows only in the adapter; two of its cases failed since the change for restored stores. They pass now. No code is changed.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -12,7 +12,7 @@
 # its end. Until then, a missing entry does not prove that its server has stopped.
 REREGISTRATION_S = 2.0
 # Operators write again within this time what a restored store has lost. Until then, a missing
-# evacuation does not prove that its zone is back in service.
+# item does not prove that a zone is back in service.
 OPERATOR_REWRITE_S = 5.0
 
 # Processes that are remembered after their removal, the latest ones.
@@ -48,7 +48,7 @@
         self.servers_by_peer: dict[str, set[str]] = {}
         self.held_deletions: dict[str, _HeldDeletion] = {}
         self.hold_deletions_until_s = float("-inf")
-        # Zones out of service whose evacuation the store has lost, and until when they stay out.
+        # Zones out of service that the store has lost, and until when they stay out.
         self.held_zone_returns: dict[str, float] = {}
         # Removed servers at which this node still has requests in progress. The entry of a server
         # that is only slow to renew it expires, but comes back.
@@ -72,7 +72,7 @@
         self.zones_out.discard(zone)
 
     def hold_zone_return(self, zone: str, now_s: float) -> None:
-        """Keeps a zone out of service for `OPERATOR_REWRITE_S`, since its evacuation was lost."""
+        """Keeps a zone that the store has lost out of service for `OPERATOR_REWRITE_S`."""
         self.held_zone_returns[zone] = now_s + OPERATOR_REWRITE_S
 
     def apply_held_returns(self, now_s: float) -> list[str]:
--- a/src/tanagerworks/published/seen_writes.py
+++ b/src/tanagerworks/published/seen_writes.py
@@ -2,8 +2,8 @@
 
 A store that is restored from an older copy gives revisions out again, so they do not order
 writes of different eras. What orders them is what their writers count: the start of a server's
-process and the number of its write. An evacuation has no such number; the same revision shows the
-same write.
+process and the number of its write. A zone out of service has no such number; the same revision
+shows the same write.
 """
 
 from collections.abc import Callable
