Let a choice say whether any server is left for a request

A queued request looked for its candidates twice whenever it was woken, once to choose and once to see whether a server is left. The choice now says both. The assertion of test_service_without_servers asks the choice instead of the removed function; it is as strict as before.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -155,6 +155,8 @@
     copy_from: ServerState | None = None
     # The best candidates by score, the chosen one first; empty if none could be chosen.
     considered: tuple["ScoredCandidate", ...] = ()
+    # Whether any server that the request has not tried may accept it, now or after a wait.
+    has_candidates: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,7 +225,7 @@
         If none is within the bound, it returns the one with the lowest load.
         """
         if not candidates:
-            return Choice(None, "no server")
+            return Choice(None, "no server", has_candidates=False)
         bound = _load_bound(candidates, healthy_servers, now_s)
         available = [
             candidate
@@ -342,7 +344,7 @@
         `healthy_servers` and `prompt` are not used.
         """
         if not candidates:
-            return Choice(None, "no server")
+            return Choice(None, "no server", has_candidates=False)
         considered: list[ScoredCandidate] = []
         best: ServerState | None = None
         best_s = float("inf")
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -217,7 +217,7 @@
         """
         service = self.find_service(dispatch_request.service)
         if service is None:
-            return Choice(None, "no such service")
+            return Choice(None, "no such service", has_candidates=False)
         chooser = self.prompt_chooser if service.runs_models else self.plain_chooser
         found = self.find_candidates(dispatch_request, service, now_s)
         healthy_servers = [
@@ -320,11 +320,6 @@
         ahead = self.queue(dispatch_request.service).count_ahead(dispatch_request.priority) + 1
         return ahead / rate if rate > 0.0 else math.inf
 
-    def has_candidates(self, dispatch_request: DispatchRequest, now_s: float) -> bool:
-        """Whether any server that the request has not tried may accept it, now or after a wait."""
-        service = self.find_service(dispatch_request.service)
-        return service is not None and bool(self.find_candidates(dispatch_request, service, now_s))
-
     def describe_unusable_servers(self, service: str, now_s: float) -> str:
         """Returns why servers of a service get no new requests, for the log; "" if all do."""
         reasons = []
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -52,20 +52,18 @@
             queue.charge(dispatch_request.priority, dispatch_request.customer)
             self.dispatcher.record_start(dispatch_request, choice, loop.time())
             return choice
-        self._check_candidates(dispatch_request)
+        if not choice.has_candidates:
+            raise self._no_server_error(dispatch_request)
         if not self.dispatcher.can_finish_in_time(dispatch_request, loop.time()):
             raise self._capacity_error(
                 "the queue cannot be served before the deadline", dispatch_request
             )
         return await self._wait_for_server(request)
 
-    def _check_candidates(self, dispatch_request: DispatchRequest) -> None:
-        """Raises NoServerError if no server may take the request, now or after a wait."""
+    def _no_server_error(self, dispatch_request: DispatchRequest) -> NoServerError:
         now_s = asyncio.get_running_loop().time()
-        if self.dispatcher.has_candidates(dispatch_request, now_s):
-            return
         unusable = self.dispatcher.describe_unusable_servers(dispatch_request.service, now_s)
-        raise NoServerError(
+        return NoServerError(
             f"no backend server may take the request: {unusable or 'none is known'}"
         )
 
@@ -138,7 +136,6 @@
                 if choice is not None:
                     placed = True
                     return choice
-                self._check_candidates(dispatch_request)
                 if dispatch_request.call_id not in queue.queues[dispatch_request.priority].entries:
                     raise self._capacity_error(
                         "dropped from the full queue for another customer's request",
@@ -154,13 +151,19 @@
             self.wake_first_waiter(dispatch_request.service)
 
     def _choose_if_first(self, dispatch_request: DispatchRequest) -> Choice | None:
-        """Returns the choice if the request is first in the queue and a server is free."""
+        """Returns the choice if the request is first in the queue and a server is free.
+
+        Raises:
+            NoServerError: no server of the service is left for the request.
+        """
         first = next(self.dispatcher.queue(dispatch_request.service).next_requests(1), None)
         if first != dispatch_request.call_id:
             return None
         now_s = asyncio.get_running_loop().time()
         choice = self.dispatcher.choose_server(dispatch_request, now_s)
         if choice.state is None:
+            if not choice.has_candidates:
+                raise self._no_server_error(dispatch_request)
             return None
         self.dispatcher.record_start(dispatch_request, choice, now_s)
         return choice
--- a/tests/test_choice_patterns.py
+++ b/tests/test_choice_patterns.py
@@ -319,7 +319,7 @@
     """Pattern: service without servers. Guards against queueing requests that no server can get."""
     node = dispatcher()
     assert node.choose_server(dispatch_request(), 0.0).state is None
-    assert not node.has_candidates(dispatch_request(), 0.0)
+    assert not node.choose_server(dispatch_request(), 0.0).has_candidates
     assert not node.can_finish_in_time(dispatch_request(), 0.0)
 
 
