Begin a long read of the store only after a recent response

Suspected cause: a store that is silent never answers a read that began meanwhile. A node that took over the following, or went on after a failure, began a read of up to 5 s whether or not the store answered; peers took it for a follower meanwhile.

Change: until a read has been answered recently, a read asks the store to wait for 0.05 s only and times out after another second.

Evidence: both cases of the added test failed before by a time-out and pass now.

--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -286,7 +286,10 @@
         else:
             revision, era = self.store_view.replica.revision, self.store_view.replica.era
             self.metrics.record_store_call("changes")
-            wait_s = _CHECK_WAIT_S if self.checking else self.wait_s
+            # The store never answers a read that began while it was silent, so a long one begins
+            # only after a recent response.
+            is_long = not self.checking and self._has_recent_response()
+            wait_s = self.wait_s if is_long else _CHECK_WAIT_S
             change_set = await self.store.wait_for_changes(
                 revision, wait_s, wait_s + self.timeout_s
             )
@@ -296,6 +299,11 @@
             # A copy of a later era may have arrived from a peer while the read waited.
             self.store_view.apply(change_set.changes, change_set.revision, STORE_SOURCE, era)
 
+    def _has_recent_response(self) -> bool:
+        """Whether the last read succeeded, within the longest time that a read takes."""
+        age_s = asyncio.get_running_loop().time() - self.last_response_s
+        return self.connected and age_s < self.wait_s + self.timeout_s
+
     async def _list(self) -> None:
         items: list[Change] = []
         first_revision = era = 0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -372,6 +372,28 @@
     run_follower(scenario)
 
 
+@pytest.mark.parametrize("connected", [True, False])
+def test_read_that_begins_while_the_store_is_silent_is_given_up_soon(connected):
+    """Guards against a long poll that the store never answers, so that changes wait for its end.
+
+    A node begins to follow the store, or goes on after a failure, just before the store is back.
+    """
+
+    async def scenario(store, store_view, store_follower):
+        store_follower.wait_s = 60.0
+        store.mode = "silent"
+        store_follower.connected = connected
+        store_follower.last_response_s = asyncio.get_running_loop().time() - 100.0
+        calls = store.calls
+        store_follower.read_task.cancel()
+        await wait_until(lambda: store.calls > calls)
+        store.mode = ""
+        store.put("op/config", WIRE_CONFIGURATION | {"version": 11})
+        await wait_until(lambda: store_view.dispatcher.version == 11)
+
+    run_follower(scenario)
+
+
 def test_servers_whose_entries_expired_in_an_outage_stay_usable():
     """Guards against refusing all callers because the store lost its entries.
 
