Name, word and state units in what was added

Read once more as a newcomer: SeenWrites.supersedes says that it only asks; the reason of a refusal says that no server is left where it said that none is known, also when the request had tried all; five docstrings state seconds, the clock or what they return. No decision is changed.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -76,7 +76,7 @@
         self.held_zone_returns[zone] = now_s + OPERATOR_REWRITE_S
 
     def apply_held_returns(self, now_s: float) -> list[str]:
-        """Puts the zones back in service whose held return is due; returns them."""
+        """Puts the zones back in service whose held return is due; returns their names."""
         due = [zone for zone, until_s in self.held_zone_returns.items() if now_s >= until_s]
         for zone in due:
             self.return_zone(zone)
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -321,7 +321,11 @@
         return ahead / rate if rate > 0.0 else math.inf
 
     def describe_unusable_servers(self, service: str, now_s: float) -> str:
-        """Returns why servers of a service get no new requests, for the log; "" if all do."""
+        """Returns which servers of a service are leaving or want no requests, for the log.
+
+        It names at most `_MAX_DESCRIBED_SERVERS`, with the age of what they said; "" if there are
+        none.
+        """
         reasons = []
         for state in self.directory.by_service.get(service, ()):
             if state.leaving_said_at_s is not None:
@@ -375,7 +379,7 @@
         return max(_MIN_RETRY_AFTER_S, ahead / rate)
 
     def remaining_pause_s(self, service: str, now_s: float) -> float:
-        """Returns the time until a usable server of a service wants requests, 0 if one does."""
+        """Returns the seconds until a usable server of a service wants requests, 0 if one does."""
         states = list(self.directory.usable_servers(service, now_s))
         if not states:
             return 0.0
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -155,6 +155,7 @@
     def record_pause(self, until_s: float, said_at_s: float) -> None:
         """Records an answer that asks for no requests until a time; a longer pause is kept.
 
+        Both times are in seconds of the event loop's clock.
         After it, this node begins with one request at a time. The number doubles with each answer
         that asks for no other pause.
         """
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -94,7 +94,7 @@
         former_era, former_revision = self.replica.era, self.replica.revision
         changes = self.replica.replace_items(items, revision, era)
         lost = [change.key for change in changes if change.value is None]
-        superseded = [change.key for change in changes if self.seen_writes.supersede(change)]
+        superseded = [change.key for change in changes if self.seen_writes.supersedes(change)]
         _LOGGER.warning(
             "store was restored from an older copy",
             extra={
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -64,7 +64,7 @@
         now_s = asyncio.get_running_loop().time()
         unusable = self.dispatcher.describe_unusable_servers(dispatch_request.service, now_s)
         return NoServerError(
-            f"no backend server may take the request: {unusable or 'none is known'}"
+            f"no backend server may take the request: {unusable or 'none is left'}"
         )
 
     def _check_quarantine(self, dispatch_request: DispatchRequest) -> None:
@@ -98,7 +98,7 @@
         return error
 
     def retry_after_pause_s(self, service: str) -> float | None:
-        """Returns when callers may return if no server wants requests now, else None."""
+        """Returns the seconds until callers may return; None if a server wants requests now."""
         pause_s = self.dispatcher.remaining_pause_s(service, asyncio.get_running_loop().time())
         if pause_s <= 0.0:
             return None
--- a/src/tanagerworks/published/seen_writes.py
+++ b/src/tanagerworks/published/seen_writes.py
@@ -39,7 +39,7 @@
             del self.deleted_keys[oldest]
             del self.last_writes[oldest]
 
-    def supersede(self, restored: Change) -> bool:
+    def supersedes(self, restored: Change) -> bool:
         """Returns whether an item of a restored store is older than what is recorded for its key.
 
         The deletion of a key that the restored store lacks is never superseded.
