State how old a node's copy of the store is

A record shows two servers tried within 20 ms by one node, one of them gone, the other leaving for 3.09 s. Its log could not tell an old copy of the store from a deletion that is held. A copy now has an age, the time up to which it has all changes: from the node's own reads, or from the peers' messages, which carry theirs. server chosen logs it as copy_age_s, tanager.belief.age as copy.

No decision is changed.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -38,6 +38,8 @@
 
     def __init__(self) -> None:
         self.servers: dict[str, ServerState] = {}
+        # Time up to which the published entries have been applied.
+        self.confirmed_s = float("-inf")
         self.by_service: dict[str, list[ServerState]] = {}
         self.zones_out: set[str] = set()
         # States by `server_key`.
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -69,6 +69,15 @@
         """Whether a configuration and at least one server are known."""
         return self.dispatcher.configuration is not None and bool(self.dispatcher.directory.servers)
 
+    def confirm(self, as_of_s: float) -> None:
+        """Records that the copy has all changes of the store up to an event loop time."""
+        directory = self.dispatcher.directory
+        directory.confirmed_s = max(directory.confirmed_s, as_of_s)
+
+    def age_s(self, now_s: float) -> float:
+        """Returns for how long changes of the store may be missing; infinite if unknown."""
+        return now_s - self.dispatcher.directory.confirmed_s
+
     def apply(self, changes: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
         """Applies changes up to `revision`; `source` is where they come from, for the log."""
         self._apply_changes(self.replica.apply_changes(changes, revision, era), source)
@@ -298,6 +307,8 @@
                 raise HistoryLostError(f"the store is in era {change_set.era}")
             # A copy of a later era may have arrived from a peer while the read waited.
             self.store_view.apply(change_set.changes, change_set.revision, STORE_SOURCE, era)
+            if era == self.store_view.replica.era:
+                self.store_view.confirm(self.last_response_s)
 
     def _has_recent_response(self) -> bool:
         """Whether the last read succeeded, within the longest time that a read takes."""
@@ -307,12 +318,16 @@
     async def _list(self) -> None:
         items: list[Change] = []
         first_revision = era = 0
+        # When the first page arrived; later changes may be missing from it.
+        first_page_s = -math.inf
         after_key = ""
         while True:
             self.metrics.record_store_call("list")
             page = await self.store.list_page(after_key, self.timeout_s)
             # Later pages may be newer than the first. Changes after the first page's revision are
             # therefore read again.
+            if not first_revision:
+                first_page_s = asyncio.get_running_loop().time()
             first_revision = first_revision or page.revision
             era = era or page.era
             if page.era != era:
@@ -336,6 +351,8 @@
         )
         self.store_view.replace(items, first_revision, STORE_SOURCE, era)
         self.listed = True
+        if not older:
+            self.store_view.confirm(first_page_s)
 
     def _record_response(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -92,6 +92,8 @@
 # A node that follows the store waits this long for changes that a peer already has. After that it
 # fetches them from the peer.
 _MAX_STORE_LAG_S = 0.3
+# Ages of a copy from which messages state none.
+_MAX_COPY_AGE_S = 3_600.0
 # A larger datagram could be fragmented by IP, and the loss of any fragment would lose all of it.
 _MAX_DATAGRAM_BYTES = 1_400
 # Bytes of a datagram that reports of crashed servers and of limits may take.
@@ -211,6 +213,7 @@
         self.introduction_attempts.pop(state.address, None)
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
+        self._confirm_copy(peer)
         if self._is_ahead(peer):
             self._fetch_if_behind(now_s)
         self.on_peer_state_applied()
@@ -238,6 +241,7 @@
             queued,
             state.era,
             state.configuration_version,
+            now_s - state.copy_age_ms / 1000 if state.HasField("copy_age_ms") else -math.inf,
         )
 
     def _record_addresses(self, addresses: Iterable[str]) -> None:
@@ -449,7 +453,9 @@
     def _basic_state(self) -> NodeState:
         """Returns the next message with the fields that all kinds of messages have."""
         self.sequence += 1
+        age_s = self.store_view.age_s(asyncio.get_running_loop().time())
         return NodeState(
+            copy_age_ms=math.ceil(age_s * 1000) if age_s < _MAX_COPY_AGE_S else None,
             name=self.node,
             address=self.address,
             zone=self.zone,
@@ -626,6 +632,11 @@
             or peer.configuration_version > known_version
         )
 
+    def _confirm_copy(self, peer: Peer) -> None:
+        """Confirms this node's copy of the store up to the time of a peer's copy, unless older."""
+        if not self.store_view.replica.is_older_than(peer.era, peer.revision):
+            self.store_view.confirm(peer.copy_confirmed_s)
+
     async def _fetch(self, peer: Peer) -> None:
         replica = self.store_view.replica
         request = StoreCopyRequest(
@@ -653,6 +664,7 @@
         if copy.HasField("configuration"):
             self.store_view.adopt_configuration(_to_change(copy.configuration), source)
         self.fetched_version = max(self.fetched_version, peer.configuration_version)
+        self._confirm_copy(peer)
 
     async def serve_store_copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -459,6 +459,7 @@
                 "peers_running": state.total_running - state.running,
                 "reported_age_s": round(min(now_s - state.reported_at_s, 999.0), 2),
                 "waited_ms": round((now_s - request.arrived_s) * 1000, 1),
+                "copy_age_s": round(min(now_s - self.dispatcher.directory.confirmed_s, 999.0), 2),
             },
         )
 
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import logging
+import math
 import signal
 import socket
 import time
@@ -284,6 +285,9 @@
         }
         if self.follower.is_following:
             ages["store"] = now_s - self.follower.last_response_s
+        copy_age_s = self.store_view.age_s(now_s)
+        if math.isfinite(copy_age_s):
+            ages["copy"] = copy_age_s
         return ages
 
     def _fleet_size(self) -> dict[str, float]:
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -57,6 +57,8 @@
     era: int = 0
     # Version of the peer's configuration in force.
     configuration_version: int = 0
+    # Event loop time of this node up to which the peer's copy of the store has all changes.
+    copy_confirmed_s: float = float("-inf")
 
     def is_live(self, now_s: float) -> bool:
         """Returns whether the last message of the peer arrived recently."""
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -1,6 +1,7 @@
 """Peer discovery from seeds and the exchange of state between nodes, over loopback."""
 
 import asyncio
+import math
 
 import pytest
 from adapter.store import MetadataStore
@@ -118,6 +119,39 @@
     run_with_fleet(scenario)
 
 
+def test_age_of_a_copy_reaches_nodes_that_do_not_follow_the_store():
+    """Guards against nodes that cannot tell how old their copy of the store is."""
+
+    async def scenario(nodes):
+        follower, *others = nodes
+        now_s = asyncio.get_running_loop().time()
+        assert all(node.store_view.age_s(now_s) == math.inf for node in nodes)
+        follower.store_view.replace(
+            [Change("op/config", 3, encode_with_changes(WIRE_CONFIGURATION))], 3, STORE_SOURCE
+        )
+        follower.store_view.confirm(now_s - 2.0)
+        await wait_until(lambda: all(node.store_view.age_s(now_s) < math.inf for node in others))
+        assert all(1.5 < node.store_view.age_s(now_s) < 3.0 for node in others)
+
+    run_with_fleet(scenario)
+
+
+def test_newer_copy_of_a_peer_does_not_confirm_an_older_one():
+    """Guards against an outdated copy that counts as new because a peer has a new one."""
+
+    async def scenario(nodes):
+        node = nodes[0]
+        state = NodeState(name="node-9", address="127.0.0.1:1", revision=9, copy_age_ms=5)
+        node.exchange.datagram_received(state.SerializeToString(), ("127.0.0.1", 1))
+        assert node.store_view.age_s(asyncio.get_running_loop().time()) == math.inf
+        node.store_view.replace([], 9, STORE_SOURCE)
+        state.sequence = 1
+        node.exchange.datagram_received(state.SerializeToString(), ("127.0.0.1", 1))
+        assert node.store_view.age_s(asyncio.get_running_loop().time()) < 1.0
+
+    run_with_fleet(scenario)
+
+
 def test_older_copy_of_a_peer_changes_nothing():
     """Guards against a view that reverts when a peer with an older copy of the store returns."""
 
