Read the store when a node's copy of it is too old

Callers' requests reached servers up to seconds after these had told the store that they leave (DRAIN). Cause: nodes relied on what a follower says of itself. A read that waits for a change looks the same as one whose answer is lost; a follower that is cut off says for up to 6 s that it follows the store, and no other node reads it. Any node now reads the store itself once its copy is older than 0.6 of the time for which a leaving server serves (bounds.leaving_notice_ms), whatever its peers say; a follower waits at the store for 0.25 of it and counts for its peers only if it had an answer lately. The age comes from reads and peers' messages, so a part of the fleet that reaches the store is enough, and one answer ends the reads of the others.

--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -8,6 +8,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.edge.interfaces import PublishedStore
@@ -41,6 +42,21 @@
 _ROLE_CHECK_PERIOD_S = 0.1
 
 
+class FollowerRole(Protocol):
+    """What a `StoreFollower` has to know of the part of its node; see `StoreRole`."""
+
+    @property
+    def read_wait_s(self) -> float:
+        """Longest time in seconds that a read may wait at the store for a change."""
+
+    @property
+    def max_copy_age_s(self) -> float:
+        """Age in seconds from which a copy of the store is too old to rely on."""
+
+    def must_follow_store(self) -> bool:
+        """Whether this node has to read the store now; other nodes get changes from peers."""
+
+
 class StoreView:
     """This node's view of the published store.
 
@@ -206,8 +222,8 @@
 class StoreFollower:
     """Follows the store: lists all items at first, then reads changes by long polling.
 
-    A read may wait at the store for a change for up to `wait_s` seconds; its response must arrive
-    within another `timeout_s` seconds. All failures are retried.
+    A read may wait at the store for a change for up to `wait_s` seconds, or less if the role says
+    so; its response must arrive within another `timeout_s` seconds. All failures are retried.
     """
 
     def __init__(
@@ -217,15 +233,14 @@
         metrics: EdgeMetrics,
         wait_s: float,
         timeout_s: float,
-        must_follow: Callable[[], bool],
+        role: FollowerRole,
     ) -> None:
         self.store = store
         self.store_view = store_view
         self.metrics = metrics
         self.wait_s = wait_s
         self.timeout_s = timeout_s
-        # Returns whether this node must follow the store; the other nodes get changes from peers.
-        self.must_follow = must_follow
+        self.role = role
         self.is_following = False
         # Event loop time of the last usable response.
         self.last_response_s = float("-inf")
@@ -238,6 +253,11 @@
         # Whether the next read is a short one that checks whether the store responds.
         self.checking = False
 
+    def is_reliable(self) -> bool:
+        """Whether this node follows the store and had a response lately, so peers need not."""
+        age_s = asyncio.get_running_loop().time() - self.last_response_s
+        return self.is_following and self.connected and age_s <= self.role.max_copy_age_s
+
     def check_store_now(self) -> None:
         """Replaces the pending read by a short one that shows whether the store still responds."""
         if self.connected and not self.checking and self.read_task is not None:
@@ -248,7 +268,7 @@
         """Follows the store until cancelled."""
         retry_s = _FIRST_RETRY_S
         while True:
-            self.is_following = not self.listed or self.must_follow()
+            self.is_following = not self.listed or self.role.must_follow_store()
             if not self.is_following:
                 await asyncio.sleep(_ROLE_CHECK_PERIOD_S)
                 continue
@@ -298,7 +318,7 @@
             # The store never answers a read that began while it was silent, so a long one begins
             # only after a recent response.
             is_long = not self.checking and self._has_recent_response()
-            wait_s = self.wait_s if is_long else _CHECK_WAIT_S
+            wait_s = min(self.wait_s, self.role.read_wait_s) if is_long else _CHECK_WAIT_S
             change_set = await self.store.wait_for_changes(
                 revision, wait_s, wait_s + self.timeout_s
             )
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -20,6 +20,7 @@
 from tanagerworks.edge.peers import PeerExchange
 from tanagerworks.edge.pipeline import Pipeline
 from tanagerworks.edge.recovery import CacheRecovery
+from tanagerworks.edge.store_role import StoreRole
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import SettingsError
 from tanagerworks.membership.peer_table import PeerTable
@@ -87,6 +88,13 @@
             settings.node, _fleet_bounds(settings.bounds), PeerTable(started_s)
         )
         self.store_view = StoreView(adapter.store, self.dispatcher)
+        self.store_role = StoreRole(
+            settings.node,
+            settings.zone,
+            self.dispatcher.peer_table,
+            self.store_view,
+            settings.bounds.leaving_notice_s,
+        )
         store = settings.store
         self.follower = StoreFollower(
             adapter.store,
@@ -94,7 +102,7 @@
             self.metrics,
             store.wait_s,
             store.timeout_s,
-            self._must_follow_store,
+            self.store_role,
         )
         self.pipeline = Pipeline(
             self.dispatcher,
@@ -124,9 +132,7 @@
             self.pipeline.caches_recovered,
         )
         self.store_view.on_store_changed = self.peer_exchange.announce_in_zone
-        self.peer_exchange.is_following_store = (
-            lambda: self.follower.is_following and self.follower.connected
-        )
+        self.peer_exchange.is_following_store = self.follower.is_reliable
         self.caller_server = HttpServer(self.pipeline.handle_request, self._caller_limits)
         self.readiness_server = HttpServer(self._respond_readiness, CallerLimits)
         self.metrics_server = HttpServer(self._respond_metrics, CallerLimits)
@@ -140,11 +146,6 @@
             self.pipeline.view_complete.set()
         self.pipeline.placer.wake_first_waiters()
 
-    def _must_follow_store(self) -> bool:
-        return self.dispatcher.peer_table.must_follow_store(
-            self.settings.node, self.settings.zone, asyncio.get_running_loop().time()
-        )
-
     def _caller_limits(self) -> CallerLimits:
         configuration = self.dispatcher.configuration
         return configuration.limits if configuration is not None else CallerLimits()
@@ -371,6 +372,7 @@
         self.settings = settings.model_copy(update=kept)
         self.peer_finder.apply_settings(self.settings)
         self.dispatcher.apply_bounds(_fleet_bounds(self.settings.bounds))
+        self.store_role.leaving_notice_s = self.settings.bounds.leaving_notice_s
         logging.getLogger().setLevel(self.settings.log_level.upper())
         _LOGGER.info("settings reloaded", extra={"ignored_until_restart": ignored})
 
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -31,6 +31,14 @@
     # service times the factor, plus the extra.
     cold_factor: float = Field(ge=0)
     cold_extra: float = Field(ge=0)
+    # A server that says it leaves serves requests for this time. Nodes have to stop sending it
+    # requests by then, also if some of them lose the store.
+    leaving_notice_ms: float = Field(default=2_000.0, gt=0)
+
+    @property
+    def leaving_notice_s(self) -> float:
+        """`leaving_notice_ms` in seconds."""
+        return self.leaving_notice_ms / 1000
 
 
 class StoreSettings(SettingsModel):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,6 +13,7 @@
 from tanagerworks.dispatch.directory import REREGISTRATION_S
 from tanagerworks.edge.follower import StoreFollower, StoreView
 from tanagerworks.edge.http_messages import RequestHead
+from tanagerworks.edge.store_role import StoreRole
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import BackendProtocolError, HistoryLostError, PublishedStoreError
 from tanagerworks.published.model import (
@@ -229,7 +230,8 @@
     node_dispatcher.configuration = None
     client = MetadataStore(store.address)
     store_view = StoreView(client, node_dispatcher)
-    return store_view, StoreFollower(client, store_view, EdgeMetrics(), 0.2, 0.3, lambda: True)
+    role = StoreRole("node-1", "zone-a", node_dispatcher.peer_table, store_view, 2.0)
+    return store_view, StoreFollower(client, store_view, EdgeMetrics(), 0.2, 0.3, role)
 
 
 def run_follower(scenario):
