Hold deletions only after failed reads of the store

Now an outage is what this node's own reads on new connections show, from the start of the first that failed to the first answer, less the time in which peers have read the store. A node that does not follow the store closes its connection to it.

Both new cases fail before the change. The test of a real outage poked the time of the last answer; it now lets the store refuse reads for 1.2 s, with the same assertions.

--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -24,9 +24,9 @@
 # a tenth of the time within which a new configuration must be in force.
 _FIRST_RETRY_S = 0.1
 _MAX_RETRY_S = 0.5
-# Shortest outage of the store after which deletions are held back, since entries may have expired
-# while servers could not renew them.
-_MIN_OUTAGE_S = 1.0
+# Shortest outage of the store, as far as reads show it, after which deletions are held back, since
+# entries may have expired while servers could not renew them.
+_MIN_OUTAGE_S = 0.5
 # Largest version of a configuration that messages between nodes can carry.
 _MAX_UINT64 = 2**64 - 1
 # Keys in the log line of a restored store.
@@ -246,6 +246,10 @@
         self.last_response_s = float("-inf")
         # Whether the last read got a usable response.
         self.connected = False
+        # Whether the next read opens a connection, so that its failure is one of the store.
+        self.on_new_connection = True
+        # Start of the first failed read on a new connection since the last response.
+        self.outage_since_s: float | None = None
         # Whether all items have been listed, at first or after the store has lost its history.
         self.listed = False
         self.random = random.Random()
@@ -270,10 +274,14 @@
         while True:
             self.is_following = not self.listed or self.role.must_follow_store()
             if not self.is_following:
+                # A connection that is not used may be lost without notice.
+                self.store.disconnect()
+                self.on_new_connection = True
                 await asyncio.sleep(_ROLE_CHECK_PERIOD_S)
                 continue
             loop = asyncio.get_running_loop()
-            next_s = loop.time() + _MIN_READ_INTERVAL_S
+            began_s = loop.time()
+            next_s = began_s + _MIN_READ_INTERVAL_S
             try:
                 await self._read_cancellable()
                 retry_s = _FIRST_RETRY_S
@@ -289,7 +297,7 @@
                 )
                 self.listed = False
             except PublishedStoreError as error:
-                self._record_failure(error.message)
+                self._record_failure(error.message, began_s)
             except Exception:
                 # The loop must continue after any error, or the view would stay outdated for good.
                 _LOGGER.exception("following the store failed; listing it again")
@@ -377,17 +385,31 @@
     def _record_response(self) -> None:
         now_s = asyncio.get_running_loop().time()
         if not self.connected:
-            # While this node does not follow the store, those that do show that it answers.
-            peer_table = self.store_view.dispatcher.peer_table
-            silent_s = now_s - max(self.last_response_s, peer_table.store_followed_s)
-            if _MIN_OUTAGE_S < silent_s < math.inf:
+            outage_s = 0.0
+            if self.outage_since_s is not None:
+                # What peers read in the meantime shows that the store answered.
+                outage_s = min(now_s - self.outage_since_s, self.store_view.age_s(now_s))
+            if outage_s > _MIN_OUTAGE_S:
                 self.store_view.dispatcher.directory.hold_deletions(now_s)
-            _LOGGER.info("store answers", extra={"silent_s": _rounded(silent_s)})
+            _LOGGER.info(
+                "store answers",
+                extra={
+                    "outage_s": round(outage_s, 3),
+                    "copy_age_s": _rounded(self.store_view.age_s(now_s)),
+                    "deletions_held": outage_s > _MIN_OUTAGE_S,
+                },
+            )
+        self.outage_since_s = None
+        self.on_new_connection = False
         self.connected = True
         self.last_response_s = now_s
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(self, reason: str, began_s: float) -> None:
+        """Records a failed read; on a connection that was open, it may show only its loss."""
         self.checking = False
+        if self.on_new_connection and self.outage_since_s is None:
+            self.outage_since_s = began_s
+        self.on_new_connection = True
         if self.connected:
             _LOGGER.warning("store does not answer", extra={"reason": reason})
         self.connected = False
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -62,6 +62,9 @@
             PublishedStoreError: no usable response within `timeout_s` seconds.
         """
 
+    def disconnect(self) -> None:
+        """Closes the connection, if one is open; the next read opens another one."""
+
     def decode_item(self, change: Change) -> PublishedValue | None:
         """Returns the typed value of an item, or None if the product does not use its key.
 
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -80,8 +80,6 @@
         self.addresses: set[str] = set()
         # Names of peers by `name_hash`.
         self.names_by_hash: dict[int, str] = {}
-        # When a message last said that its sender follows the store and gets answers.
-        self.store_followed_s = float("-inf")
         # Requests queued in other zones by service, by zone, as their last summaries state.
         self.queued_by_zone: dict[str, Mapping[str, int]] = {}
 
@@ -96,8 +94,6 @@
         known = self.peers.get(received.name)
         self.names_by_hash[name_hash(received.name)] = received.name
         self.addresses.add(received.address)
-        if received.follows_store:
-            self.store_followed_s = max(self.store_followed_s, received.last_seen_s)
         if known is None:
             self.peers[received.name] = received
             return "joined"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,7 +24,7 @@
     ZoneOut,
 )
 from tanagerworks.published.replica import Change
-from tests.edge_builders import dispatcher, peer
+from tests.edge_builders import dispatcher
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
     WIRE_ENTRY,
@@ -403,9 +403,11 @@
     """
 
     async def scenario(store, store_view, store_follower):
-        store_follower.last_response_s = asyncio.get_running_loop().time() - 10.0
-        store_follower.connected = False
+        store.mode = "busy"
+        await asyncio.sleep(1.2)
+        assert not store_follower.connected
         store.delete("servers/a")
+        store.mode = ""
         await wait_until(lambda: "servers/a" not in store_view.replica.items)
         directory = store_view.dispatcher.directory
         assert list(directory.usable_servers("models", 0.0))
@@ -420,18 +422,32 @@
     """Guards against requests to a server that has left, as no node has lost the store.
 
     The node last read the store long ago, since a peer followed it. The store refuses its first
-    read.
+    reads.
     """
 
     async def scenario(store, store_view, store_follower):
+        store.mode = "busy"
+        await asyncio.sleep(1.2)
         now_s = asyncio.get_running_loop().time()
         store_follower.last_response_s = now_s - 36.0
-        store_follower.connected = False
-        follower = peer("node-2", last_seen_s=now_s - 0.3, follows_store=True)
-        store_view.dispatcher.peer_table.record_message(follower)
-        refused = peer("node-2", last_seen_s=now_s - 0.1, sequence=follower.sequence + 1)
-        store_view.dispatcher.peer_table.record_message(refused)
+        store_view.confirm(now_s - 0.3)
+        store.delete("servers/a")
+        store.mode = ""
+        await wait_until(lambda: "servers/a" not in store_view.replica.items)
+        assert not list(store_view.dispatcher.directory.usable_servers("models", 0.0))
+
+    run_follower(scenario)
+
+
+def test_node_that_lost_only_its_connection_holds_no_deletion():
+    """Guards against requests to a server that has left, as a read went unanswered for long."""
+
+    async def scenario(store, store_view, store_follower):
+        store_follower.timeout_s = 1.2
+        store.mode = "silent"
+        await wait_until(lambda: not store_follower.connected)
         store.delete("servers/a")
+        store.mode = ""
         await wait_until(lambda: "servers/a" not in store_view.replica.items)
         assert not list(store_view.dispatcher.directory.usable_servers("models", 0.0))
 
--- a/tests/virtual_store.py
+++ b/tests/virtual_store.py
@@ -57,6 +57,9 @@
         changes = [change for change in self.store.history if change.revision > revision]
         return ChangeSet(tuple(changes), self.store.revision)
 
+    def disconnect(self):
+        pass
+
     async def _answer_after(self, delay_s, timeout_s):
         self.store.reads += 1
         await asyncio.sleep(delay_s)
