Apply held deletions while a node stops

From the stop signal on, the periodic checks were cancelled: for up to the grace period a node applied no held deletion and no held return of a zone, and woke no queued request. It could send requests to a server that had left. The checks go on; only the check for isolation, which sets whether connections are closed, ends with the signal. The test fails without the change.

--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -41,8 +41,6 @@
 _CONNECTION_CLEANUP_INTERVAL_S = 1.0
 # Reading and validating the settings takes about 2 ms.
 _SETTINGS_CHECK_INTERVAL_S = 2.0
-# Index of the task of `_run_periodic_checks` in `EdgeProcess.tasks`.
-_PERIODIC_CHECKS_INDEX = 0
 # Pause before a failed task is restarted, so that a persistent fault does not occupy the core.
 _TASK_RESTART_DELAY_S = 0.5
 # Delay after the start before the metrics library is imported, so that callers that waited for the
@@ -333,6 +331,9 @@
             for zone in self.dispatcher.directory.apply_held_returns(loop.time()):
                 _LOGGER.info("zone back in service", extra={"zone": zone, "source": "timeout"})
             self.pipeline.placer.wake_first_waiters()
+            if self.stop_requested.is_set():
+                # `_shut_down` closes the connections.
+                continue
             isolated = self.store_view.complete and self.check_isolation()
             if isolated != self.caller_server.closing_connections:
                 message = "node is isolated" if isolated else "node is no longer isolated"
@@ -382,8 +383,6 @@
         shutdown_deadline_s = loop.time() + self.settings.bounds.stop_limit_s - _EXIT_MARGIN_S
         _LOGGER.info("stopping", extra={"active": self.pipeline.active_requests})
         self.caller_server.closing_connections = True
-        # The periodic checks would reset `closing_connections`.
-        self.tasks[_PERIODIC_CHECKS_INDEX].cancel()
         self.pipeline.begin_shutdown(shutdown_deadline_s, loop.time() + _DRAIN_NOTICE_S)
         self.peer_exchange.stopping = True
         self.peer_exchange.announce()
--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -165,3 +165,28 @@
         assert loop.time() - started_s < edge_settings(store).bounds.stop_limit_s
 
     run_process(scenario)
+
+
+def test_held_deletion_is_applied_while_the_node_stops():
+    """Guards against a stopping node that sends requests to a server that has left."""
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        directory = process.dispatcher.directory
+        directory.hold_deletions(asyncio.get_running_loop().time() - 1.0)
+        store.delete("servers/a")
+        await wait_until(lambda: directory.held_deletions)
+        # A request in progress keeps the process from ending.
+        async with asyncio.TaskGroup() as group:
+            server.script = [respond_after(1.3)]
+            answer = group.create_task(
+                send_request(process.caller_server, request_bytes("/book/x", "last", "POST"))
+            )
+            await wait_until(lambda: process.pipeline.active_requests)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await wait_until(lambda: "a" not in directory.servers)
+            assert process.pipeline.active_requests
+        assert answer.result().status == 200
+
+    run_process(scenario, route_timeout_ms=4000)
