Read the software version of servers and the attempt that a caller resumes

Servers of several versions may serve side by side, and a stream may go on only at the version that began it. No decision is changed.

--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -84,6 +84,9 @@
     timeout_s: float | None
     prompt: Prompt | None
     last_event_id: str | None
+    # Id of the caller's attempt that brought the first event of the stream that this one goes on
+    # with; None if not stated.
+    resumes: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -441,6 +441,8 @@
                 "route": request.route.name,
                 "version": self.dispatcher.version,
                 "server": state.server_id,
+                "software": state.entry.version,
+                "resumes": request.call.resumes,
                 "why": choice.reason,
                 "copy_from": choice.copy_from.server_id if choice.copy_from else None,
                 "considered": [
--- a/src/tanagerworks/published/model.py
+++ b/src/tanagerworks/published/model.py
@@ -138,6 +138,9 @@
     started_ms: int | None
     # Number of the write, counted by the process.
     sequence: int = 0
+    # Version of the server's software. Versions have no order, and a stream that one began cannot
+    # go on at another.
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -95,6 +95,7 @@
         "leaving": False,
         "cold_s": 0.0,
         "started_ms": 1,
+        "version": "v1",
     }
     return ServerEntry(**(fields | changes))
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -455,8 +455,11 @@
     return response
 
 
-def run_scenario(scripts, scenario, config=None, service=PLAIN_SERVICE):
-    """Returns what `scenario(port, pipeline, servers)` returns; servers follow `scripts`."""
+def run_scenario(scripts, scenario, config=None, service=PLAIN_SERVICE, versions=None):
+    """Returns what `scenario(port, pipeline, servers)` returns; servers follow `scripts`.
+
+    `versions` are the servers' software versions, all "v1" if None.
+    """
 
     async def run():
         servers = []
@@ -465,7 +468,8 @@
             name = f"server-{number}"
             server = await ServerStandin(name, *script).start()
             servers.append(server)
-            entries.append(server_entry(name, service=service, port=server.port))
+            version = versions[number] if versions is not None else "v1"
+            entries.append(server_entry(name, service=service, port=server.port, version=version))
         port, pipeline = await start_edge(servers, config, entries)
         async with asyncio.timeout(20):
             result = await scenario(port, pipeline, servers)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -495,3 +495,14 @@
     store = MetadataStore("127.0.0.1:1")
     assert store.decode_item(Change("other", 1, b"{}")) is None
     assert store.decode_item(Change("op/evacuate/zone-b", 1, b"{}")) == ZoneOut("zone-b")
+
+
+def test_software_version_and_resumed_attempt_are_read():
+    """Guards against nodes that cannot tell at which software version a stream may go on."""
+    entry = parse_server_entry("a", encode_with_changes(WIRE_ENTRY, version="v1.1"))
+    assert entry.version == "v1.1"
+    too_long = parse_server_entry("a", encode_with_changes(WIRE_ENTRY, version="v" * 65))
+    assert isinstance(too_long, UnusableValue)
+    headers = [(b"x-tanagerworks-attempt-id", b"c2"), (b"resumes", b"c1")]
+    head = RequestHead(b"POST", b"/chat/x", headers, has_body=False)
+    assert CallerHttp().parse_call(head).resumes == "c1"
