Resume a stream within an answer only at the version that began it

A request is now bound to the version of the server that brought its first event: other servers are no candidates, no alternatives and no sources of cached parts for it. Before the first event any version will do.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -74,9 +74,16 @@
     identity: str = ""
     # When the caller gives up if its answer has not begun, on the clock of `deadline_s`.
     start_by_s: float = math.inf
+    # Software version at which the stream began that the request goes on with, or of which the
+    # caller already has events; None if any version will do.
+    software_version: str | None = None
     # Ids of the servers of earlier attempts, also of those that refused the connection.
     tried_server_ids: set[str] = field(default_factory=set)
 
+    def accepts_version(self, version: str) -> bool:
+        """Whether a server of a software version may serve the request."""
+        return self.software_version is None or self.software_version == version
+
     @property
     def suspect_ids(self) -> tuple[str, ...]:
         """Ids under which the request may be quarantined: the shared parts, then its identity."""
@@ -140,15 +147,22 @@
         """
         nodes = self.peer_table.assumed_fleet_size(now_s)
         found = []
-        for state in self._usable_or_ejected_servers(service, now_s):
+        for state in self._usable_or_ejected_servers(dispatch_request, service, now_s):
             if state.server_id in dispatch_request.tried_server_ids:
                 continue
             at_limit = self._check_limits(state, service, nodes, now_s)
             found.append(Candidate(state, state.load(now_s), at_limit))
         return found
 
-    def _usable_or_ejected_servers(self, service: Service, now_s: float) -> Iterable[ServerState]:
-        usable = list(self.directory.usable_servers(service.name, now_s))
+    def _usable_or_ejected_servers(
+        self, dispatch_request: DispatchRequest, service: Service, now_s: float
+    ) -> Iterable[ServerState]:
+        """Returns the usable servers of the version that the request needs."""
+        usable = [
+            state
+            for state in self.directory.usable_servers(service.name, now_s)
+            if dispatch_request.accepts_version(state.entry.version)
+        ]
         if usable:
             return usable
         # If all servers are ejected, the cause is not a single server, so ejections are ignored.
@@ -156,6 +170,7 @@
             state
             for state in self.directory.by_service.get(service.name, ())
             if not (state.leaving or state.removed or state.entry.zone in self.directory.zones_out)
+            and dispatch_request.accepts_version(state.entry.version)
         ]
 
     def _check_limits(self, state: ServerState, service: Service, nodes: int, now_s: float) -> bool:
@@ -223,7 +238,9 @@
         healthy_servers = [
             state
             for state in self.directory.by_service.get(service.name, ())
-            if not state.removed and not state.consecutive_failures
+            if not state.removed
+            and not state.consecutive_failures
+            and dispatch_request.accepts_version(state.entry.version)
         ]
         return chooser.choose_server(
             service, found, healthy_servers, dispatch_request.prompt, dispatch_request.zone, now_s
@@ -286,7 +303,11 @@
         Its answer has to begin before the caller gives up and to end before the deadline. False
         also if the service has no usable server, for example if all are ejected.
         """
-        states = list(self.directory.usable_servers(dispatch_request.service, now_s))
+        states = [
+            state
+            for state in self.directory.usable_servers(dispatch_request.service, now_s)
+            if dispatch_request.accepts_version(state.entry.version)
+        ]
         if not states:
             return False
         starts_s = now_s + max(
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import h11
 
@@ -447,6 +448,8 @@
                 stall_timeout.reschedule(loop.time() + stall_timeout_s)
             if event_splitter is not None:
                 data = event_splitter.feed(data)
+                if data and request.dispatch_request.software_version is None:
+                    self._record_stream_begin(request, attempt)
             if not responder.started:
                 self._start_response(request, response, _stated_length(response.headers))
             responder.write_body(data)
@@ -468,6 +471,12 @@
         if now_s - attempt.first_event_s >= ANSWER_START_S:
             self._record_answer(request, attempt)
 
+    def _record_stream_begin(self, request: RequestState, attempt: Attempt) -> None:
+        """Binds a resumable stream to the software version that brings its first event."""
+        request.dispatch_request = replace(
+            request.dispatch_request, software_version=attempt.state.entry.version
+        )
+
     def _record_answer(self, request: RequestState, attempt: Attempt) -> None:
         """Records, once per attempt, that the server has outlived the start of its answer."""
         if attempt.answer_under_way:
