Conclude nothing of a stream's version from the servers seen now

When all nodes were killed while one version of a service's servers replaced another, callers took their streams up at nodes that had just started. A node now goes by what has served since the stream may have begun, 1.5 times the route's timeout ago: versions that left are remembered for a minute, and messages tell peers which versions have served and for how long the sender has known all. A node that has not known the service for so long goes by the starts of its servers: if one started lately, it may have replaced one of another version, and the request is refused at once. Where no server started lately, streams go on as before.

--- a/src/tanagerworks/dispatch/software_versions.py
+++ b/src/tanagerworks/dispatch/software_versions.py
@@ -24,6 +24,8 @@
 
     def __init__(self) -> None:
         self.present: Mapping[str, AbstractSet[str]] = {}
+        # Time from which all versions are known; None before the first server.
+        self.known_from_s: float | None = None
         # When the last server of a service with a version left, by service and version.
         self.left_at_s: dict[tuple[str, str], float] = {}
 
@@ -33,6 +35,8 @@
             for version in versions - present.get(service, frozenset()):
                 self.record_left(service, version, now_s)
         self.present = present
+        if self.known_from_s is None and present:
+            self.known_from_s = now_s
         for key, left_at_s in list(self.left_at_s.items()):
             if now_s - left_at_s > HISTORY_S:
                 del self.left_at_s[key]
@@ -42,6 +46,15 @@
         key = (service, version)
         self.left_at_s[key] = max(left_at_s, self.left_at_s.get(key, left_at_s))
 
+    def extend_back(self, known_from_s: float) -> None:
+        """Records that all versions are known from an earlier time on, as a peer knows them."""
+        if self.known_from_s is not None:
+            self.known_from_s = min(self.known_from_s, known_from_s)
+
+    def is_known_since(self, since_s: float) -> bool:
+        """Whether all versions that have served since `since_s` are known."""
+        return self.known_from_s is not None and self.known_from_s <= since_s
+
     def versions_since(self, service: str, since_s: float) -> set[str]:
         """Returns the versions that have served at any time since `since_s`, as far as known."""
         versions = set(self.present.get(service, ()))
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -34,6 +34,7 @@
 from tanagerworks.edge.part_announcements import PartAnnouncements
 from tanagerworks.edge.store_copies import fetch_store_copy, serve_store_copy
 from tanagerworks.edge.stream_origins import StreamOriginTable
+from tanagerworks.edge.version_reports import add_version_reports, merge_version_reports
 from tanagerworks.errors import PeerError
 from tanagerworks.membership.addresses import is_address, parse_address
 from tanagerworks.membership.peer_table import (
@@ -86,8 +87,8 @@
 _INTRODUCTION_ATTEMPTS = 3
 # Longest message interval that is believed. In a fleet of a thousand nodes it is below 30 s.
 _MAX_INTERVAL_S = 30.0
-# One of this number of messages has peer addresses.
-_ADDRESS_MESSAGE_INTERVAL = 5
+# One of this number of messages has peer addresses and software versions.
+_RARE_FIELDS_INTERVAL = 5
 # Maximum number of peer addresses in a message.
 _ADDRESSES_PER_MESSAGE = 8
 # A node that follows the store waits this long for changes that a peer already has. After that it
@@ -220,6 +221,7 @@
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
         self._confirm_copy(peer)
+        merge_version_reports(state, self.dispatcher.directory.versions, now_s)
         if self._is_ahead(peer):
             self._fetch_if_behind(now_s)
         self.on_peer_state_applied()
@@ -446,7 +448,7 @@
         state = self._basic_state()
         interval_s = max(_INTRODUCTION_INTERVAL_S, self.summary_period_s)
         state.interval_ms = int(interval_s * 1000)
-        self._add_addresses(state, now_s)
+        self._add_rare_fields(state, now_s)
         self._add_reports(state, now_s, regular=False)
         return state
 
@@ -475,8 +477,9 @@
             configuration_version=self.store_view.configuration_version,
         )
 
-    def _add_addresses(self, state: NodeState, now_s: float) -> None:
-        """Adds the addresses of some live peers to a message."""
+    def _add_rare_fields(self, state: NodeState, now_s: float) -> None:
+        """Adds what only some messages have: addresses of live peers, and software versions."""
+        add_version_reports(state, self.dispatcher.directory.versions, now_s)
         peers = list(self.peer_table.peers.values())
         for peer in self.random.sample(peers, min(len(peers), _ADDRESSES_PER_MESSAGE)):
             if peer.is_live(now_s):
@@ -500,8 +503,8 @@
         """Yields the messages with this node's state and the parts it has sent since a time."""
         state = self._basic_state()
         state.interval_ms = int(self.zone_period_s * 1000)
-        if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
-            self._add_addresses(state, now_s)
+        if self.sequence % _RARE_FIELDS_INTERVAL == 1 or math.isinf(parts_since_s):
+            self._add_rare_fields(state, now_s)
         loads = local_loads(iter(self.dispatcher.directory.servers.values()))
         for server_id, load in loads.items():
             state.loads.add(
@@ -522,8 +525,8 @@
         for part in range(parts):
             state = self._basic_state()
             state.interval_ms = self._summary_interval_ms(now_s)
-            if self.sequence % _ADDRESS_MESSAGE_INTERVAL == 1:
-                self._add_addresses(state, now_s)
+            if self.sequence % _RARE_FIELDS_INTERVAL == 1:
+                self._add_rare_fields(state, now_s)
             for service, requests in waiting.items():
                 state.waiting.add(service=service, requests=requests)
             state.summary.CopyFrom(
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -21,6 +21,7 @@
 from tanagerworks.dispatch.durations import RouteDurations
 from tanagerworks.dispatch.request_identity import request_identity
 from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.dispatch.software_versions import stream_lifetime_s
 from tanagerworks.edge.crash_detector import CrashDetector
 from tanagerworks.edge.event_stream import EventSplitter
 from tanagerworks.edge.exchange import SERVER_ERROR, BackendExchange, log_attempt_failure
@@ -289,17 +290,21 @@
         """Binds a request that goes on with a stream to the version at which that began.
 
         Raises:
-            StreamOriginError: it is unknown, and the service has several versions.
+            StreamOriginError: it is unknown, and the service may have had several versions.
         """
-        service = request.service
-        version = None
-        if request.call.resumes is not None:
-            version = await self.stream_origins.find_version(request.call.resumes, service)
+        service, resumes = request.service, request.call.resumes
+        version = self.stream_origins.known_version(resumes) if resumes is not None else None
         if version is None:
-            versions = self.dispatcher.directory.versions.present.get(service, frozenset())
-            if len(versions) > 1:
-                raise StreamOriginError("it is unknown at which version the stream began")
-            version = next(iter(versions), None)
+            lifetime_s = stream_lifetime_s(request.route.timeout_s)
+            version = self.dispatcher.directory.sole_version(
+                service,
+                asyncio.get_running_loop().time() - lifetime_s,
+                1000 * (time.time() - lifetime_s),
+            )
+        if version is None and resumes is not None:
+            version = await self.stream_origins.find_version(resumes, service)
+        if version is None:
+            raise StreamOriginError("it is unknown at which version the stream began")
         request.dispatch_request = replace(request.dispatch_request, software_version=version)
 
     async def _serve_until_deadline(self, request: RequestState) -> str:
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -92,8 +92,16 @@
                 now_s,
             )
 
+    def known_version(self, attempt_id: str) -> str | None:
+        """Returns the version at which an attempt's stream began, if this node knows it."""
+        origin = self.origins.get(stream_key(attempt_id))
+        return origin.version if origin is not None else None
+
     async def find_version(self, attempt_id: str, service: str) -> str | None:
-        """Returns the version at which an attempt's stream began, or None if nobody knows it."""
+        """Returns the version at which an attempt's stream began, or None if nobody knows it.
+
+        Asks peers if this node does not know it.
+        """
         key = stream_key(attempt_id)
         if key not in self.origins:
             await self._ask_peers(key)
--- /dev/null
+++ b/src/tanagerworks/edge/version_reports.py
@@ -0,0 +1,28 @@
+"""Reports of the software versions that have served lately, in messages between nodes."""
+
+from tanagerworks.dispatch.software_versions import HISTORY_S, VersionHistory
+from tanagerworks.rpc.edge_pb2 import NodeState
+
+# Versions in one message. A fleet with more does not share how long it has known them.
+_MAX_VERSIONS = 16
+
+
+def add_version_reports(state: NodeState, history: VersionHistory, now_s: float) -> None:
+    """Adds the versions that a node knows to a message; nothing if there are too many."""
+    versions = list(history.all_versions(now_s))
+    if history.known_from_s is None or len(versions) > _MAX_VERSIONS:
+        return
+    known_for_s = min(HISTORY_S, now_s - history.known_from_s)
+    state.versions_known_ms = max(0, int(known_for_s * 1000))
+    for service, version, age_s in versions:
+        state.served_versions.add(service=service, version=version, age_ms=int(age_s * 1000))
+
+
+def merge_version_reports(state: NodeState, history: VersionHistory, now_s: float) -> None:
+    """Records the versions in a peer's message, and for how long the peer has known all."""
+    for served in state.served_versions:
+        if served.version not in history.present.get(served.service, ()):
+            history.record_left(served.service, served.version, now_s - served.age_ms / 1000)
+    if state.HasField("versions_known_ms"):
+        known_for_s = min(HISTORY_S, state.versions_known_ms / 1000)
+        history.extend_back(now_s - known_for_s)
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -4,9 +4,12 @@
 """
 
 import asyncio
+import time
+from dataclasses import replace
 
 import pytest
 
+from tanagerworks.dispatch.directory import Directory
 from tests.edge_builders import MODEL_SERVICE, configuration, server_entry, stream_route
 from tests.platform_standin import request_bytes, run_scenario, send_request, stream_events
 from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
@@ -209,3 +212,71 @@
         assert fleet.loop.time() - began_s < 0.2
 
     run_in_virtual_time(scenario())
+
+
+# After all nodes were killed
+
+
+def restart_scenario(started_ago_s, call_id="d1"):
+    """A caller takes a stream up at a node that has just started; returns the response.
+
+    The servers it sees run one version and started so long ago.
+    """
+
+    async def scenario(port, pipeline, servers):
+        directory = pipeline.dispatcher.directory
+        now_s, now_unix_ms = asyncio.get_running_loop().time(), time.time() * 1000
+        entries = [state.entry for state in directory.servers.values()]
+        fresh = pipeline.dispatcher.directory = Directory()
+        for entry, ago_s in zip(entries, started_ago_s, strict=True):
+            started_ms = int(now_unix_ms - 1000 * ago_s)
+            fresh.put(replace(entry, started_ms=started_ms), now_s)
+        return await send_request(port, resume_bytes(call_id, 4, "c1"))
+
+    return run_scenario(
+        [[stream_events(1, 9)]] * len(started_ago_s),
+        scenario,
+        configuration(routes=[replace(RESUMABLE, timeout_s=10.0)]),
+        MODEL_SERVICE,
+    )
+
+
+def test_stream_is_not_joined_with_a_version_that_has_replaced_another():
+    """Guards against joined streams after all nodes were killed during a change of version.
+
+    The node sees one version only, but one of its servers started lately and may have replaced one
+    of the version that began the stream.
+    """
+    assert restart_scenario([300.0, 5.0]).status == 503
+
+
+def test_stream_goes_on_after_a_restart_of_all_nodes():
+    """Guards against streams that are given up although no server was replaced."""
+    response = restart_scenario([300.0, 60.0])
+    assert response.status == 200
+    assert response.body.startswith(b"id: 5\n")
+
+
+@pytest.mark.parametrize(("former", "expected"), [("v1", None), ("v2", "v2")])
+def test_started_node_learns_from_peers_which_versions_have_served(former, expected):
+    """Guards against a guess by a node that started after the other version had left."""
+
+    async def scenario():
+        fleet = VirtualFleet(6, 3)
+        young = server_entry("s-2", version="v2", started_ms=int(time.time() * 1000))
+        for node in fleet.nodes[:5]:
+            node.dispatcher.directory.put(server_entry("s-1", version=former), 0.0)
+            node.start()
+        await asyncio.sleep(40.0)
+        for node in fleet.nodes[:5]:
+            node.dispatcher.directory.put(young, 40.0)
+            node.dispatcher.directory.delete("s-1", 40.0)
+        await asyncio.sleep(5.0)
+        last = fleet.nodes[5]
+        last.dispatcher.directory.put(young, 45.0)
+        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0, 0.0) is None
+        last.start()
+        await asyncio.sleep(1.5)
+        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0, 0.0) == expected
+
+    run_in_virtual_time(scenario())
