--- a/src/tanagerworks/fields.py
+++ b/src/tanagerworks/fields.py
@@ -20,5 +20,5 @@
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 # IPv4 address and port, ``IP:PORT``.
 Address = Annotated[
-    str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"), AfterValidator(_check_address)
+    str, Field(pattern=r"^([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}$"), AfterValidator(_check_address)
 ]
