--- a/tests/test_fault_odd_entries.py
+++ b/tests/test_fault_odd_entries.py
@@ -3,17 +3,21 @@
 One of them must neither end a node's following of the store nor fail requests to sound servers.
 """
 
+import asyncio
 import json
 
 import pytest
 from adapter.configuration import parse_configuration
 from adapter.server_entry import parse_server_entry
+from adapter.store import MetadataStore
 
+from tanagerworks.errors import PublishedStoreError
 from tanagerworks.published.model import ServerEntry, UnusableValue
 from tests.edge_process_runner import publish_to_store, run_process
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
     WIRE_ENTRY,
+    StoreStandin,
     encode_with_changes,
     request_bytes,
     send_request,
@@ -91,6 +95,51 @@
     run_process(scenario)
 
 
+@pytest.mark.parametrize(
+    "item",
+    [
+        {"key": "servers/\ud800", "revision": 7, "value": ""},
+        {"key": "servers/x", "revision": HUGE, "value": ""},
+        {"key": "servers/x", "revision": -1, "value": ""},
+        {"key": "servers/x", "revision": 7, "value": "no base64!"},
+        {"key": 5, "revision": 7, "value": ""},
+        {"revision": 7},
+        "no item",
+    ],
+)
+def test_odd_item_leaves_the_others_of_a_page(item):
+    """Guards against a listing that fails for good for one item of it."""
+
+    async def run():
+        store = await StoreStandin().start()
+        store.page_size = 10
+        store.put("servers/a", WIRE_ENTRY)
+        store.items["servers/odd"] = item
+        store.history.append(item)
+        client = MetadataStore(store.address)
+        page = await client.list_page("", 1.0)
+        decoded = [client.decode_item(change) for change in page.items]
+        servers = [value for value in decoded if isinstance(value, ServerEntry)]
+        assert [entry.server_id for entry in servers] == ["a"]
+        assert page.revision == 1
+        store.server.close_listener()
+
+    asyncio.run(run())
+
+
+def test_page_without_a_usable_revision_is_refused():
+    """Guards against a revision that messages between nodes cannot carry."""
+
+    async def run():
+        store = await StoreStandin().start()
+        store.revision = HUGE
+        with pytest.raises(PublishedStoreError):
+            await MetadataStore(store.address).list_page("", 1.0)
+        store.server.close_listener()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [("timeout-ms", "1e400"), ("timeout-ms", "NaN"), ("max-attempts", "9" * 400)],
