Take no request late in a stop that may be cut and may not be repeated

A stopping node took a request that may run only once if twice the latency objective still fitted into the grace period. One that took longer, up to the route's timeout, was cut with 504 at its end: its caller cannot tell whether it has run. Such a request is now refused, not run, unless all its time fits; repeatable ones are taken as before.

The test fails before: the request reaches the server 1.0 s before the end of the stop, with a timeout of 1.5 s.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -62,7 +62,7 @@
     TanagerError,
 )
 from tanagerworks.outcome import Outcome
-from tanagerworks.published.model import Route
+from tanagerworks.published.model import ExecutionSemantics, Route
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -255,9 +255,12 @@
             return
         # Only start requests that can complete. A stream may last until its deadline, but few do;
         # refusing all streams would send callers to other nodes that are shutting down as well.
-        # Other requests are assumed to take at most twice the latency objective of their route.
+        # Repeatable requests are assumed to take at most twice the latency objective of their
+        # route. The others get all their time: their callers could not tell whether they have run.
         needed_s = 2.0 * route.objective_s
-        if route.streams:
+        if not route.streams and route.execution is ExecutionSemantics.AT_MOST_ONCE:
+            needed_s = deadline_s - now_s
+        elif route.streams:
             factor = (
                 _NOTICE_MARGIN_FACTOR if now_s < self.notice_until_s else _SHUTDOWN_MARGIN_FACTOR
             )
--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -15,7 +15,9 @@
     never_respond,
     read_response,
     request_bytes,
+    respond_with,
     response_head,
+    run_scenario,
     send_request,
     wait_until,
 )
@@ -190,3 +192,24 @@
         assert answer.result().status == 200
 
     run_process(scenario, route_timeout_ms=4000)
+
+
+def test_late_request_that_may_not_be_repeated_is_refused_while_the_node_stops():
+    """Guards against a request that is cut at the end of the stop, when it may have run.
+
+    The node still takes such a request if it has all its time, and repeatable ones for longer.
+    """
+
+    async def scenario(port, pipeline, servers):
+        now_s = asyncio.get_running_loop().time()
+        pipeline.begin_shutdown(now_s + 1.0, now_s)
+        late = await send_request(port, request_bytes("/desk-book/x", "c1", "POST"))
+        requests_before = len(servers[0].requests)
+        repeatable = await send_request(port, request_bytes("/desk-read/x", "c2"))
+        pipeline.begin_shutdown(now_s + 5.0, now_s)
+        early = await send_request(port, request_bytes("/desk-book/x", "c3", "POST"))
+        return late, requests_before, repeatable, early
+
+    late, requests_before, repeatable, early = run_scenario([[respond_with()]], scenario)
+    assert (late.status, requests_before) == (503, 0)
+    assert (repeatable.status, early.status) == (200, 200)
