Let a stream that waits for its version keep no other request from a server

A request that is bound to a software version waited in the queue of its service. At its head it kept all others waiting while servers of other versions were free. It now waits beside the queue, is woken with its first request, and is served before it, since its caller has part of the answer already.

The test fails before: a new request waits for 1.5 s, its whole deadline, beside a free server of the other version.

--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -29,12 +29,17 @@
         self.dispatcher = dispatcher
         # Events that wake queued requests, by call id.
         self.waiters: dict[str, asyncio.Event] = {}
+        # Events of requests that wait for a server of their stream's software version, by service
+        # and call id. They are not in the queue: its first request would keep others from servers
+        # of other versions.
+        self.version_waiters: dict[str, dict[str, asyncio.Event]] = {}
         self.random = random.Random()
 
     async def place_request(self, request: RequestState) -> Choice:
         """Returns the server for the next attempt and counts the attempt as started.
 
-        Waits in the queue of the service if no server has free capacity.
+        Waits in the queue of the service if no server has free capacity; a request that is bound to
+        a software version waits beside the queue, and is served first.
 
         Raises:
             PartQuarantinedError: a part of the prompt has crashed servers.
@@ -48,7 +53,10 @@
         self._check_quarantine(dispatch_request)
         queue = self.dispatcher.queue(dispatch_request.service)
         choice = self.dispatcher.choose_server(dispatch_request, loop.time())
-        if choice.state is not None and queue.count_ahead(dispatch_request.priority) == 0:
+        is_bound = dispatch_request.software_version is not None
+        if choice.state is not None and (
+            is_bound or queue.count_ahead(dispatch_request.priority) == 0
+        ):
             queue.charge(dispatch_request.priority, dispatch_request.customer)
             self.dispatcher.record_start(dispatch_request, choice, loop.time())
             return choice
@@ -58,8 +66,43 @@
             raise self._capacity_error(
                 "the queue cannot be served before the deadline", dispatch_request
             )
+        if is_bound:
+            return await self._wait_for_version(request)
         return await self._wait_for_server(request)
 
+    async def _wait_for_version(self, request: RequestState) -> Choice:
+        """Returns the choice once a server of the request's software version is free.
+
+        Raises:
+            NoServerError: no server of the version is left for the request.
+            CapacityError: too many requests wait so.
+        """
+        dispatch_request = request.dispatch_request
+        waiters = self.version_waiters.setdefault(dispatch_request.service, {})
+        if len(waiters) >= MAX_QUEUED_REQUESTS:
+            raise self._capacity_error(
+                "too many requests wait for servers of their versions", dispatch_request
+            )
+        event = waiters[dispatch_request.call_id] = asyncio.Event()
+        _LOGGER.info(
+            "request waits for a server of its version",
+            extra={
+                "call": dispatch_request.call_id,
+                "software": dispatch_request.software_version,
+                "waiting": len(waiters),
+            },
+        )
+        try:
+            while True:
+                await event.wait()
+                event.clear()
+                self._check_quarantine(dispatch_request)
+                choice = self._choose(dispatch_request)
+                if choice is not None:
+                    return choice
+        finally:
+            del waiters[dispatch_request.call_id]
+
     def _no_server_error(self, dispatch_request: DispatchRequest) -> NoServerError:
         now_s = asyncio.get_running_loop().time()
         unusable = self.dispatcher.describe_unusable_servers(dispatch_request.service, now_s)
@@ -159,6 +202,14 @@
         first = next(self.dispatcher.queue(dispatch_request.service).next_requests(1), None)
         if first != dispatch_request.call_id:
             return None
+        return self._choose(dispatch_request)
+
+    def _choose(self, dispatch_request: DispatchRequest) -> Choice | None:
+        """Returns the choice, which counts as started, or None if no server is free.
+
+        Raises:
+            NoServerError: no server of the service is left for the request.
+        """
         now_s = asyncio.get_running_loop().time()
         choice = self.dispatcher.choose_server(dispatch_request, now_s)
         if choice.state is None:
@@ -169,7 +220,12 @@
         return choice
 
     def wake_first_waiter(self, service: str) -> None:
-        """Wakes the first request in the queue of a service to choose a server again."""
+        """Wakes the first request in the queue of a service to choose a server again.
+
+        Also wakes those that wait for a server of their stream's software version.
+        """
+        for version_waiter in self.version_waiters.get(service, {}).values():
+            version_waiter.set()
         for call_id in self.dispatcher.queue(service).next_requests(1):
             event = self.waiters.get(call_id)
             if event is not None:
@@ -180,6 +236,9 @@
         """Wakes all queued requests; called when some of them may have to be refused."""
         for event in self.waiters.values():
             event.set()
+        for events in self.version_waiters.values():
+            for event in events.values():
+                event.set()
 
     def wake_first_waiters(self) -> None:
         """Wakes the first request of every queue; called when the state of servers has changed."""
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -11,7 +11,13 @@
 
 from tanagerworks.dispatch.directory import Directory
 from tests.edge_builders import MODEL_SERVICE, configuration, server_entry, stream_route
-from tests.platform_standin import request_bytes, run_scenario, send_request, stream_events
+from tests.platform_standin import (
+    request_bytes,
+    run_scenario,
+    send_request,
+    stream_events,
+    wait_until,
+)
 from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
 
 RESUMABLE = stream_route("plan", resumable=True, max_attempts=3)
@@ -280,3 +286,43 @@
         assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0, 0.0) == expected
 
     run_in_virtual_time(scenario())
+
+
+def test_request_that_waits_for_its_version_keeps_no_other_from_a_free_server():
+    """Guards against a queue that stands still behind a stream whose version has no free server."""
+    release = asyncio.Event()
+
+    async def stream_until_released(server, headers, reader, writer):
+        await release.wait()
+        await stream_events(1, 9)(server, headers, reader, writer)
+
+    async def scenario(port, pipeline, servers):
+        table = pipeline.stream_origins
+        for name in ("c1", "c2"):
+            table.record_begin(name, MODEL_SERVICE, "v1")
+        directory = pipeline.dispatcher.directory
+        full = directory.servers["server-0"]
+        directory.put(replace(full.entry, slots=1), 0.0)
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(send_request(port, resume_bytes(f"d{number}", 4, f"c{number}")))
+                for number in (1, 2)
+            ]
+            await wait_until(lambda: pipeline.active_requests == 2)
+            await asyncio.sleep(0.05)
+            new = await send_request(port, request_bytes("/plan/x", "e1", "POST"))
+            assert not any(task.done() for task in tasks)
+            release.set()
+        return new, [task.result() for task in tasks], versions_by_call(servers, ["v1", "v2"])
+
+    new, resumed, reached = run_scenario(
+        [[stream_until_released], [stream_events(1, 9)]],
+        scenario,
+        configuration(routes=[RESUMABLE]),
+        MODEL_SERVICE,
+        ["v1", "v2"],
+    )
+    assert new.complete
+    assert reached["e1"] == ["v2"]
+    assert all(response.complete for response in resumed)
+    assert reached["d1"] == reached["d2"] == ["v1"]
