Refuse a claim that the full queue dropped for lack of capacity

The router's caller was told that the deadline had passed when its claim was dropped for that of another customer, long before the deadline. The claim now says that it was dropped, and its refusal is that of a full queue.

--- a/src/tanagerworks/routing/claims.py
+++ b/src/tanagerworks/routing/claims.py
@@ -31,6 +31,8 @@
     ask_rounds: int = 0
     # A Borrow call for the claim is in progress.
     borrowing: bool = False
+    # The full queue dropped the claim for that of another customer.
+    dropped: bool = False
     # Peers still to ask, in order.
     peers: list[str] = field(default_factory=list)
     # (engine id, slot index limit), in order of preference.
--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -247,6 +247,13 @@
         after_s = error.retry_after_s if retry_after_s is None else retry_after_s
         return Refused(claim, error, reason, after_s or 0.0)
 
+    def _refuse_ended(self, claim: Claim) -> Refused:
+        """Refuses a claim that the full queue has dropped, or whose deadline has passed."""
+        if claim.dropped:
+            reason = "dropped from the full queue for another customer's claim"
+            return self._refuse(claim, CapacityError, reason)
+        return self._refuse(claim, DeadlineError, "the deadline passed")
+
     def _remove_claim(self, claim: Claim) -> None:
         if self.claims.pop(claim.claim_id, None) is not None:
             self.waiting_by_engine[claim.candidates[0].engine_id] -= 1
@@ -267,8 +274,8 @@
             return Queued(claim)
         if customer is None or request_class is None:
             return self._refuse(claim, RequestError, "customer or class was withdrawn")
-        if claim.deadline_s <= now_s:
-            return self._refuse(claim, DeadlineError, "the deadline passed")
+        if claim.deadline_s <= now_s or claim.dropped:
+            return self._refuse_ended(claim)
         self._store_claim(claim)
         dropped = self.queue.push(
             claim.request_class,
@@ -282,7 +289,7 @@
             return self._refuse(claim, CapacityError, "the queue of the class is full")
         if dropped is not None:
             # Refused at the next tick: this call answers only for the new claim.
-            self.claims[dropped].deadline_s = now_s
+            self.claims[dropped].dropped = True
         claim.add_trace_step("queue", "waits for a slot")
         return Queued(claim)
 
@@ -493,7 +500,7 @@
             return None, []
         claim.add_trace_step("borrow", f"{lender} lends no slot of {claim.wanted_slots[0][0]}")
         claim.peers = [peer for peer in claim.peers if peer != lender]
-        if claim.peers and claim.deadline_s > now_s:
+        if claim.peers and claim.deadline_s > now_s and not claim.dropped:
             return MustBorrow(claim, borrow_id, tuple(claim.peers), claim.wanted_slots), []
         self._end_borrowing(claim)
         return self._retry_after_borrow(claim, now_s), []
@@ -668,9 +675,10 @@
             self.limits.record_end(self.customer_by_grant.pop(grant_id))
             self.start_times_s.pop(grant_id, None)
         effects: list[Effect] = []
-        for claim in [claim for claim in self.claims.values() if claim.deadline_s <= now_s]:
+        ended = [c for c in self.claims.values() if c.deadline_s <= now_s or c.dropped]
+        for claim in ended:
             if not claim.borrowing:
-                effects.append(self._refuse(claim, DeadlineError, "the deadline passed"))
+                effects.append(self._refuse_ended(claim))
         for queue in self.queue.queues.values():
             queue.drop_past_tags()
         return effects + self._serve_queue(now_s)
@@ -682,7 +690,7 @@
         self.full_pools.clear()
         for claim_id in list(self.queue.claims_in_order(QUEUE_ATTEMPTS)):
             claim = self.claims[claim_id]
-            if claim.borrowing or claim.deadline_s <= now_s:
+            if claim.borrowing or claim.deadline_s <= now_s or claim.dropped:
                 continue
             if self.full_pools and self._preferred_pool(claim) in self.full_pools:
                 continue
