Conclude nothing of versions at a node that is cut off from a zone

A node that reaches neither the store nor the peers of a zone may not have heard of a new software version. It took the one that it knew for that of a caller's stream, which may have begun at the new one on a node of another zone (ORDER binds all machines, in touch or not). It now asks its peers, and refuses the request if they do not know. If only the store is down, no version can have appeared, and streams go on.

One case of the test fails before: the node concludes v1.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -298,11 +298,11 @@
         service, resumes = request.service, request.call.resumes
         version = self.stream_origins.known_version(resumes) if resumes is not None else None
         if version is None:
-            lifetime_s = stream_lifetime_s(request.route.timeout_s)
-            version = self.dispatcher.directory.sole_version(
+            version = self.dispatcher.sole_version(
                 service,
-                asyncio.get_running_loop().time() - lifetime_s,
-                1000 * (time.time() - lifetime_s),
+                stream_lifetime_s(request.route.timeout_s),
+                asyncio.get_running_loop().time(),
+                time.time(),
             )
         if version is None and resumes is not None:
             version = await self.stream_origins.find_version(resumes, service)
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -10,7 +10,14 @@
 import pytest
 
 from tanagerworks.dispatch.directory import Directory
-from tests.edge_builders import MODEL_SERVICE, configuration, server_entry, stream_route
+from tests.edge_builders import (
+    MODEL_SERVICE,
+    configuration,
+    dispatcher,
+    peer,
+    server_entry,
+    stream_route,
+)
 from tests.platform_standin import (
     request_bytes,
     run_scenario,
@@ -326,3 +333,22 @@
     assert reached["e1"] == ["v2"]
     assert all(response.complete for response in resumed)
     assert reached["d1"] == reached["d2"] == ["v1"]
+
+
+@pytest.mark.parametrize(
+    ("copy_age_s", "silent_zone", "expected"),
+    [(0.2, True, "v1"), (5.0, True, None), (5.0, False, "v1")],
+)
+def test_node_that_is_cut_off_concludes_nothing(copy_age_s, silent_zone, expected):
+    """Guards against joined streams at a node that has not heard of a new version.
+
+    While the store itself is down, no version can appear, and streams go on.
+    """
+    now_s = 100.0
+    peers = [
+        peer("node-2", now_s, zone="zone-b"),
+        peer("node-03", 0.0 if silent_zone else now_s, zone="zone-c"),
+    ]
+    subject = dispatcher(servers=[server_entry("a")], peers=peers)
+    subject.directory.confirmed_s = now_s - copy_age_s
+    assert subject.sole_version(MODEL_SERVICE, 20.0, now_s, 1e9) == expected
