Record a stream that goes on under the attempt that began it

A stream that went on because its service had one version was not recorded at the node that went on with it, so that it was unknown to others once a second version came and the first node was gone. A new stream is recorded under its own attempt, whatever the caller names. Addresses and versions are sent to new processes, not with each change of the store that a node announces in its zone.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -479,11 +479,7 @@
         request.dispatch_request = replace(
             request.dispatch_request, software_version=attempt.state.entry.version
         )
-        self.on_stream_begun(
-            request.call.resumes or request.call.call_id,
-            request.service,
-            attempt.state.entry.version,
-        )
+        self.on_stream_begun(request.call.call_id, request.service, attempt.state.entry.version)
 
     def _record_answer(self, request: RequestState, attempt: Attempt) -> None:
         """Records, once per attempt, that the server has outlived the start of its answer."""
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -216,7 +216,7 @@
             )
             # A new process waits for the first messages of its peers before it recovers its index
             # of cached parts.
-            self._announce_to([state.address], state.zone == self.zone, now_s)
+            self._announce_to([state.address], state.zone == self.zone, now_s, greeting=True)
         self.introduction_attempts.pop(state.address, None)
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
@@ -434,10 +434,15 @@
         ]
         self._announce_to(zone_targets, True, asyncio.get_running_loop().time())
 
-    def _announce_to(self, targets: list[str], in_zone: bool, now_s: float) -> None:
-        """Sends this node's state out of turn, without parts; regular messages go on as before."""
+    def _announce_to(
+        self, targets: list[str], in_zone: bool, now_s: float, greeting: bool = False
+    ) -> None:
+        """Sends this node's state out of turn, without parts; regular messages go on as before.
+
+        A greeting to a new process has what only some messages have.
+        """
         if in_zone:
-            self._send(targets, self._own_states(math.inf, now_s))
+            self._send(targets, self._own_states(math.inf, now_s, greeting))
         else:
             self._send(targets, [self._introduction(now_s)])
 
@@ -499,11 +504,13 @@
         room = min(_MAX_LIMIT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
         state.limits.extend(to_limit_reports(directory, now_s, room))
 
-    def _own_states(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
+    def _own_states(
+        self, parts_since_s: float, now_s: float, greeting: bool = False
+    ) -> Iterator[NodeState]:
         """Yields the messages with this node's state and the parts it has sent since a time."""
         state = self._basic_state()
         state.interval_ms = int(self.zone_period_s * 1000)
-        if self.sequence % _RARE_FIELDS_INTERVAL == 1 or math.isinf(parts_since_s):
+        if self.sequence % _RARE_FIELDS_INTERVAL == 1 or greeting:
             self._add_rare_fields(state, now_s)
         loads = local_loads(iter(self.dispatcher.directory.servers.values()))
         for server_id, load in loads.items():
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -305,9 +305,11 @@
                 time.time(),
             )
         if version is None and resumes is not None:
-            version = await self.stream_origins.find_version(resumes, service)
+            version = await self.stream_origins.find_version(resumes)
         if version is None:
             raise StreamOriginError("it is unknown at which version the stream began")
+        if resumes is not None:
+            self.stream_origins.record_begin(resumes, service, version)
         request.dispatch_request = replace(request.dispatch_request, software_version=version)
 
     async def _serve_until_deadline(self, request: RequestState) -> str:
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -65,7 +65,10 @@
         self.questions: dict[int, _Question] = {}
 
     def record_begin(self, attempt_id: str, service: str, version: str) -> None:
-        """Records that an attempt brought the first event of a stream from a server."""
+        """Records at which version an attempt's stream began, and tells peers if they must know.
+
+        Also called when the stream goes on, since some of the peers that were told may be gone.
+        """
         now_s = asyncio.get_running_loop().time()
         key = stream_key(attempt_id)
         self._add(key, _Origin(version, now_s, service))
@@ -97,7 +100,7 @@
         origin = self.origins.get(stream_key(attempt_id))
         return origin.version if origin is not None else None
 
-    async def find_version(self, attempt_id: str, service: str) -> str | None:
+    async def find_version(self, attempt_id: str) -> str | None:
         """Returns the version at which an attempt's stream began, or None if nobody knows it.
 
         Asks peers if this node does not know it.
@@ -105,13 +108,7 @@
         key = stream_key(attempt_id)
         if key not in self.origins:
             await self._ask_peers(key)
-        origin = self.origins.get(key)
-        if origin is None:
-            return None
-        if origin.service is None:
-            # Some of the peers that were told may be gone.
-            self.record_begin(attempt_id, service, origin.version)
-        return origin.version
+        return self.known_version(attempt_id)
 
     def receive(self, message: StreamOrigins, sender: tuple[str, int]) -> None:
         """Records what a peer tells, and answers what it asks."""
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -174,9 +174,7 @@
         # The new processes discover their peers.
         await asyncio.sleep(0.5)
         found = [
-            await fleet.nodes[number % 9].exchange.stream_origins.find_version(
-                f"c{number}", MODEL_SERVICE
-            )
+            await fleet.nodes[number % 9].exchange.stream_origins.find_version(f"c{number}")
             for number in range(40)
         ]
         expected = ["v1" if number % 2 else "v2" for number in range(40)]
@@ -203,7 +201,7 @@
         first.stop()
         other = fleet.nodes[4].exchange.stream_origins
         for number in range(300):
-            assert await other.find_version(f"c{number}", MODEL_SERVICE) == "v1"
+            assert await other.find_version(f"c{number}") == "v1"
 
     run_in_virtual_time(scenario())
 
@@ -216,12 +214,12 @@
         await asyncio.sleep(3.0)
         asking = fleet.nodes[8].exchange.stream_origins
         began_s = fleet.loop.time()
-        assert await asking.find_version("c1", MODEL_SERVICE) is None
+        assert await asking.find_version("c1") is None
         assert fleet.loop.time() - began_s < 0.02
         for node in fleet.nodes[:8]:
             node.stop()
         began_s = fleet.loop.time()
-        assert await asking.find_version("c2", MODEL_SERVICE) is None
+        assert await asking.find_version("c2") is None
         assert fleet.loop.time() - began_s < 0.2
 
     run_in_virtual_time(scenario())
