Announce a longer interval while a fleet of many zones is discovered

A node's first introduction to another zone announced one second, while the summaries that show it alive come at up to 3.2 s with ten zones: live peers were logged as lost 4 s after the start. While nodes are discovered, introductions announce the two seconds that summaries announce already.

--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -452,17 +452,23 @@
         """Returns a message to a node of another or an unknown zone, without loads."""
         state = self._basic_state()
         interval_s = max(_INTRODUCTION_INTERVAL_S, self.summary_period_s)
-        state.interval_ms = int(interval_s * 1000)
+        state.interval_ms = int(self._with_growth(interval_s, now_s) * 1000)
         self._add_rare_fields(state, now_s)
         self._add_reports(state, now_s, regular=False)
         return state
 
     def _summary_interval_ms(self, now_s: float) -> int:
-        """Returns the time until the next summary; while nodes are discovered, it may grow."""
-        interval_s = self.summary_period_s
-        if now_s - self.peer_table.started_s < _GROWTH_PERIOD_S:
-            interval_s = max(interval_s, _SENDERS_PER_RECEIVER * _INTRODUCTION_INTERVAL_S)
-        return int(interval_s * 1000)
+        """Returns the time until the next summary."""
+        return int(self._with_growth(self.summary_period_s, now_s) * 1000)
+
+    def _with_growth(self, interval_s: float, now_s: float) -> float:
+        """Returns the interval to announce: while nodes are discovered, the present one may grow.
+
+        The period in seconds in which summaries reach a node grows with the number of zones.
+        """
+        if now_s - self.peer_table.started_s >= _GROWTH_PERIOD_S:
+            return interval_s
+        return max(interval_s, _SENDERS_PER_RECEIVER * _INTRODUCTION_INTERVAL_S)
 
     def _basic_state(self) -> NodeState:
         """Returns the next message with the fields that all kinds of messages have."""
--- a/tests/test_exchange_patterns.py
+++ b/tests/test_exchange_patterns.py
@@ -111,6 +111,21 @@
     assert lost_peers == []
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_fleet_of_many_zones_that_starts_together_loses_nobody(seed, lost_peers):
+    """Guards against live peers that are lost as summaries come at longer intervals at first.
+
+    The issue was shown with 350 nodes in ten zones; the intervals grow with the zones.
+    """
+
+    async def scenario():
+        VirtualFleet(160, 16, seed).start()
+        await asyncio.sleep(9.0)
+
+    run_in_virtual_time(scenario())
+    assert lost_peers == []
+
+
 @pytest.mark.parametrize(("count", "zones"), [(9, 3), BIG_FLEET])
 def test_dead_node_is_gone_everywhere_and_nobody_else(count, zones):
     """Guards against the load of a dead node that stays, or is spread by the summaries."""
