Let the faults of the soak overlap

Signals, restarts, replacements and outages begin while others last; a node that is being stopped may be killed.

--- a/tests/edge_soak.py
+++ b/tests/edge_soak.py
@@ -54,6 +54,7 @@
         self.settings = directory / f"{self.name}.yaml"
         self.log = directory / f"{self.name}.log"
         self.process = None
+        self.restarting = asyncio.Lock()
         document = {
             "node": self.name,
             "zone": f"zone-{number}",
@@ -91,11 +92,23 @@
 
     async def end(self, signal_number):
         """Sends a signal, unless the process has ended, and waits for its end."""
-        if self.process.returncode is None:
-            self.process.send_signal(signal_number)
+        self.signal(signal_number)
         async with asyncio.timeout(_START_LIMIT_S):
             await self.process.wait()
 
+    def signal(self, signal_number):
+        if self.process.returncode is None:
+            self.process.send_signal(signal_number)
+
+    async def restart(self, signal_number):
+        """Ends the process and starts another one; while that is under way, only signals it."""
+        if self.restarting.locked():
+            self.signal(signal_number)
+            return
+        async with self.restarting:
+            await self.end(signal_number)
+            await self.start()
+
 
 class Soak:
     """One run; `violations` are the promises that were broken, one line each."""
@@ -138,12 +151,15 @@
             self.nodes.append(node)
             await node.start()
         await self.wait_until_ready()
+        faults = []
         callers = [asyncio.create_task(self.call(number)) for number in range(_CALLERS)]
         try:
             until_s = asyncio.get_running_loop().time() + seconds
             while asyncio.get_running_loop().time() < until_s:
                 await asyncio.sleep(self.random.uniform(0.1, _MAX_PAUSE_BETWEEN_FAULTS_S))
-                await self.random.choice(self.faults())()
+                # Faults last for some seconds and overlap.
+                faults.append(asyncio.create_task(self.random.choice(self.faults())()))
+            await asyncio.gather(*faults)
             self.store.mode = ""
             await self.wait_until_ready()
         finally:
@@ -184,7 +200,7 @@
         server_id = f"i-{self.server_number:04}"
         answer = self.answer_stream if service == "models" else self.answer_booking
         server = ServerStandin(server_id, answer)
-        server.service, server.version = service, version
+        server.service, server.version, server.leaving = service, version, False
         await server.start()
         self.servers[server_id] = server
         self.put_entry(server, "ready")
@@ -244,22 +260,17 @@
         ]
 
     async def kill_node(self):
-        node = self.random.choice(self.nodes)
-        await node.end(signal.SIGKILL)
-        await node.start()
+        await self.random.choice(self.nodes).restart(signal.SIGKILL)
 
     async def stop_node(self):
-        node = self.random.choice(self.nodes)
-        await node.end(signal.SIGTERM)
-        await node.start()
+        await self.random.choice(self.nodes).restart(signal.SIGTERM)
 
     async def kill_all_nodes(self):
-        await asyncio.gather(*(node.end(signal.SIGKILL) for node in self.nodes))
-        await asyncio.gather(*(node.start() for node in self.nodes))
+        await asyncio.gather(*(node.restart(signal.SIGKILL) for node in self.nodes))
 
     async def replace_server(self):
         """Starts a server, mostly of another version, for one that leaves."""
-        server = self.random.choice(list(self.servers.values()))
+        server = self.choose_staying_server()
         if self.random.random() < 0.2:
             self.version_number += 1
         version = f"v{self.random.randint(max(1, self.version_number - 1), self.version_number)}"
@@ -269,12 +280,19 @@
         self.remove_server(server)
 
     async def crash_server(self):
-        server = self.random.choice(list(self.servers.values()))
+        server = self.choose_staying_server()
         server.crash()
         await asyncio.sleep(self.random.uniform(0.0, 0.5))
         self.remove_server(server)
         await self.add_server(server.service, server.version)
 
+    def choose_staying_server(self):
+        """Returns a server that no other fault is about to remove, and marks it as leaving."""
+        staying = [server for server in self.servers.values() if not server.leaving]
+        server = self.random.choice(staying)
+        server.leaving = True
+        return server
+
     def remove_server(self, server):
         server.server.close()
         del self.servers[server.server_id]
