--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/requirements.stamp
 
-.PHONY: env demo test lint format types measure soak proto
+.PHONY: env demo test lint format types measure soak edge-soak proto
 
 env: $(STAMP)
 
@@ -39,6 +39,11 @@
 soak: env
 	PYTHONPATH=src:. $(PYTHON) -m tools.soak --seconds=$(SECONDS) --seed=$(SEED)
 
+FIRST ?= 1
+LAST ?= 3
+edge-soak: env
+	PYTHONPATH=src:.:platform $(PYTHON) -m tests.edge_soak $(FIRST) $(LAST) $(SECONDS)
+
 # Generated code is committed; run this only after a change to the .proto file.
 proto: env
 	$(PYTHON) -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src --grpc_python_out=src \
