Charge customers for slots that are borrowed at once

A claim that got its slot without a wait was charged in the fair queue only if the slot was the node's own, so that a customer served from borrowed slots went before others in the next backlog.

--- a/src/tanagerworks/routing/scheduler.py
+++ b/src/tanagerworks/routing/scheduler.py
@@ -225,8 +225,6 @@
             cached_engine_id = self.placement_overrides.get(claim.chat_hash)
             claim.candidates = prefer_cached(claim.candidates, cached_engine_id)
         decision = self._try_claim(claim, now_s)
-        if isinstance(decision, Granted):
-            self.queue.queues[claim.request_class].charge_customer(claim.customer, customer.weight)
         return decision if decision is not None else self._enqueue(claim, now_s)
 
     def live_node_count(self, statement: Statement) -> int:
@@ -414,10 +412,21 @@
             return reason.value
         return "ejected" if self.outliers.is_ejected(engine_id, now_s) else None
 
+    def _charge_unqueued(self, claim: Claim) -> None:
+        """Charges the customer for a slot without a wait, as the queue does for those that wait."""
+        assert self.note is not None
+        customer = self.note.statement.customers.get(claim.customer)
+        queue = self.queue.queues.get(claim.request_class)
+        if customer is not None and queue is not None:
+            queue.charge_customer(claim.customer, customer.weight)
+
     def _record_grant(self, claim: Claim, grant: Grant, now_s: float) -> Granted:
         assert self.note is not None
         engine_id = grant.slot.engine_id
-        self.queue.remove_served(claim.claim_id)
+        if claim.claim_id in self.queue:
+            self.queue.remove_served(claim.claim_id)
+        else:
+            self._charge_unqueued(claim)
         self._remove_claim(claim)
         self.limits.record_start(claim.customer)
         self.customer_by_grant[grant.grant_id] = claim.customer
--- a/tests/test_agent_claims.py
+++ b/tests/test_agent_claims.py
@@ -190,6 +190,21 @@
     asyncio.run(scenario())
 
 
+def test_customer_is_charged_for_a_slot_that_was_borrowed_at_once():
+    """Guards against a customer whose borrowed slots cost nothing in the fair queue."""
+
+    async def scenario():
+        async with _running_agents(["n1", "n2"], 2) as agents:
+            state, stub = agents["n1"]
+            await stub.Claim(_claim_request("a"))
+            await stub.Claim(_claim_request("b"))
+            assert any(grant.lender for grant in state.ledger.grants.values())
+            queue = state.scheduler.queue.queues["counter"]
+            assert queue.finish_tags["club-carthage"] == 2.0
+
+    asyncio.run(scenario())
+
+
 def test_lost_router_keeps_its_slots_and_gets_them_back():
     """Guards against reuse of a lost router's slots while its requests may still run."""
 
