--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -38,6 +38,8 @@
 
 @dataclass(slots=True)
 class _Origin:
+    """Where a stream began, as this node recorded it at an event loop time."""
+
     version: str
     recorded_s: float
     # Service of a stream that this node began or went on with; None if a peer reported it.
@@ -49,7 +51,9 @@
 class _Question:
     """A stream that peers have been asked about."""
 
+    # Set once a peer knows the stream, or none does.
     answered: asyncio.Event
+    # Addresses of the peers that have not answered.
     unanswered: set[tuple[str, int]]
 
 
@@ -138,7 +142,7 @@
         self._send(answer, sender)
 
     async def _ask_peers(self, key: int) -> None:
-        """Returns once a peer has answered, all have said that they do not know, or time is up."""
+        """Returns once a peer knows the stream, all say that they do not, or time is up."""
         if key not in self.questions:
             now_s = asyncio.get_running_loop().time()
             addresses = [
