--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -91,7 +91,7 @@
         directory.confirmed_s = max(directory.confirmed_s, as_of_s)
 
     def age_s(self, now_s: float) -> float:
-        """Returns for how long changes of the store may be missing; infinite if unknown."""
+        """Returns for how many seconds changes of the store may be missing; infinite if unknown."""
         return now_s - self.dispatcher.directory.confirmed_s
 
     def apply(self, changes: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
--- a/src/tanagerworks/edge/store_role.py
+++ b/src/tanagerworks/edge/store_role.py
@@ -29,7 +29,7 @@
         store_view: StoreView,
         leaving_notice_s: float,
     ) -> None:
-        """`leaving_notice_s` is the time for which a server that says it leaves still serves."""
+        """`leaving_notice_s` is for how many seconds a server that says it leaves still serves."""
         self.node = node
         self.zone = zone
         self.peer_table = peer_table
--- a/src/tanagerworks/edge/version_reports.py
+++ b/src/tanagerworks/edge/version_reports.py
@@ -8,7 +8,10 @@
 
 
 def add_version_reports(state: NodeState, history: VersionHistory, now_s: float) -> None:
-    """Adds the versions that a node knows to a message; nothing if there are too many."""
+    """Adds the versions that a node knows to a message; nothing if there are too many.
+
+    `now_s` is event loop time, the clock of the history.
+    """
     versions = list(history.all_versions(now_s))
     if history.known_from_s is None or len(versions) > _MAX_VERSIONS:
         return
@@ -19,7 +22,10 @@
 
 
 def merge_version_reports(state: NodeState, history: VersionHistory, now_s: float) -> None:
-    """Records the versions in a peer's message, and for how long the peer has known all."""
+    """Records the versions in a peer's message, and for how long the peer has known all.
+
+    `now_s` is event loop time, the clock of the history.
+    """
     for served in state.served_versions:
         if served.version not in history.present.get(served.service, ()):
             history.record_left(served.service, served.version, now_s - served.age_ms / 1000)
