--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,11 +32,20 @@
 async def scenario(folder, record, troubled):
     store = Store()
     await store.start()
-    old = [ModelServer(store, record, f"i-a{n}", "dele69a", zone, 64, version="v1") for n, zone in enumerate(ZONES)]
-    new = [ModelServer(store, record, f"i-b{n}", "dele69a", zone, 64, version="v2") for n, zone in enumerate(ZONES)]
+    old = [
+        ModelServer(store, record, f"i-a{n}", "dele69a", zone, 64, version="v1")
+        for n, zone in enumerate(ZONES)
+    ]
+    new = [
+        ModelServer(store, record, f"i-b{n}", "dele69a", zone, 64, version="v2")
+        for n, zone in enumerate(ZONES)
+    ]
     for server in old + new:
         await server.start()
-    store.put("op/config", configuration(3, [stream_route("counter", "/chat/", "dele69a")], [MODEL_SERVICE]))
+    store.put(
+        "op/config",
+        configuration(3, [stream_route("counter", "/chat/", "dele69a")], [MODEL_SERVICE]),
+    )
     edges = await start_edges(folder, record, store, ZONES)
     try:
         await asyncio.sleep(SIDE_BY_SIDE_S)
@@ -59,7 +68,9 @@
                 await edge.start()
         await asyncio.gather(*tasks)
         mixed = sum(len(set(caller.versions)) > 1 for caller in callers)
-        record(f"{on_old} streams began at v1; {mixed} of {STREAMS} hold events of two versions (2 are allowed)")
+        record(
+            f"{on_old} streams began at v1; {mixed} of {STREAMS} hold events of two versions (2 are allowed)"
+        )
         if on_old < 3:
             raise RuntimeError("too few streams began at the old version")
         return mixed <= 2
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -51,7 +51,9 @@
         attempt = headers["x-tanagerworks-attempt-id"]
         self.run(attempt)
         self.record(f"{self.server_id} answers {attempt} with bytes without end")
-        writer.write(self.head(attempt, "content-type: text/event-stream", "transfer-encoding: chunked"))
+        writer.write(
+            self.head(attempt, "content-type: text/event-stream", "transfer-encoding: chunked")
+        )
         began_s = time.monotonic()
         sent = 0
         try:
@@ -99,7 +101,10 @@
     store = Store()
     await store.start()
     desks = [Server(store, record, f"i-b{n}", "xano55b", zone, 6) for n, zone in enumerate(ZONES)]
-    models = [FaultyModelServer(store, record, f"i-m{n}", "dele69a", zone, 64) for n, zone in enumerate(ZONES)]
+    models = [
+        FaultyModelServer(store, record, f"i-m{n}", "dele69a", zone, 64)
+        for n, zone in enumerate(ZONES)
+    ]
     for server in desks + models:
         await server.start()
     routes = [
@@ -121,9 +126,18 @@
         while time.monotonic() < ready_s + LENGTH_S:
             count += 1
             sent_s = time.monotonic()
-            method, path, body = ("GET", "/read/x", None) if number % 3 == 0 else ("POST", "/book/x", b"b" * 600)
+            method, path, body = (
+                ("GET", "/read/x", None) if number % 3 == 0 else ("POST", "/book/x", b"b" * 600)
+            )
             answer = await client.send(
-                method, path, HOST, f"{number:04x}{count:04x}", KEY, DEADLINE_MS, body, wait_s=DEADLINE_MS / 1000
+                method,
+                path,
+                HOST,
+                f"{number:04x}{count:04x}",
+                KEY,
+                DEADLINE_MS,
+                body,
+                wait_s=DEADLINE_MS / 1000,
             )
             answers.append((sent_s, answer))
             await asyncio.sleep(0.5)
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -174,7 +174,9 @@
 class Server:
     """A sound backend server; a case overrides `answer` for what it does otherwise."""
 
-    def __init__(self, store, record, server_id, service, zone, capacity, work_s=0.02, version="v1"):
+    def __init__(
+        self, store, record, server_id, service, zone, capacity, work_s=0.02, version="v1"
+    ):
         self.store = store
         self.record = record
         self.server_id = server_id
@@ -242,7 +244,9 @@
                     status = b"200 OK" if target == "/healthz" else b"400 Bad Request"
                     if target == "/kv-list":
                         data = b'{"epoch":1,"next":1,"held":[]}'
-                        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(data), data))
+                        writer.write(
+                            b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(data), data)
+                        )
                     else:
                         writer.write(
                             b"HTTP/1.1 %s\r\nx-tanagerworks-instance-id: %s\r\n"
@@ -448,7 +452,9 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def send(self, method, path, host, attempt, key, deadline_ms, body=None, extra=(), wait_s=None):
+    async def send(
+        self, method, path, host, attempt, key, deadline_ms, body=None, extra=(), wait_s=None
+    ):
         """Sends a request and returns its answer; waits until the deadline plus a second."""
         began_s = time.monotonic()
         lines = [
@@ -487,8 +493,6 @@
         return answer
 
 
-
-
 class StreamCaller:
     """A client that asks for one stream and takes it up again once if it breaks off."""
 
@@ -631,9 +635,7 @@
         for number, zone in enumerate(zones)
     ]
     for edge in edges:
-        edge.fields["seed-nodes"] = [
-            edge.fields["listen"]["control-plane"] for edge in edges[:3]
-        ]
+        edge.fields["seed-nodes"] = [edge.fields["listen"]["control-plane"] for edge in edges[:3]]
     try:
         for edge in edges:
             await edge.start()
