--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,7 +19,10 @@
 )
 
 ZONES = ["regina", "saskatoon", "brandon"]
-STREAMS = 18
+STREAMS = 40
+# A quarter of the servers is still of the old version: scale_in takes 0.25 in the site file.
+OLD_SERVERS = 2
+NEW_SERVERS = 6
 # For how long both versions serve side by side before the old one leaves.
 SIDE_BY_SIDE_S = 22.0
 # From the removal of the old servers' entries to the kill of all processes.
@@ -33,12 +36,12 @@
     store = Store()
     await store.start()
     old = [
-        ModelServer(store, record, f"i-a{n}", "dele69a", zone, 64, version="v1")
-        for n, zone in enumerate(ZONES)
+        ModelServer(store, record, f"i-a{n}", "dele69a", ZONES[n % 3], 64, version="v1")
+        for n in range(OLD_SERVERS)
     ]
     new = [
-        ModelServer(store, record, f"i-b{n}", "dele69a", zone, 64, version="v2")
-        for n, zone in enumerate(ZONES)
+        ModelServer(store, record, f"i-b{n}", "dele69a", ZONES[n % 3], 64, version="v2")
+        for n in range(NEW_SERVERS)
     ]
     for server in old + new:
         await server.start()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,7 +20,10 @@
 # The machines of the site file: regina 3, saskatoon 1, brandon 2.
 MACHINES = ["regina", "saskatoon", "brandon", "regina", "brandon", "regina"]
 ZONES = ["regina", "saskatoon", "brandon"]
-STREAMS = 60
+STREAMS = 100
+# A quarter of the servers is still of the old version: scale_in takes 0.25 in the site file.
+OLD_SERVERS = 2
+NEW_SERVERS = 6
 OLD_TIMEOUT_MS = 12000
 NEW_TIMEOUT_MS = 5000
 SIDE_BY_SIDE_S = 4.0
@@ -39,12 +42,12 @@
     store = Store()
     await store.start()
     old = [
-        SlowModelServer(store, record, f"i-a{n}", "dele69a", zone, 64, version="v1")
-        for n, zone in enumerate(ZONES)
+        SlowModelServer(store, record, f"i-a{n}", "dele69a", ZONES[n % 3], 64, version="v1")
+        for n in range(OLD_SERVERS)
     ]
     new = [
-        SlowModelServer(store, record, f"i-b{n}", "dele69a", zone, 64, version="v2")
-        for n, zone in enumerate(ZONES)
+        SlowModelServer(store, record, f"i-b{n}", "dele69a", ZONES[n % 3], 64, version="v2")
+        for n in range(NEW_SERVERS)
     ]
     for server in old + new:
         await server.start()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -73,6 +73,7 @@
     attempt = f"{number:04x}5a5a5a5a"
     began_s = time.monotonic()
     received = 0
+    record(f"{attempt} sent: POST /chat/x")
     try:
         async with asyncio.timeout(12.0):
             reader, writer = await asyncio.open_connection(*edge.frontend)
@@ -129,17 +130,18 @@
             method, path, body = (
                 ("GET", "/read/x", None) if number % 3 == 0 else ("POST", "/book/x", b"b" * 600)
             )
+            attempt = f"{number:04x}{count:04x}"
             answer = await client.send(
                 method,
                 path,
                 HOST,
-                f"{number:04x}{count:04x}",
+                attempt,
                 KEY,
                 DEADLINE_MS,
                 body,
                 wait_s=DEADLINE_MS / 1000,
             )
-            answers.append((sent_s, answer))
+            answers.append((sent_s, attempt, answer))
             await asyncio.sleep(0.5)
 
     try:
@@ -160,13 +162,22 @@
             else:
                 tasks.append(asyncio.create_task(stream(edge, number, record)))
         await asyncio.gather(*tasks)
-        judged = [answer for sent_s, answer in answers if sent_s >= ready_s + CONTACT_S]
-        overdue = [answer for answer in judged if answer.took_s >= ROUTE_TIMEOUT_S]
-        unanswered = [answer for answer in overdue if answer.took_s >= ROUTE_TIMEOUT_S + 0.5]
+        judged = [
+            (attempt, answer)
+            for sent_s, attempt, answer in answers
+            if sent_s >= ready_s + CONTACT_S
+        ]
+        overdue = [
+            (attempt, answer) for attempt, answer in judged if answer.took_s >= ROUTE_TIMEOUT_S
+        ]
+        unanswered = [
+            attempt for attempt, answer in overdue if answer.took_s >= ROUTE_TIMEOUT_S + 0.5
+        ]
         runs = {attempt for server in desks for _time, attempt in server.runs}
         record(
             f"{len(judged)} requests on routes with timeout-ms 800: {len(overdue)} unanswered after"
-            f" 0.8 s, {len(unanswered)} of these unanswered after 1.3 s; {len(runs)} requests ran"
+            f" 0.8 s, {len(unanswered)} of these unanswered after 1.3 s;"
+            f" {len(runs.intersection(unanswered))} of the unanswered ran"
         )
         if len(judged) < 100:
             raise RuntimeError("too few requests")
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # to see that the interpreter accepts them.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in standins/*.py [0-9]/*.py; do
+for file in standins/*.py [0-9]/*.py others/*/*.py; do
     [ -f "$file" ] || continue
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -468,6 +468,8 @@
         if body is not None:
             lines.append(f"content-length: {len(body)}")
         answer = Answer()
+        if self.record is not None:
+            self.record(f"{attempt} sent: {method} {path}, body of {len(body or b'')} bytes")
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 1.0 if wait_s is None else wait_s):
                 if self.writer is None:
@@ -523,7 +525,8 @@
             self.broken += 1
             await asyncio.sleep(self.retry_after_s)
         self.record(
-            f"client {self.number}: complete={self.complete}, versions of its events: {self.versions}"
+            f"client {self.number}: complete={self.complete},"
+            f" versions of its events: {self.versions}"
         )
 
     async def _try(self, edge, attempt, left_s):
@@ -541,6 +544,10 @@
         ]
         if self.last_event_id:
             lines += [f"last-event-id: {self.last_event_id}", f"resumes: {self.first_attempt}"]
+        self.record(
+            f"{attempt} sent to {edge.name}: POST /chat/x, after event {self.last_event_id}"
+            f" of {self.first_attempt}"
+        )
         try:
             writer.write(("\r\n".join(lines) + "\r\n\r\nbody").encode())
             line, headers = await asyncio.wait_for(read_head(reader), 2.0)
@@ -660,13 +667,16 @@
     with tempfile.TemporaryDirectory() as folder:
 
         async def run():
+            task = asyncio.current_task()
+            # Processes that were started are also ended if the script itself is stopped.
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
             async with asyncio.timeout(limit_s):
                 return await scenario(folder, record, troubled)
 
         try:
             held = asyncio.run(run())
             status = 0 if held else 1
-        except Exception as error:  # the case could not run
+        except (Exception, asyncio.CancelledError) as error:  # the case could not run
             record(f"the case could not run: {error!r}")
             import traceback
 
