Conclude no software version from the servers seen after a start

Cause: a node without history took the one version that it saw for the only one, if all its servers had started longer ago than a stream lasts. But the age of the servers that are left says nothing about those that were there beside them. Logs show it: "server chosen" names another version for the attempt that is resumed, 1 s after "started".

Change: nothing is concluded from servers alone. A history begins at the first server entry, or reaches back without limit if the settings say that the whole system starts for the first time, and is extended only by peers whose knowledge joins on to the node's own. A listing of the store hides what has come and gone since the former copy, so the history begins anew there; for the same reason, a new node continues a peer's copy by changes instead of listing. While a node can not tell the version of a stream without a record, it shares its records, also if it sees one version only, so streams that begin after the restart can go on.

Evidence: of the new tests, 6 fail on the former code (test_started_node_concludes_nothing_from_the_servers_it_sees, test_stream_goes_on_at_the_only_version_since_the_first_start, test_streams_of_a_restarted_fleet_are_known_while_its_history_is_short, test_node_that_lists_the_store_anew_concludes_nothing and two more). test_stream_goes_on_after_a_restart_of_all_nodes is gone: it demanded the wrong conclusion. The first of the new tests replaces it and demands a refusal for servers of any age; test_listing_across_a_restore_is_begun_again sets the field that now asks for a listing. Both other signatures changed without a change of what is demanded.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -16,8 +16,6 @@
 # item does not prove that a zone is back in service.
 OPERATOR_REWRITE_S = 5.0
 
-# Largest difference between the clocks of a server and of this node.
-_CLOCK_DIFFERENCE_MS = 2_000.0
 # Processes that are remembered after their removal, the latest ones.
 _MAX_REMOVED_PROCESSES = 1_024
 # Prefix of the name under which the load of another zone is recorded; no node has it.
@@ -230,22 +228,15 @@
                 loads[key] = load
         return loads
 
-    def sole_version(self, service: str, since_s: float, since_unix_ms: float) -> str | None:
+    def sole_version(self, service: str, since_s: float) -> str | None:
         """Returns the one software version that has served since a time, or None.
 
-        `since_unix_ms` is the same time on the clock of the servers' starts. None means that there
-        were several versions, or that there may have been. A node that has not known the service
-        for so long goes by the starts of its servers: if one of them is recent, it may have
-        replaced a server of another version.
+        None means that there were several versions, or that there may have been: a node that has
+        not known the service for so long cannot tell from the servers that it sees now.
         """
         versions = self.versions.versions_since(service, since_s)
-        if len(versions) != 1:
+        if len(versions) != 1 or not self.versions.is_known_since(since_s):
             return None
-        if not self.versions.is_known_since(since_s):
-            for state in self.by_service.get(service, ()):
-                started_ms = state.entry.started_ms
-                if started_ms is None or started_ms > since_unix_ms - _CLOCK_DIFFERENCE_MS:
-                    return None
         return versions.pop()
 
     def usable_servers(self, service: str, now_s: float) -> Iterator[ServerState]:
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -140,9 +140,7 @@
             return None
         return self.configuration.services.get(name)
 
-    def sole_version(
-        self, service: str, lifetime_s: float, now_s: float, unix_s: float
-    ) -> str | None:
+    def sole_version(self, service: str, lifetime_s: float, now_s: float) -> str | None:
         """Returns the one software version that has served for `lifetime_s` seconds, or None.
 
         None also if this node may have missed a new version: its copy of the store is old, and it
@@ -151,9 +149,7 @@
         copy_age_s = now_s - self.directory.confirmed_s
         if copy_age_s > _MAX_KNOWN_VERSIONS_AGE_S and self.peer_table.is_cut_off(now_s):
             return None
-        return self.directory.sole_version(
-            service, now_s - lifetime_s, 1000 * (unix_s - lifetime_s)
-        )
+        return self.directory.sole_version(service, now_s - lifetime_s)
 
     def find_candidates(
         self, dispatch_request: DispatchRequest, service: Service, now_s: float
--- a/src/tanagerworks/dispatch/software_versions.py
+++ b/src/tanagerworks/dispatch/software_versions.py
@@ -4,6 +4,7 @@
 of it if its service has run one version for longer than streams last.
 """
 
+import math
 from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
 
@@ -24,7 +25,8 @@
 
     def __init__(self) -> None:
         self.present: Mapping[str, AbstractSet[str]] = {}
-        # Time from which all versions are known; None before the first server.
+        # Time from which all versions are known; None before the first server, unless the whole
+        # system has just started.
         self.known_from_s: float | None = None
         # When the last server of a service with a version left, by service and version.
         self.left_at_s: dict[tuple[str, str], float] = {}
@@ -46,9 +48,21 @@
         key = (service, version)
         self.left_at_s[key] = max(left_at_s, self.left_at_s.get(key, left_at_s))
 
-    def extend_back(self, known_from_s: float) -> None:
-        """Records that all versions are known from an earlier time on, as a peer knows them."""
+    def record_first_start(self) -> None:
+        """Records that nothing has served before now, since the whole system starts."""
+        self.known_from_s = -math.inf
+
+    def record_gap(self, until_s: float) -> None:
+        """Records that versions may have come and gone unseen until a time."""
         if self.known_from_s is not None:
+            self.known_from_s = max(self.known_from_s, until_s)
+
+    def extend_back(self, known_from_s: float, known_until_s: float) -> None:
+        """Records that a peer knows all versions of a period.
+
+        A period that ends before this node's own knowledge begins leaves a gap, so it says nothing.
+        """
+        if self.known_from_s is not None and known_until_s >= self.known_from_s:
             self.known_from_s = min(self.known_from_s, known_from_s)
 
     def is_known_since(self, since_s: float) -> bool:
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -31,6 +31,9 @@
 _MAX_UINT64 = 2**64 - 1
 # Keys in the log line of a restored store.
 _MAX_LOGGED_KEYS = 20
+# Time within which a paused node reads the messages of its peers that have arrived meanwhile. Later
+# ones state how old the sender's copy is now.
+_MAX_MESSAGE_DELAY_S = 1.0
 # Source of changes that were read from the store rather than received from a peer.
 STORE_SOURCE = "store"
 # Time for which the store may hold a read that only checks whether it responds.
@@ -104,7 +107,12 @@
         The first listing of a later era shows a store that was restored from an older copy. What
         this node has seen since that copy stays in force until it is written again: the newer
         configuration for good, servers and zones out of service that the listing lacks for a time.
+
+        A listing does not show what has come and gone since the former view, unlike changes.
         """
+        if self.replica.revision:
+            now_s = asyncio.get_running_loop().time()
+            self.dispatcher.directory.versions.record_gap(now_s + _MAX_MESSAGE_DELAY_S)
         if self.replica.era and era > self.replica.era:
             self._apply_restored(items, revision, source, era)
         else:
@@ -220,10 +228,11 @@
 
 
 class StoreFollower:
-    """Follows the store: lists all items at first, then reads changes by long polling.
+    """Follows the store: lists all items unless a peer has sent them, then reads changes.
 
-    A read may wait at the store for a change for up to `wait_s` seconds, or less if the role says
-    so; its response must arrive within another `timeout_s` seconds. All failures are retried.
+    Changes are read by long polling. A read may wait at the store for a change for up to `wait_s`
+    seconds, or less if the role says so; its response must arrive within another `timeout_s`
+    seconds. All failures are retried.
     """
 
     def __init__(
@@ -250,8 +259,10 @@
         self.on_new_connection = True
         # Start of the first failed read on a new connection since the last response.
         self.outage_since_s: float | None = None
-        # Whether all items have been listed, at first or after the store has lost its history.
+        # Whether all items are known, at first or after the store has lost its history.
         self.listed = False
+        # Whether changes of the present copy are not available, so that all items must be listed.
+        self.must_list = False
         self.random = random.Random()
         self.read_task: asyncio.Task[None] | None = None
         # Whether the next read is a short one that checks whether the store responds.
@@ -295,13 +306,13 @@
                         "reason": error.message,
                     },
                 )
-                self.listed = False
+                self.listed, self.must_list = False, True
             except PublishedStoreError as error:
                 self._record_failure(error.message, began_s)
             except Exception:
                 # The loop must continue after any error, or the view would stay outdated for good.
                 _LOGGER.exception("following the store failed; listing it again")
-                self.listed = False
+                self.listed, self.must_list = False, True
             await asyncio.sleep(retry_s * self.random.uniform(0.7, 1.3))
             retry_s = min(_MAX_RETRY_S, 2.0 * retry_s)
 
@@ -318,7 +329,8 @@
         self.checking = False
 
     async def _read_once(self) -> None:
-        if not self.listed:
+        # A copy from a peer is continued: changes, unlike a listing, show what has come and gone.
+        if self.must_list or not self.store_view.replica.revision:
             await self._list()
         else:
             revision, era = self.store_view.replica.revision, self.store_view.replica.era
@@ -331,6 +343,7 @@
                 revision, wait_s, wait_s + self.timeout_s
             )
             self._record_response()
+            self.listed = True
             if change_set.era not in (0, era):
                 raise HistoryLostError(f"the store is in era {change_set.era}")
             # A copy of a later era may have arrived from a peer while the read waited.
@@ -378,7 +391,7 @@
             },
         )
         self.store_view.replace(items, first_revision, STORE_SOURCE, era)
-        self.listed = True
+        self.listed, self.must_list = True, False
         if not older:
             self.store_view.confirm(first_page_s)
 
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -221,7 +221,8 @@
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
         self._confirm_copy(peer)
-        merge_version_reports(state, self.dispatcher.directory.versions, now_s)
+        versions = self.dispatcher.directory.versions
+        merge_version_reports(state, versions, now_s, peer.copy_confirmed_s)
         if self._is_ahead(peer):
             self._fetch_if_behind(now_s)
         self.on_peer_state_applied()
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -302,7 +302,6 @@
                 service,
                 stream_lifetime_s(request.route.timeout_s),
                 asyncio.get_running_loop().time(),
-                time.time(),
             )
         if version is None and resumes is not None:
             version = await self.stream_origins.find_version(resumes)
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -52,7 +52,7 @@
 # long: prefilling some prompts again costs less than leaving the node unused.
 _MAX_RECOVERY_WAIT_S = 1.0
 # Settings that a running process cannot change.
-_FIELDS_THAT_NEED_A_RESTART = ("node", "zone", "addresses", "store")
+_FIELDS_THAT_NEED_A_RESTART = ("node", "zone", "addresses", "store", "first_start")
 PROGRAM = "tanager-edge"
 
 
@@ -85,6 +85,8 @@
         self.dispatcher = Dispatcher(
             settings.node, _fleet_bounds(settings.bounds), PeerTable(started_s)
         )
+        if settings.first_start:
+            self.dispatcher.directory.versions.record_first_start()
         self.store_view = StoreView(adapter.store, self.dispatcher)
         self.store_role = StoreRole(
             settings.node,
@@ -185,7 +187,14 @@
             self._watch_settings,
         ):
             self.tasks.append(loop.create_task(_run_with_restarts(task_function)))
-        _LOGGER.info("started", extra={"node": self.settings.node, "version": __version__})
+        _LOGGER.info(
+            "started",
+            extra={
+                "node": self.settings.node,
+                "version": __version__,
+                "first_start": bool(self.settings.first_start),
+            },
+        )
         # Objects created during start-up live as long as the process; collections can skip them.
         # The start script has disabled the collector to shorten the start.
         gc.freeze()
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -1,9 +1,9 @@
 """The software versions at which resumable streams began, shared between nodes.
 
 A caller whose stream broke off comes back to any node and names the attempt that brought the first
-event. While the servers of a service run several versions, a node tells some peers about each
-stream that begins; they are found by rendezvous hashing, so any node knows whom to ask. While there
-is one version, nothing is sent.
+event. While the servers of a service run several versions, or may have run several lately, a node
+tells some peers about each stream that begins; they are found by rendezvous hashing, so any node
+knows whom to ask. While it is known that there is one version, nothing is sent.
 """
 
 import asyncio
@@ -76,25 +76,25 @@
         now_s = asyncio.get_running_loop().time()
         key = stream_key(attempt_id)
         self._add(key, _Origin(version, now_s, service))
-        if self._has_several_versions(service, now_s):
+        if self._must_share(service, now_s):
             self._share([key], now_s)
 
     def share_unshared(self) -> None:
-        """Tells peers about streams that began before their service had several versions."""
+        """Tells peers about streams that began while a record of them was not needed."""
         now_s = asyncio.get_running_loop().time()
         self._drop_expired(now_s)
         services = {origin.service for origin in self.origins.values() if not origin.shared}
-        mixed = {
+        shared_services = {
             service
             for service in services
-            if service is not None and self._has_several_versions(service, now_s)
+            if service is not None and self._must_share(service, now_s)
         }
-        if mixed:
+        if shared_services:
             self._share(
                 [
                     key
                     for key, origin in self.origins.items()
-                    if origin.service in mixed and not origin.shared
+                    if origin.service in shared_services and not origin.shared
                 ],
                 now_s,
             )
@@ -178,9 +178,9 @@
         live = {peer.name: peer for peer in self.dispatcher.peer_table.live_peers(now_s)}
         return [live[name] for name in rank_equally(f"{key:x}", live, count)]
 
-    def _has_several_versions(self, service: str, now_s: float) -> bool:
-        versions = self.dispatcher.directory.versions.versions_since(service, now_s - HISTORY_S)
-        return len(versions) > 1
+    def _must_share(self, service: str, now_s: float) -> bool:
+        """Whether the version of a stream cannot be told without a record of it."""
+        return self.dispatcher.directory.sole_version(service, now_s - HISTORY_S) is None
 
     def _send(self, message: StreamOrigins, address: tuple[str, int]) -> None:
         try:
--- a/src/tanagerworks/edge/version_reports.py
+++ b/src/tanagerworks/edge/version_reports.py
@@ -21,14 +21,17 @@
         state.served_versions.add(service=service, version=version, age_ms=int(age_s * 1000))
 
 
-def merge_version_reports(state: NodeState, history: VersionHistory, now_s: float) -> None:
+def merge_version_reports(
+    state: NodeState, history: VersionHistory, now_s: float, copy_confirmed_s: float
+) -> None:
     """Records the versions in a peer's message, and for how long the peer has known all.
 
-    `now_s` is event loop time, the clock of the history.
+    `now_s` is event loop time, the clock of the history. The peer knows the versions up to
+    `copy_confirmed_s`, the time up to which its copy of the store has all changes.
     """
     for served in state.served_versions:
         if served.version not in history.present.get(served.service, ()):
             history.record_left(served.service, served.version, now_s - served.age_ms / 1000)
     if state.HasField("versions_known_ms"):
         known_for_s = min(HISTORY_S, state.versions_known_ms / 1000)
-        history.extend_back(now_s - known_for_s)
+        history.extend_back(now_s - known_for_s, copy_confirmed_s)
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -61,4 +61,7 @@
     seeds: list[Address] = Field(default_factory=list)
     store: StoreSettings
     bounds: EdgeBounds
+    # Whether no process of the fleet has run before, so that no request is older than this process.
+    # False if not stated.
+    first_start: bool | None = None
     log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
--- a/tests/test_fault_restored_store.py
+++ b/tests/test_fault_restored_store.py
@@ -218,7 +218,7 @@
 
         store_follower.store.list_page = restore_after_first_page
         store.compact()
-        store_follower.listed = False
+        store_follower.must_list = True
         store_follower.read_task.cancel()
         await wait_until(lambda: store_view.replica.era == 2 and store_follower.listed)
         assert "servers/z-lost" not in store_view.replica.items
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -10,6 +10,10 @@
 import pytest
 
 from tanagerworks.dispatch.directory import Directory
+from tanagerworks.dispatch.software_versions import VersionHistory
+from tanagerworks.edge.version_reports import merge_version_reports
+from tanagerworks.published.replica import Change
+from tanagerworks.rpc.edge_pb2 import NodeState
 from tests.edge_builders import (
     MODEL_SERVICE,
     configuration,
@@ -19,6 +23,8 @@
     stream_route,
 )
 from tests.platform_standin import (
+    WIRE_ENTRY,
+    encode_with_changes,
     request_bytes,
     run_scenario,
     send_request,
@@ -228,7 +234,7 @@
 # After all nodes were killed
 
 
-def restart_scenario(started_ago_s, call_id="d1"):
+def restart_scenario(started_ago_s, first_start=False):
     """A caller takes a stream up at a node that has just started; returns the response.
 
     The servers it sees run one version and started so long ago.
@@ -239,10 +245,12 @@
         now_s, now_unix_ms = asyncio.get_running_loop().time(), time.time() * 1000
         entries = [state.entry for state in directory.servers.values()]
         fresh = pipeline.dispatcher.directory = Directory()
+        if first_start:
+            fresh.versions.record_first_start()
         for entry, ago_s in zip(entries, started_ago_s, strict=True):
             started_ms = int(now_unix_ms - 1000 * ago_s)
             fresh.put(replace(entry, started_ms=started_ms), now_s)
-        return await send_request(port, resume_bytes(call_id, 4, "c1"))
+        return await send_request(port, resume_bytes("d1", 4, "c1"))
 
     return run_scenario(
         [[stream_events(1, 9)]] * len(started_ago_s),
@@ -252,22 +260,82 @@
     )
 
 
-def test_stream_is_not_joined_with_a_version_that_has_replaced_another():
-    """Guards against joined streams after all nodes were killed during a change of version.
+@pytest.mark.parametrize("started_ago_s", [[300.0, 5.0], [300.0, 60.0], [9e5, 9e5]])
+def test_started_node_concludes_nothing_from_the_servers_it_sees(started_ago_s):
+    """Guards against joined streams after all nodes were killed as a version left.
 
-    The node sees one version only, but one of its servers started lately and may have replaced one
-    of the version that began the stream.
+    However long ago the servers that are left started, those of another version may have served
+    beside them until a moment ago.
     """
-    assert restart_scenario([300.0, 5.0]).status == 503
+    assert restart_scenario(started_ago_s).status == 503
 
 
-def test_stream_goes_on_after_a_restart_of_all_nodes():
-    """Guards against streams that are given up although no server was replaced."""
-    response = restart_scenario([300.0, 60.0])
+def test_stream_goes_on_at_the_only_version_since_the_first_start():
+    """Guards against refusals while the fleet is younger than the longest stream."""
+    response = restart_scenario([300.0, 5.0], first_start=True)
     assert response.status == 200
     assert response.body.startswith(b"id: 5\n")
 
 
+def test_streams_of_a_restarted_fleet_are_known_while_its_history_is_short():
+    """Guards against refusals of all streams that begin after the restart of all nodes."""
+
+    async def scenario():
+        fleet = VirtualFleet(24, 3)
+        for node in list(fleet.nodes):
+            node.dispatcher.directory.put(server_entry("s-1"), 0.0)
+            fleet.restart(node)
+        await asyncio.sleep(3.0)
+        first = fleet.nodes[0]
+        for number in range(40):
+            first.exchange.stream_origins.record_begin(f"c{number}", MODEL_SERVICE, "v1")
+        await asyncio.sleep(0.01)
+        first.stop()
+        found = [
+            await fleet.nodes[12].exchange.stream_origins.find_version(f"c{number}")
+            for number in range(40)
+        ]
+        assert found.count("v1") == 40
+
+    run_in_virtual_time(scenario())
+
+
+def history_after_listing(peer_copy_age_ms):
+    """A history whose node has listed the store anew, 5 s before a message of a peer."""
+    history = VersionHistory()
+    history.record_first_start()
+    history.record_gap(95.0)
+    message = NodeState(versions_known_ms=60_000)
+    merge_version_reports(message, history, 100.0, 100.0 - peer_copy_age_ms / 1000)
+    return history
+
+
+@pytest.mark.parametrize(("peer_copy_age_ms", "known"), [(200, True), (5_200, False)])
+def test_listing_of_the_store_hides_versions_that_have_come_and_gone(peer_copy_age_ms, known):
+    """Guards against joined streams at a node that has missed changes of the store.
+
+    A peer fills the gap if it knows all versions up to the listing.
+    """
+    assert history_after_listing(peer_copy_age_ms).is_known_since(60.0) == known
+
+
+def test_node_that_lists_the_store_anew_concludes_nothing():
+    """Guards against a version that joins and leaves while a node cannot reach the store."""
+
+    async def scenario():
+        fleet = VirtualFleet(1, 1)
+        view = fleet.nodes[0].store_view
+        directory = view.dispatcher.directory
+        value = encode_with_changes(WIRE_ENTRY)
+        view.replace([Change("servers/s-1", 5, value)], 5, "store")
+        assert directory.sole_version("models", -30.0) == "v1"
+        await asyncio.sleep(20.0)
+        view.replace([Change("servers/s-1", 5, value)], 9, "store")
+        assert directory.sole_version("models", -30.0) is None
+
+    run_in_virtual_time(scenario())
+
+
 @pytest.mark.parametrize(("former", "expected"), [("v1", None), ("v2", "v2")])
 def test_started_node_learns_from_peers_which_versions_have_served(former, expected):
     """Guards against a guess by a node that started after the other version had left."""
@@ -275,6 +343,8 @@
     async def scenario():
         fleet = VirtualFleet(6, 3)
         young = server_entry("s-2", version="v2", started_ms=int(time.time() * 1000))
+        last = fleet.restart(fleet.nodes[5])
+        last.stop()
         for node in fleet.nodes[:5]:
             node.dispatcher.directory.put(server_entry("s-1", version=former), 0.0)
             node.start()
@@ -283,12 +353,13 @@
             node.dispatcher.directory.put(young, 40.0)
             node.dispatcher.directory.delete("s-1", 40.0)
         await asyncio.sleep(5.0)
-        last = fleet.nodes[5]
         last.dispatcher.directory.put(young, 45.0)
-        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0, 0.0) is None
+        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0) is None
+        for node in fleet.nodes[:5]:
+            node.store_view.confirm(46.0)
         last.start()
         await asyncio.sleep(1.5)
-        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0, 0.0) == expected
+        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0) == expected
 
     run_in_virtual_time(scenario())
 
@@ -349,4 +420,4 @@
     ]
     subject = dispatcher(servers=[server_entry("a")], peers=peers)
     subject.directory.confirmed_s = now_s - copy_age_s
-    assert subject.sole_version(MODEL_SERVICE, 20.0, now_s, 1e9) == expected
+    assert subject.sole_version(MODEL_SERVICE, 20.0, now_s) == expected
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -158,6 +158,8 @@
         self.nodes = [
             VirtualNode(self, number, f"zone-{number % zones}", seeds) for number in range(count)
         ]
+        for node in self.nodes:
+            node.dispatcher.directory.versions.record_first_start()
         self.by_address = {node.address: node for node in self.nodes}
 
     def start(self, within_s=0.3):
