Keep the lifetime of streams when a timeout is shortened

Callers saw streams joined from two software versions (ORDER), without any fault: while the last servers of a version leave, the operator shortens the timeout of their route from 12 to 5 s.

Cause: how long a stream may have lived was taken from the timeout that its route has now. 7.5 s after its last server a version counted as out of question, although streams of the former configuration were still at it.

Change: the lifetime is ten minutes, whatever the route says, or one and a half times the longest timeout of a resumable route that any configuration had since. Versions that have left and records of streams are kept for as long. A longer lifetime costs no stream: whenever a version cannot be concluded, the nodes share records.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -228,17 +228,6 @@
                 loads[key] = load
         return loads
 
-    def sole_version(self, service: str, since_s: float) -> str | None:
-        """Returns the one software version that has served since a time, or None.
-
-        None means that there were several versions, or that there may have been: a node that has
-        not known the service for so long cannot tell from the servers that it sees now.
-        """
-        versions = self.versions.versions_since(service, since_s)
-        if len(versions) != 1 or not self.versions.is_known_since(since_s):
-            return None
-        return versions.pop()
-
     def usable_servers(self, service: str, now_s: float) -> Iterator[ServerState]:
         """Yields the servers of a service that may get new work, whatever their load.
 
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -128,6 +128,9 @@
     def apply_configuration(self, configuration: Configuration) -> None:
         """Replaces the configuration in force."""
         self.configuration = configuration
+        for route in configuration.routes:
+            if route.resumable:
+                self.directory.versions.allow_timeout(route.timeout_s)
 
     @property
     def version(self) -> int:
@@ -140,8 +143,8 @@
             return None
         return self.configuration.services.get(name)
 
-    def sole_version(self, service: str, lifetime_s: float, now_s: float) -> str | None:
-        """Returns the one software version that has served for `lifetime_s` seconds, or None.
+    def sole_version(self, service: str, now_s: float) -> str | None:
+        """Returns the one software version that has served for as long as streams last, or None.
 
         None also if this node may have missed a new version: its copy of the store is old, and it
         is cut off from a zone. If the store itself is down, no version can have appeared.
@@ -149,7 +152,7 @@
         copy_age_s = now_s - self.directory.confirmed_s
         if copy_age_s > _MAX_KNOWN_VERSIONS_AGE_S and self.peer_table.is_cut_off(now_s):
             return None
-        return self.directory.sole_version(service, now_s - lifetime_s)
+        return self.directory.versions.sole_version(service, now_s)
 
     def find_candidates(
         self, dispatch_request: DispatchRequest, service: Service, now_s: float
--- a/src/tanagerworks/dispatch/software_versions.py
+++ b/src/tanagerworks/dispatch/software_versions.py
@@ -8,22 +8,22 @@
 from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
 
-# A stream lasts at most this multiple of its route's timeout, as a caller that comes back after a
-# broken connection may have begun with a timeout that a later configuration shortens.
+# A stream that a caller takes up may have begun this long ago, whatever its route's timeout is now.
+MIN_LIFETIME_S = 600.0
+# With longer timeouts, it lasts at most this multiple of the longest one, as a caller may come back
+# after a broken connection.
 _LIFETIME_PER_TIMEOUT = 1.5
-# Versions that have left are remembered for this time, which streams do not outlast.
-HISTORY_S = 60.0
-
-
-def stream_lifetime_s(timeout_s: float) -> float:
-    """Returns how long ago a stream that a caller takes up may have begun, in seconds."""
-    return min(HISTORY_S, _LIFETIME_PER_TIMEOUT * timeout_s)
+_MAX_LIFETIME_S = 86_400.0
 
 
 class VersionHistory:
     """Versions in service now, and those that have left. Times are of one clock, in seconds."""
 
     def __init__(self) -> None:
+        # How long ago a stream that a caller takes up may have begun, at most. Versions that have
+        # left are remembered for this time. It never decreases: a configuration that shortens the
+        # timeout of a route does not shorten the streams that have begun.
+        self.lifetime_s = MIN_LIFETIME_S
         self.present: Mapping[str, AbstractSet[str]] = {}
         # Time from which all versions are known; None before the first server, unless the whole
         # system has just started.
@@ -31,6 +31,14 @@
         # When the last server of a service with a version left, by service and version.
         self.left_at_s: dict[tuple[str, str], float] = {}
 
+    def allow_timeout(self, timeout_s: float) -> None:
+        """Records that a resumable stream may take `timeout_s` seconds by some configuration."""
+        self.extend_lifetime(_LIFETIME_PER_TIMEOUT * timeout_s)
+
+    def extend_lifetime(self, lifetime_s: float) -> None:
+        """Records that a stream that a caller takes up may be `lifetime_s` seconds old."""
+        self.lifetime_s = max(self.lifetime_s, min(lifetime_s, _MAX_LIFETIME_S))
+
     def set_present(self, present: Mapping[str, AbstractSet[str]], now_s: float) -> None:
         """Replaces the versions in service; those that are missing have left now."""
         for service, versions in self.present.items():
@@ -40,7 +48,7 @@
         if self.known_from_s is None and present:
             self.known_from_s = now_s
         for key, left_at_s in list(self.left_at_s.items()):
-            if now_s - left_at_s > HISTORY_S:
+            if now_s - left_at_s > self.lifetime_s:
                 del self.left_at_s[key]
 
     def record_left(self, service: str, version: str, left_at_s: float) -> None:
@@ -69,8 +77,19 @@
         """Whether all versions that have served since `since_s` are known."""
         return self.known_from_s is not None and self.known_from_s <= since_s
 
-    def versions_since(self, service: str, since_s: float) -> set[str]:
-        """Returns the versions that have served at any time since `since_s`, as far as known."""
+    def sole_version(self, service: str, now_s: float) -> str | None:
+        """Returns the one version that has served for as long as streams last, or None.
+
+        None means that there were several versions, or that there may have been: a node that has
+        not known the service for so long cannot tell from the servers that it sees now.
+        """
+        since_s = now_s - self.lifetime_s
+        if not self.is_known_since(since_s):
+            return None
+        versions = self._versions_since(service, since_s)
+        return versions.pop() if len(versions) == 1 else None
+
+    def _versions_since(self, service: str, since_s: float) -> set[str]:
         versions = set(self.present.get(service, ()))
         for (name, version), left_at_s in self.left_at_s.items():
             if name == service and left_at_s >= since_s:
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -21,7 +21,6 @@
 from tanagerworks.dispatch.durations import RouteDurations
 from tanagerworks.dispatch.request_identity import request_identity
 from tanagerworks.dispatch.server_state import ServerState
-from tanagerworks.dispatch.software_versions import stream_lifetime_s
 from tanagerworks.edge.crash_detector import CrashDetector
 from tanagerworks.edge.event_stream import EventSplitter
 from tanagerworks.edge.exchange import SERVER_ERROR, BackendExchange, log_attempt_failure
@@ -298,11 +297,8 @@
         service, resumes = request.service, request.call.resumes
         version = self.stream_origins.known_version(resumes) if resumes is not None else None
         if version is None:
-            version = self.dispatcher.sole_version(
-                service,
-                stream_lifetime_s(request.route.timeout_s),
-                asyncio.get_running_loop().time(),
-            )
+            now_s = asyncio.get_running_loop().time()
+            version = self.dispatcher.sole_version(service, now_s)
         if version is None and resumes is not None:
             version = await self.stream_origins.find_version(resumes)
         if version is None:
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -15,7 +15,6 @@
 from xxhash import xxh3_64_intdigest
 
 from tanagerworks.dispatch.dispatcher import Dispatcher
-from tanagerworks.dispatch.software_versions import HISTORY_S
 from tanagerworks.errors import PeerError
 from tanagerworks.membership.addresses import parse_address
 from tanagerworks.membership.peer_table import Peer
@@ -180,7 +179,7 @@
 
     def _must_share(self, service: str, now_s: float) -> bool:
         """Whether the version of a stream cannot be told without a record of it."""
-        return self.dispatcher.directory.sole_version(service, now_s - HISTORY_S) is None
+        return self.dispatcher.directory.versions.sole_version(service, now_s) is None
 
     def _send(self, message: StreamOrigins, address: tuple[str, int]) -> None:
         try:
@@ -195,8 +194,9 @@
             del self.origins[next(iter(self.origins))]
 
     def _drop_expired(self, now_s: float) -> None:
+        lifetime_s = self.dispatcher.directory.versions.lifetime_s
         for key, origin in list(self.origins.items()):
-            if now_s - origin.recorded_s <= HISTORY_S:
+            if now_s - origin.recorded_s <= lifetime_s:
                 return
             del self.origins[key]
 
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -325,13 +325,13 @@
     async def scenario():
         fleet = VirtualFleet(1, 1)
         view = fleet.nodes[0].store_view
-        directory = view.dispatcher.directory
+        versions = view.dispatcher.directory.versions
         value = encode_with_changes(WIRE_ENTRY)
         view.replace([Change("servers/s-1", 5, value)], 5, "store")
-        assert directory.sole_version("models", -30.0) == "v1"
+        assert versions.sole_version("models", fleet.loop.time()) == "v1"
         await asyncio.sleep(20.0)
         view.replace([Change("servers/s-1", 5, value)], 9, "store")
-        assert directory.sole_version("models", -30.0) is None
+        assert versions.sole_version("models", fleet.loop.time()) is None
 
     run_in_virtual_time(scenario())
 
@@ -354,12 +354,61 @@
             node.dispatcher.directory.delete("s-1", 40.0)
         await asyncio.sleep(5.0)
         last.dispatcher.directory.put(young, 45.0)
-        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0) is None
+        assert last.dispatcher.sole_version(MODEL_SERVICE, 45.0) is None
         for node in fleet.nodes[:5]:
             node.store_view.confirm(46.0)
         last.start()
         await asyncio.sleep(1.5)
-        assert last.dispatcher.directory.sole_version(MODEL_SERVICE, 30.0) == expected
+        assert last.dispatcher.sole_version(MODEL_SERVICE, fleet.loop.time()) == expected
+
+    run_in_virtual_time(scenario())
+
+
+# After the timeout of a route was shortened
+
+
+@pytest.mark.parametrize(("timeout_s", "left_ago_s"), [(12.0, 8.0), (12.0, 70.0), (900.0, 1000.0)])
+def test_stream_is_not_joined_after_the_timeout_of_its_route_was_shortened(timeout_s, left_ago_s):
+    """Guards against a version that is forgotten by a timeout shorter than that of its streams.
+
+    The last server of the version left while streams of the former timeout could still be at it.
+    """
+
+    def with_timeout(version, seconds):
+        return configuration(version, routes=[replace(RESUMABLE, timeout_s=seconds)])
+
+    async def scenario(port, pipeline, servers):
+        subject = pipeline.dispatcher
+        subject.directory.versions.record_first_start()
+        subject.apply_configuration(with_timeout(2, 5.0))
+        subject.directory.delete("server-0", asyncio.get_running_loop().time() - left_ago_s)
+        subject.directory.delete("server-1", asyncio.get_running_loop().time())
+        return await send_request(port, resume_bytes("d1", 4, "c1"))
+
+    response = run_scenario(
+        [[stream_events(1, 9)]] * 3,
+        scenario,
+        with_timeout(1, timeout_s),
+        MODEL_SERVICE,
+        ["v1", "v2", "v2"],
+    )
+    assert response.status == 503
+
+
+def test_started_node_learns_from_peers_how_long_streams_may_last():
+    """Guards against a node that starts after the change and knows only the short timeout."""
+
+    async def scenario():
+        fleet = VirtualFleet(6, 3)
+        routes = [replace(RESUMABLE, timeout_s=900.0)]
+        for node in fleet.nodes[:5]:
+            node.dispatcher.apply_configuration(configuration(1, routes))
+        fleet.put_servers([server_entry("s-1")])
+        fleet.start()
+        await asyncio.sleep(2.0)
+        new = fleet.restart(fleet.nodes[5])
+        await asyncio.sleep(1.0)
+        assert new.dispatcher.directory.versions.lifetime_s >= 900.0
 
     run_in_virtual_time(scenario())
 
@@ -419,5 +468,6 @@
         peer("node-03", 0.0 if silent_zone else now_s, zone="zone-c"),
     ]
     subject = dispatcher(servers=[server_entry("a")], peers=peers)
+    subject.directory.versions.record_first_start()
     subject.directory.confirmed_s = now_s - copy_age_s
-    assert subject.sole_version(MODEL_SERVICE, 20.0, now_s) == expected
+    assert subject.sole_version(MODEL_SERVICE, now_s) == expected
