Bound what is parsed of one request in a row

Evidence: test_body_in_small_chunks_leaves_others_their_turns fails on the former code. The tests beside it pass there too: they guard the next request of the connection, the single refusal of a body over the limit, and a caller that leaves while its body is parsed.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -12,7 +12,12 @@
 
 import h11
 
-from tanagerworks.edge.http_messages import HeaderList, RequestHead, find_header
+from tanagerworks.edge.http_messages import (
+    MAX_EVENTS_PER_TURN,
+    HeaderList,
+    RequestHead,
+    find_header,
+)
 from tanagerworks.errors import TanagerError
 from tanagerworks.published.model import CallerLimits
 
@@ -116,6 +121,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.lingering = False
         self.read_ahead_bytes = 0
+        # The turn of the event loop in which the rest of the input is parsed, if any is left.
+        self.parsing: asyncio.Handle | None = None
         # Event loop time.
         self.opened_s = asyncio.get_running_loop().time()
         self.had_request = False
@@ -137,6 +144,8 @@
         if self.lingering:
             return
         self.http.receive_data(data)
+        if self.parsing is not None:
+            return
         if self.task is not None:
             self.read_ahead_bytes += len(data)
             if self.read_ahead_bytes > _READ_AHEAD_BYTES and self.transport is not None:
@@ -168,9 +177,22 @@
     # Requests
 
     def _process_input(self) -> None:
+        """Parses input, as much as one turn of the event loop may take.
+
+        The rest is parsed in the next turns; until then, nothing more is read.
+        """
+        self.parsing = None
+        transport = self.transport
         try:
-            while self.task is None and self.transport is not None and self._process_next_event():
-                pass
+            for _ in range(MAX_EVENTS_PER_TURN):
+                if transport is None or self.task is not None or self.lingering:
+                    return
+                if not self._process_next_event():
+                    transport.resume_reading()
+                    return
+            assert transport is not None
+            transport.pause_reading()
+            self.parsing = asyncio.get_running_loop().call_soon(self._process_input)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             _LOGGER.info("request cannot be parsed", extra={"reason": str(error)})
--- a/tests/test_fault_small_chunks.py
+++ b/tests/test_fault_small_chunks.py
@@ -11,13 +11,16 @@
 import pytest
 
 from tanagerworks.edge.http_server import Responder
-from tests.edge_builders import MODEL_SERVICE, configuration, stream_route
+from tests.edge_builders import MODEL_SERVICE, configuration, non_idempotent_route, stream_route
 from tests.platform_standin import (
     encode_chunk,
+    read_response,
     request_bytes,
+    respond_with,
     response_head,
     run_scenario,
     send_request,
+    wait_until,
 )
 
 CHUNKS = 4_000
@@ -98,6 +101,58 @@
     assert max(relayed.values()) <= MAX_BYTES_IN_A_ROW
 
 
+def test_body_in_small_chunks_leaves_others_their_turns(in_a_row):
+    """Guards against an upload that keeps its node from answering the requests of others."""
+    events, _relayed = in_a_row
+    raw = request_bytes("/desk-book/x", "c1", "POST", b"", "transfer-encoding: chunked")
+    raw += b"1\r\nb\r\n" * CHUNKS + b"0\r\n\r\n"
+
+    async def scenario(port, pipeline, servers):
+        response = await send_request(port, raw)
+        return response, servers[0].bodies
+
+    response, bodies = run_scenario([[respond_with()]], scenario)
+    assert response.complete
+    assert bodies == [b"b" * CHUNKS]
+    assert max(events.values()) <= MAX_EVENTS_IN_A_ROW
+
+
+def test_next_request_behind_a_body_in_small_chunks_is_answered():
+    """Guards against a connection that is not read again after a body that took several turns."""
+    body = b"transfer-encoding: chunked"
+    first = request_bytes("/desk-book/x", "c1", "POST", b"", body.decode())
+    first += b"1\r\nb\r\n" * 200 + b"0\r\n\r\n"
+
+    async def scenario(port, pipeline, servers):
+        reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(first + request_bytes("/desk-book/x", "c2", "POST", b"b"))
+        answers = [await read_response(reader) for _ in range(2)]
+        writer.write(request_bytes("/desk-book/x", "c3", "POST", b"b"))
+        answers.append(await read_response(reader))
+        writer.close()
+        return [answer.complete for answer in answers]
+
+    assert run_scenario([[respond_with()]], scenario) == [True] * 3
+
+
+def test_body_over_the_limit_in_small_chunks_gets_one_refusal():
+    """Guards against the rest of a rejected body that is parsed in later turns."""
+    limits = configuration().limits
+    raw = request_bytes("/desk-book/x", "c1", "POST", b"", "transfer-encoding: chunked")
+    chunk = encode_chunk(b"b" * 1024)
+
+    async def scenario(port, pipeline, servers):
+        reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(raw + chunk * (limits.max_body_bytes // 1024 + 40) + b"0\r\n\r\n")
+        answer = await read_response(reader)
+        rest = await reader.read()
+        writer.close()
+        await wait_until(lambda: not port.connections)
+        return answer.status, rest, servers[0].requests
+
+    assert run_scenario([[respond_with()]], scenario) == (413, b"", [])
+
+
 def test_answer_that_ends_with_its_connection_is_whole_if_it_took_several_turns():
     """Guards against the loss of what is not parsed yet when the connection ends."""
     data = [EVENT] * CHUNKS
@@ -118,3 +173,19 @@
     )
     assert not response.complete
     assert response.body == b"".join(data)
+
+
+def test_upload_that_its_caller_gives_up_is_not_served():
+    """Guards against a request of a caller that has left while its body was parsed."""
+    raw = request_bytes("/desk-book/x", "c1", "POST", b"", "transfer-encoding: chunked")
+
+    async def scenario(port, pipeline, servers):
+        _reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(raw + b"1\r\nb\r\n" * 2000)
+        await wait_until(lambda: port.connections)
+        writer.transport.abort()
+        await wait_until(lambda: not port.connections)
+        return servers[0].requests
+
+    config = configuration(routes=[non_idempotent_route()])
+    assert run_scenario([[respond_with()]], scenario, config) == []
