Catch up with the store before a node concludes a stream's version

Cause: a node that saw one version trusted its copy of the store if that was believed to be younger than a second, or if the node heard some peer of every zone. Neither says that the copy has the version at which the stream began: a version may have joined within that second; the peers that are heard may know as little; and the believed age is wrong after a pause, as answers and messages that waited in the socket count as new.

Change: only a read of the store that began after the request arrived shows which versions can have begun its stream. Then peers are asked, as before. So that streams can go on while the store is down, nodes share records while their copy is older than 2 s. Whether a node hears peers no longer matters; PeerTable.is_cut_off is gone.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -37,8 +37,6 @@
 _RETRY_AFTER_WITHOUT_SERVERS_S = 1.0
 # Servers named in the reason of a refusal.
 _MAX_DESCRIBED_SERVERS = 8
-# Age of the copy of the store from which a node that is cut off may not know a software version.
-_MAX_KNOWN_VERSIONS_AGE_S = 1.0
 # Shortest retry delay for which the caller's new connection is worth its cost.
 _MIN_RETRY_AFTER_S = 0.05
 
@@ -143,17 +141,6 @@
             return None
         return self.configuration.services.get(name)
 
-    def sole_version(self, service: str, now_s: float) -> str | None:
-        """Returns the one software version that has served for as long as streams last, or None.
-
-        None also if this node may have missed a new version: its copy of the store is old, and it
-        is cut off from a zone. If the store itself is down, no version can have appeared.
-        """
-        copy_age_s = now_s - self.directory.confirmed_s
-        if copy_age_s > _MAX_KNOWN_VERSIONS_AGE_S and self.peer_table.is_cut_off(now_s):
-            return None
-        return self.directory.versions.sole_version(service, now_s)
-
     def find_candidates(
         self, dispatch_request: DispatchRequest, service: Service, now_s: float
     ) -> list[Candidate]:
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -65,6 +65,9 @@
     def disconnect(self) -> None:
         """Closes the connection, if one is open; the next read opens another one."""
 
+    def with_own_connection(self) -> "PublishedStore":
+        """Returns another client of the store, whose reads do not wait for those of this one."""
+
     def decode_item(self, change: Change) -> PublishedValue | None:
         """Returns the typed value of an item, or None if the product does not use its key.
 
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -13,7 +13,7 @@
 import logging
 import random
 import time
-from collections.abc import Set
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import replace
 
 from tanagerworks.dispatch.choice import Choice
@@ -107,6 +107,8 @@
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
         self.crash_detector = CrashDetector(dispatcher, metrics)
         dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
+        # Brings the copy of the store up to date as of an event loop time; returns whether it is.
+        self.catch_up: Callable[[float], Awaitable[bool]] = _cannot_catch_up
         self.random = random.Random()
         self.durations = RouteDurations()
         # Event loop time by which all requests have to end; None unless shutting down.
@@ -297,8 +299,7 @@
         service, resumes = request.service, request.call.resumes
         version = self.stream_origins.known_version(resumes) if resumes is not None else None
         if version is None:
-            now_s = asyncio.get_running_loop().time()
-            version = self.dispatcher.sole_version(service, now_s)
+            version = await self._conclude_version(service, request.arrived_s)
         if version is None and resumes is not None:
             version = await self.stream_origins.find_version(resumes)
         if version is None:
@@ -307,6 +308,20 @@
             self.stream_origins.record_begin(resumes, service, version)
         request.dispatch_request = replace(request.dispatch_request, software_version=version)
 
+    async def _conclude_version(self, service: str, arrived_s: float) -> str | None:
+        """Returns the one version at which a stream can have begun before `arrived_s`, or None.
+
+        A version that this node does not know yet may have begun the stream, so the node first
+        catches up with the store.
+        """
+        loop = asyncio.get_running_loop()
+        versions = self.dispatcher.directory.versions
+        if versions.sole_version(service, loop.time()) is None:
+            return None
+        if not await self.catch_up(arrived_s):
+            return None
+        return versions.sole_version(service, loop.time())
+
     async def _serve_until_deadline(self, request: RequestState) -> str:
         """Serves the request; returns "answered" or `SERVER_ERROR`."""
         timeout = PauseTolerantTimeout(
@@ -524,5 +539,9 @@
         _LOGGER.log(level, "request ended", extra=extra)
 
 
+async def _cannot_catch_up(_since_s: float) -> bool:
+    return False
+
+
 def _milliseconds(seconds: float | None) -> float | None:
     return round(seconds * 1000, 1) if seconds is not None else None
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -12,6 +12,7 @@
 
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
+from tanagerworks.edge.copy_check import CopyCheck
 from tanagerworks.edge.early_listen import BACKLOG
 from tanagerworks.edge.follower import StoreFollower, StoreView
 from tanagerworks.edge.http_messages import RequestHead
@@ -111,6 +112,10 @@
             settings.zone,
             self.metrics,
         )
+        self.copy_check = CopyCheck(
+            adapter.store.with_own_connection(), self.store_view, self.metrics
+        )
+        self.pipeline.catch_up = self.copy_check.catch_up
         self.store_view.on_changed = self._on_store_view_change
         self.peer_exchange = PeerExchange(
             settings.node,
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -1,9 +1,10 @@
 """The software versions at which resumable streams began, shared between nodes.
 
 A caller whose stream broke off comes back to any node and names the attempt that brought the first
-event. While the servers of a service run several versions, or may have run several lately, a node
-tells some peers about each stream that begins; they are found by rendezvous hashing, so any node
-knows whom to ask. While it is known that there is one version, nothing is sent.
+event. While the servers of a service run several versions, or may have run several lately, or the
+store does not answer, a node tells some peers about each stream that begins; they are found by
+rendezvous hashing, so any node knows whom to ask. While it is known that there is one version,
+nothing is sent.
 """
 
 import asyncio
@@ -29,6 +30,9 @@
 _ASKED_PEERS = 6
 # Time for the answers. Peers answer within milliseconds; a lost one does not answer.
 _ANSWER_TIMEOUT_S = 0.1
+# Age of the copy of the store from which this node, and probably its peers, cannot read the store.
+# They read it themselves before, if they can.
+_MAX_COPY_AGE_S = 2.0
 # Streams kept in memory; at 40 streams a second, those of several minutes.
 _MAX_STREAMS = 20_000
 # Streams in one datagram, at 8 bytes each.
@@ -178,8 +182,14 @@
         return [live[name] for name in rank_equally(f"{key:x}", live, count)]
 
     def _must_share(self, service: str, now_s: float) -> bool:
-        """Whether the version of a stream cannot be told without a record of it."""
-        return self.dispatcher.directory.versions.sole_version(service, now_s) is None
+        """Whether the version of a stream cannot be told without a record of it.
+
+        A peer that cannot catch up with the store concludes nothing.
+        """
+        directory = self.dispatcher.directory
+        if now_s - directory.confirmed_s > _MAX_COPY_AGE_S:
+            return True
+        return directory.versions.sole_version(service, now_s) is None
 
     def _send(self, message: StreamOrigins, address: tuple[str, int]) -> None:
         try:
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -142,11 +142,6 @@
             if peer.is_live(now_s):
                 yield peer
 
-    def is_cut_off(self, now_s: float) -> bool:
-        """Whether a zone is known whose peers are all lost, so this node may be cut off from it."""
-        zones = {peer.zone for peer in self.peers.values()}
-        return bool(zones - {peer.zone for peer in self.live_peers(now_s)})
-
     def lost_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the peers from which no message has arrived recently."""
         for peer in self.peers.values():
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -381,6 +381,11 @@
     return action
 
 
+async def caught_up(_since_s):
+    """Stands in for reads of a store that has no changes."""
+    return True
+
+
 async def start_edge(servers, initial_configuration=None, entries=None):
     """Starts a callers' port with its pipeline; returns the port's server and the pipeline."""
     edge_dispatcher = dispatcher(initial_configuration=initial_configuration)
@@ -389,6 +394,7 @@
     pipeline = Pipeline(edge_dispatcher, CallerHttp(), BackendHttp(), "zone-a", EdgeMetrics())
     pipeline.view_complete.set()
     pipeline.caches_recovered.set()
+    pipeline.catch_up = caught_up
     port = HttpServer(pipeline.handle_request, lambda: edge_dispatcher.configuration.limits)
     await port.listen("127.0.0.1", 0, 16)
     return port, pipeline
@@ -409,6 +415,18 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def resume_bytes(call_id, last_event_id, resumes):
+    """A caller's request on route `plan` that takes up a stream of an earlier attempt."""
+    return request_bytes(
+        "/plan/x",
+        call_id,
+        "POST",
+        b"",
+        f"last-event-id: {last_event_id}",
+        *([f"resumes: {resumes}"] if resumes else []),
+    )
+
+
 class ReceivedResponse:
     """A response as received; status 0 without a head, `complete` false if it was truncated."""
 
--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -17,8 +17,6 @@
 from tests.edge_builders import (
     MODEL_SERVICE,
     configuration,
-    dispatcher,
-    peer,
     server_entry,
     stream_route,
 )
@@ -26,6 +24,7 @@
     WIRE_ENTRY,
     encode_with_changes,
     request_bytes,
+    resume_bytes,
     run_scenario,
     send_request,
     stream_events,
@@ -88,18 +87,6 @@
     assert all(response.complete for response in responses)
 
 
-def resume_bytes(call_id, last_event_id, resumes):
-    """A caller's request that takes up a stream of an earlier attempt."""
-    return request_bytes(
-        "/plan/x",
-        call_id,
-        "POST",
-        b"",
-        f"last-event-id: {last_event_id}",
-        *([f"resumes: {resumes}"] if resumes else []),
-    )
-
-
 def test_caller_takes_a_stream_up_at_its_version():
     """Guards against a stream joined from two versions over a caller's tries at one node."""
     versions = ["v1", "v2"]
@@ -198,6 +185,7 @@
         fleet = fleet_with_versions("v1")
         await asyncio.sleep(3.0)
         first = fleet.nodes[0]
+        first.store_view.confirm(fleet.loop.time())
         sent_before = first.bytes_sent
         for number in range(300):
             first.exchange.stream_origins.record_begin(f"c{number}", MODEL_SERVICE, "v1")
@@ -354,12 +342,15 @@
             node.dispatcher.directory.delete("s-1", 40.0)
         await asyncio.sleep(5.0)
         last.dispatcher.directory.put(young, 45.0)
-        assert last.dispatcher.sole_version(MODEL_SERVICE, 45.0) is None
+        assert last.dispatcher.directory.versions.sole_version(MODEL_SERVICE, 45.0) is None
         for node in fleet.nodes[:5]:
             node.store_view.confirm(46.0)
         last.start()
         await asyncio.sleep(1.5)
-        assert last.dispatcher.sole_version(MODEL_SERVICE, fleet.loop.time()) == expected
+        assert (
+            last.dispatcher.directory.versions.sole_version(MODEL_SERVICE, fleet.loop.time())
+            == expected
+        )
 
     run_in_virtual_time(scenario())
 
@@ -451,23 +442,3 @@
     assert reached["e1"] == ["v2"]
     assert all(response.complete for response in resumed)
     assert reached["d1"] == reached["d2"] == ["v1"]
-
-
-@pytest.mark.parametrize(
-    ("copy_age_s", "silent_zone", "expected"),
-    [(0.2, True, "v1"), (5.0, True, None), (5.0, False, "v1")],
-)
-def test_node_that_is_cut_off_concludes_nothing(copy_age_s, silent_zone, expected):
-    """Guards against joined streams at a node that has not heard of a new version.
-
-    While the store itself is down, no version can appear, and streams go on.
-    """
-    now_s = 100.0
-    peers = [
-        peer("node-2", now_s, zone="zone-b"),
-        peer("node-03", 0.0 if silent_zone else now_s, zone="zone-c"),
-    ]
-    subject = dispatcher(servers=[server_entry("a")], peers=peers)
-    subject.directory.versions.record_first_start()
-    subject.directory.confirmed_s = now_s - copy_age_s
-    assert subject.sole_version(MODEL_SERVICE, now_s) == expected
