Put changed limits in force on connections that are open

Cause: a connection read the limits once, when it was opened.

Change: when the view of the store changes, connections without a request in progress take over the present limits: bodies, heads (by a new parser) and the idle timeout, counted from when the connection became idle. A request in progress keeps its own; its connection follows when the request has ended.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -107,10 +107,7 @@
     def __init__(self, server: "HttpServer") -> None:
         self.server = server
         self.limits = server.limits()
-        self.http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.limits.max_header_bytes + _HEAD_TOLERANCE_BYTES,
-        )
+        self.http = _new_parser(self.limits)
         self.transport: asyncio.Transport | None = None
         self.head: RequestHead | None = None
         self.head_started = False
@@ -125,6 +122,8 @@
         self.parsing: asyncio.Handle | None = None
         # Event loop time.
         self.opened_s = asyncio.get_running_loop().time()
+        # Since when no request is in progress, if none is; event loop time.
+        self.idle_since_s = self.opened_s
         self.had_request = False
 
     # asyncio.Protocol
@@ -282,10 +281,29 @@
             self._start_lingering_close()
             return
         self.http.start_next_cycle()
+        self.idle_since_s = asyncio.get_running_loop().time()
         self._start_timer(self.limits.idle_timeout_s, self.close)
+        self.apply_limits()
         self.transport.resume_reading()
         self._process_input()
 
+    def apply_limits(self) -> None:
+        """Puts the server's present limits in force; a request in progress keeps its own."""
+        limits = self.server.limits()
+        if limits == self.limits or self.transport is None or self.lingering:
+            return
+        if self.parsing is not None or self.task is not None:
+            return
+        if self.head is not None or self.head_started:
+            return
+        self.limits = limits
+        unparsed, _closed = self.http.trailing_data
+        self.http = _new_parser(limits)
+        if unparsed:
+            self.http.receive_data(unparsed)
+        idle_s = asyncio.get_running_loop().time() - self.idle_since_s
+        self._start_timer(max(0.0, limits.idle_timeout_s - idle_s), self.close)
+
     def closes_after_response(self) -> bool:
         """Whether a response that starts now is the last one of the connection."""
         return self.server.closing_connections
@@ -360,6 +378,12 @@
             self.timer = None
 
 
+def _new_parser(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes + _HEAD_TOLERANCE_BYTES
+    )
+
+
 def _head_bytes(event: h11.Request) -> int:
     """Returns the least number of bytes that the head of a request can have had."""
     size = len(event.method) + len(event.target) + _REQUEST_LINE_BYTES
@@ -400,6 +424,11 @@
             lambda: HttpServerConnection(self), sock=listener, backlog=backlog
         )
 
+    def apply_limits(self) -> None:
+        """Puts changed limits in force on the connections that are open."""
+        for connection in list(self.connections):
+            connection.apply_limits()
+
     def close_listener(self) -> None:
         """Stops accepting connections."""
         if self.listener is not None:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -150,6 +150,7 @@
     def _on_store_view_change(self) -> None:
         if self.store_view.complete:
             self.pipeline.view_complete.set()
+        self.caller_server.apply_limits()
         self.pipeline.placer.wake_first_waiters()
 
     def _caller_limits(self) -> CallerLimits:
