Frame answers without a body as HTTP says

Change: a response with status 204 or 304 states neither a length nor chunks, and body data of a response to HEAD is left out wherever it comes from (RFC 9110, sections 8.6 and 9.3.2).

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -376,8 +376,7 @@
         is_head = request.head.method == b"HEAD"
         body_bytes = _stated_length(response.headers) if is_head else len(response.body)
         self._start_response(request, response, body_bytes)
-        if not is_head:
-            request.responder.write_body(response.body)
+        request.responder.write_body(response.body)
         request.responder.finish()
         return "answered" if response.status < 500 else SERVER_ERROR
 
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -39,6 +39,7 @@
 # Time for which a connection without any request yet does not count as idle: its caller has opened
 # it to send one.
 _FIRST_REQUEST_GRACE_S = 0.5
+_STATUSES_WITHOUT_BODY = (204, 304)
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _CLOSE = (b"connection", b"close")
 
@@ -50,19 +51,28 @@
         self.connection = connection
         self.started = False
         self.finished = False
+        # Whether the response that has started has a body, by its request and its status.
+        self.has_body = True
 
     def start(self, status: int, headers: HeaderList, length: int | None) -> None:
-        """Sends the head; `length` is that of the body, None for a chunked body."""
-        framing = _CHUNKED if length is None else (b"content-length", b"%d" % length)
+        """Sends the head; `length` is that of the body, None for a chunked body.
+
+        A response to HEAD states the length of the body that it leaves out; one with the status 204
+        or 304 has no body whose length it could state (RFC 9110, section 8.6).
+        """
+        framing = [_CHUNKED if length is None else (b"content-length", b"%d" % length)]
+        if status in _STATUSES_WITHOUT_BODY:
+            framing = []
+        self.has_body = bool(framing) and not self.connection.is_head_request()
         closing = [_CLOSE] if self.connection.closes_after_response() else []
         self.started = True
         self.connection.send_event(
-            h11.Response(status_code=status, headers=[*headers, framing, *closing])
+            h11.Response(status_code=status, headers=[*headers, *framing, *closing])
         )
 
     def write_body(self, data: bytes) -> None:
-        """Sends body data; call `drain` afterwards to limit buffering."""
-        if data:
+        """Sends body data, unless the response has no body; call `drain` to limit buffering."""
+        if data and self.has_body:
             self.connection.send_event(h11.Data(data=data))
 
     def is_writable(self) -> bool:
@@ -304,6 +314,10 @@
         idle_s = asyncio.get_running_loop().time() - self.idle_since_s
         self._start_timer(max(0.0, limits.idle_timeout_s - idle_s), self.close)
 
+    def is_head_request(self) -> bool:
+        """Whether the request in progress asks for the head of the response only."""
+        return self.head is not None and self.head.method == b"HEAD"
+
     def closes_after_response(self) -> bool:
         """Whether a response that starts now is the last one of the connection."""
         return self.server.closing_connections
