Bound the memory that bodies of requests take

A node read any number of bodies at once, whatever its memory: 100 bodies of 4 MB that wait for their answers took 481 MB, and the platform ends a process beyond 300 MB (Fault).

Change: one budget for the process, 0.35 of the memory limit in its settings. Room for a body is reserved as a whole when its head has arrived, for chunks when they exceed 64 KiB, so each body that has begun can be read to its end. Without room the connection is not read; after 0.5 s the request is refused, not run, with no_body_memory and a Retry-After, and its connection closes. Bodies up to 64 KiB never wait. Room is given back with the end of the request, or once it cannot be sent again.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -222,6 +222,7 @@
             self._record_statement(attempt.state, metadata)
         if not (metadata.not_run or metadata.wrong_server or self._can_retry(request)):
             request.body = b""
+            request.responder.release_body()
         response = BackendResponse(event.status_code, headers, metadata=metadata)
         if request.route.streams and 200 <= event.status_code < 300:
             return headers, await self._relay_stream(request, attempt, connection, response)
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -12,13 +12,14 @@
 
 import h11
 
+from tanagerworks.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BodyReservation
 from tanagerworks.edge.http_messages import (
     MAX_EVENTS_PER_TURN,
     HeaderList,
     RequestHead,
     find_header,
 )
-from tanagerworks.errors import TanagerError
+from tanagerworks.errors import BodyMemoryError, TanagerError
 from tanagerworks.published.model import CallerLimits
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,6 +40,11 @@
 # Time for which a connection without any request yet does not count as idle: its caller has opened
 # it to send one.
 _FIRST_REQUEST_GRACE_S = 0.5
+# Longest time that a request waits for memory for its body; its caller then comes back, maybe to
+# another node.
+_MAX_ROOM_WAIT_S = 0.5
+# Memory for bodies of a server that is given no budget.
+_DEFAULT_BODY_BUDGET_BYTES = 64_000_000
 _STATUSES_WITHOUT_BODY = (204, 304)
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _CLOSE = (b"connection", b"close")
@@ -102,6 +108,10 @@
         detail = {"code": error.code, "message": error.message, "outcome": error.outcome.value}
         self.send_response(error.status, headers, json.dumps({"error": detail}).encode())
 
+    def release_body(self) -> None:
+        """States that the handler holds the body of the request no longer."""
+        self.connection.release_body()
+
     def abort(self) -> None:
         """Resets the connection, so that a partial response cannot appear complete."""
         self.finished = True
@@ -122,6 +132,9 @@
         self.head: RequestHead | None = None
         self.head_started = False
         self.body = bytearray()
+        # Memory for the body of the request in progress, and until when it waits for it.
+        self.reservation: BodyReservation | None = None
+        self.room_timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
         self.can_write = asyncio.Event()
         self.can_write.set()
@@ -153,7 +166,7 @@
         if self.lingering:
             return
         self.http.receive_data(data)
-        if self.parsing is not None:
+        if self.parsing is not None or self._waits_for_room():
             return
         if self.task is not None:
             self.read_ahead_bytes += len(data)
@@ -173,6 +186,7 @@
         self.can_write.set()
         self._cancel_timer()
         self._cancel_handler()
+        self.release_body()
         self.transport = None
 
     def pause_writing(self) -> None:
@@ -196,6 +210,9 @@
             for _ in range(MAX_EVENTS_PER_TURN):
                 if transport is None or self.task is not None or self.lingering:
                     return
+                if self._waits_for_room():
+                    transport.pause_reading()
+                    return
                 if not self._process_next_event():
                     transport.resume_reading()
                     return
@@ -227,9 +244,14 @@
             if len(self.body) > self.limits.max_body_bytes:
                 self._reject_request(413)
                 return False
+            if self.reservation is not None and len(self.body) > self.reservation.size:
+                # Chunks do not tell the length of the body.
+                self._reserve_room(self.limits.max_body_bytes)
             return True
         if isinstance(event, h11.EndOfMessage):
             self._cancel_timer()
+            if self.reservation is not None:
+                self.reservation.shrink(len(self.body))
             assert self.head is not None
             self.task = asyncio.get_running_loop().create_task(self._run_handler(self.head))
             return False
@@ -257,8 +279,54 @@
         self.head = RequestHead(event.method, event.target, headers, has_body)
         self.body = bytearray()
         self._start_timer(self.limits.idle_timeout_s, self._body_timeout)
+        self._reserve_room(SMALL_BODY_BYTES if chunked else _stated_body_bytes(headers))
         return True
 
+    # Memory for bodies
+
+    def _reserve_room(self, size: int) -> None:
+        """Reserves memory for a body in place of a former reservation; may have to wait for it."""
+        self.release_body()
+        self.reservation = self.server.body_budget.reserve(size, self._continue_with_room)
+        if not self.reservation.granted:
+            loop = asyncio.get_running_loop()
+            self.room_timer = loop.call_later(_MAX_ROOM_WAIT_S, self._refuse_for_room)
+
+    def _waits_for_room(self) -> bool:
+        return self.reservation is not None and not self.reservation.granted
+
+    def _continue_with_room(self) -> None:
+        if self.reservation is None or self.reservation.released or self.parsing is not None:
+            return
+        self._cancel_room_timer()
+        self._process_input()
+
+    def _refuse_for_room(self) -> None:
+        _LOGGER.warning(
+            "no memory for the body of a request",
+            extra={
+                "reserved_bytes": self.server.body_budget.reserved_bytes,
+                "waiting": len(self.server.body_budget.waiting),
+            },
+        )
+        Responder(self).send_error(BodyMemoryError("bodies of other requests take all memory"))
+        self.release_body()
+        self._start_lingering_close()
+
+    def release_body(self) -> None:
+        """Gives back the memory that is reserved for the body of the request in progress."""
+        self._cancel_room_timer()
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
+    def _cancel_room_timer(self) -> None:
+        if self.room_timer is not None:
+            self.room_timer.cancel()
+            self.room_timer = None
+
+    # Responses
+
     async def _run_handler(self, head: RequestHead) -> None:
         responder = Responder(self)
         try:
@@ -290,6 +358,7 @@
         self.task = None
         self.head = None
         self.body = bytearray()
+        self.release_body()
         self.read_ahead_bytes = 0
         if self.transport is None:
             return
@@ -326,7 +395,7 @@
 
     def closes_after_response(self) -> bool:
         """Whether a response that starts now is the last one of the connection."""
-        return self.server.closing_connections
+        return self.server.closing_connections or self.http.their_state is h11.SEND_BODY
 
     # Output and closing
 
@@ -347,6 +416,8 @@
 
     def _start_lingering_close(self) -> None:
         """Closes the output now and the connection after `_LINGER_S`; input is discarded."""
+        self.body = bytearray()
+        self.release_body()
         if self.transport is None or self.transport.is_closing():
             return
         self.lingering = True
@@ -418,8 +489,14 @@
 class HttpServer:
     """One listening address and the connections accepted on it."""
 
-    def __init__(self, handler: Handler, limits: Callable[[], CallerLimits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        body_budget: BodyBudget | None = None,
+    ) -> None:
         self.handler = handler
+        self.body_budget = body_budget or BodyBudget(_DEFAULT_BODY_BUDGET_BYTES)
         self.limits = limits
         self.connections: set[HttpServerConnection] = set()
         # While set, responses carry `Connection: close`, so that callers move to other nodes.
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -12,6 +12,7 @@
 
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
+from tanagerworks.edge.body_budget import BodyBudget
 from tanagerworks.edge.copy_check import CopyCheck
 from tanagerworks.edge.early_listen import BACKLOG
 from tanagerworks.edge.follower import StoreFollower, StoreView
@@ -52,8 +53,18 @@
 # A new node is not ready until it has recovered the index of cached parts, but for at most this
 # long: prefilling some prompts again costs less than leaving the node unused.
 _MAX_RECOVERY_WAIT_S = 1.0
+# Share of the memory limit that bodies of requests may take. Beside them, each body is copied once
+# while it is handed over and sent.
+_BODY_MEMORY_SHARE = 0.35
 # Settings that a running process cannot change.
-_FIELDS_THAT_NEED_A_RESTART = ("node", "zone", "addresses", "store", "first_start")
+_FIELDS_THAT_NEED_A_RESTART = (
+    "node",
+    "zone",
+    "addresses",
+    "store",
+    "first_start",
+    "memory_limit_mb",
+)
 PROGRAM = "tanager-edge"
 
 
@@ -139,7 +150,10 @@
         )
         self.store_view.on_store_changed = self.peer_exchange.announce_in_zone
         self.peer_exchange.is_following_store = self.follower.is_reliable
-        self.caller_server = HttpServer(self.pipeline.handle_request, self._caller_limits)
+        body_budget = BodyBudget(int(_BODY_MEMORY_SHARE * settings.memory_limit_bytes))
+        self.caller_server = HttpServer(
+            self.pipeline.handle_request, self._caller_limits, body_budget
+        )
         self.readiness_server = HttpServer(self._respond_readiness, CallerLimits)
         self.metrics_server = HttpServer(self._respond_metrics, CallerLimits)
         self.stop_requested = asyncio.Event()
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -337,6 +337,12 @@
     retry_after_s = 0.2
 
 
+class BodyMemoryError(CapacityError):
+    """The bodies of other requests take the memory that the request's body would need."""
+
+    code = "no_body_memory"
+
+
 class StoppingError(NotReadyError):
     """The process is shutting down and refuses a request that might not end in time."""
 
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -5,6 +5,8 @@
 from tanagerworks.fields import Address, Name
 from tanagerworks.settings.loader import SettingsModel
 
+DEFAULT_MEMORY_LIMIT_MB = 300.0
+
 
 class EdgeAddresses(SettingsModel):
     """Addresses at which one process listens, ``IP:PORT``."""
@@ -64,4 +66,11 @@
     # Whether no process of the fleet has run before, so that no request is older than this process.
     # False if not stated.
     first_start: bool | None = None
+    # Memory that the process may take, in millions of bytes; a default if not stated.
+    memory_limit_mb: float | None = Field(default=None, gt=0)
     log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+
+    @property
+    def memory_limit_bytes(self) -> float:
+        """`memory_limit_mb` in bytes."""
+        return 1e6 * (self.memory_limit_mb or DEFAULT_MEMORY_LIMIT_MB)
