--- a/tests/test_fault_software_versions.py
+++ b/tests/test_fault_software_versions.py
@@ -355,6 +355,34 @@
     run_in_virtual_time(scenario())
 
 
+# After a server has restarted under its id
+
+
+def test_stream_of_a_server_whose_new_version_is_not_published_yet():
+    """Guards against a stream that is recorded at the version of the server's former process."""
+
+    async def scenario(port, pipeline, servers):
+        directory = pipeline.dispatcher.directory
+        restarted, other = (state.entry for state in list(directory.servers.values()))
+        directory.delete(other.server_id, 0.0)
+        # The process at the address runs v2 already; its entry arrives after the first events.
+        await send_request(port, request_bytes("/plan/x", "c1", "POST"))
+        now_s = asyncio.get_running_loop().time()
+        directory.put(replace(restarted, version="v2", started_ms=int(time.time() * 1000)), now_s)
+        directory.put(other, now_s)
+        await send_request(port, resume_bytes("d1", 4, "c1"))
+        return servers[1].requests
+
+    reached = run_scenario(
+        [[stream_events(1, 9, cut=5)], [stream_events(1, 9)]],
+        scenario,
+        configuration(routes=[RESUMABLE]),
+        MODEL_SERVICE,
+        ["v1", "v1"],
+    )
+    assert not reached
+
+
 # After the timeout of a route was shortened
 
 
