Soak: versions that leave, changed timeouts, pauses, reloads, small chunks

It now retires all servers of a version, at times just before all nodes are killed or the timeout of their route changes, pauses and reloads nodes, and sends answers and bodies in small chunks without end. New checks: callers beside others' trouble are answered (bound and excuse of the rule CONFIG), and no process ends by itself; the test of the checks covers the first.

--- a/tests/edge_soak.py
+++ b/tests/edge_soak.py
@@ -4,10 +4,12 @@
 
 The seed fixes the random choices; the times depend also on how fast the processes run. What callers
 and servers see is checked: a stream has events of one software version, each once and in order; a
-request that may run once runs at most once, and not if its refusal says that it has not.
+request that may run once runs at most once, and not if its refusal says that it has not; callers at
+a node without trouble of its own are answered, whatever others send; no process ends by itself.
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -41,6 +43,23 @@
 _START_LIMIT_S = 20.0
 _STOP_LIMIT_S = 3.0
 _DRAIN_S = 1.0
+# Timeouts of the route of streams, drawn anew by each change; a stream takes 0.8 or 3 s.
+_STREAM_TIMEOUTS_MS = (1_000, 2_500, 15_000)
+_SLOW_EVENT_GAP_S = 0.15
+# Servers that leave without notice serve on for up to this time.
+_MAX_LINGER_S = 4.0
+_MAX_PAUSE_S = 3.0
+# How long a server or a caller sends small chunks, and how many bytes it writes at once.
+_SMALL_CHUNKS_S = 3.0
+_SMALL_CHUNKS_BLOCK = 14_000
+_ENDLESS_EVENT = "data: x"
+# A node is in touch again this long after a fault of its own.
+_CONTACT_S = 3.0
+_BOOKING_TIMEOUT_S = 0.8
+# Of the bookings that are overdue, at most this many, or half, may have no answer after that time.
+_MAX_UNANSWERED = 7
+_ANSWER_GRACE_S = 0.5
+_EXCHANGE_LIMIT_S = 2 * _DEADLINE_MS / 1000
 # Statuses that promise that a request has not run.
 _PROMISES = (408, 421, 429, 503)
 
@@ -55,6 +74,10 @@
         self.log = directory / f"{self.name}.log"
         self.process = None
         self.restarting = asyncio.Lock()
+        # Event loop time of the last fault of this node, its own ends included.
+        self.last_fault_s = 0.0
+        # Whether a signal was sent that may end the process.
+        self.may_end = False
         document = {
             "node": self.name,
             "zone": f"zone-{number}",
@@ -79,6 +102,7 @@
         self.settings.write_text(json.dumps(document))
 
     async def start(self):
+        self.may_end = False
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -97,6 +121,8 @@
             await self.process.wait()
 
     def signal(self, signal_number):
+        self.last_fault_s = asyncio.get_running_loop().time()
+        self.may_end = self.may_end or signal_number in (signal.SIGKILL, signal.SIGTERM)
         if self.process.returncode is None:
             self.process.send_signal(signal_number)
 
@@ -108,6 +134,7 @@
         async with self.restarting:
             await self.end(signal_number)
             await self.start()
+            self.last_fault_s = asyncio.get_running_loop().time()
 
 
 class Soak:
@@ -127,20 +154,27 @@
         self.outcomes = Counter()
         self.violations = []
         self.stopping = False
+        self.configuration = {}
+        # Seconds that each booking took at a node without trouble of its own or of the servers.
+        self.booking_times = []
+        # Event loop time of the last fault of the store or of a server of bookings.
+        self.last_shared_fault_s = 0.0
+        # The next stream gets small chunks without end.
+        self.endless_next = False
 
     async def run(self, seconds):
         """Starts everything, injects faults for some seconds, and ends everything."""
         await self.store.start()
         self.store.page_size = 500
         route = {"type": "non_idempotent", "service": "desk", "prefix": "/book/", "name": "r-2"}
-        configuration = WIRE_CONFIGURATION | {
+        self.configuration = WIRE_CONFIGURATION | {
             "routes": [
                 WIRE_CONFIGURATION["routes"][0]
                 | {"weighted-services": [{"service": "models", "weight": 1}], "max-attempts": 3},
                 WIRE_CONFIGURATION["routes"][1] | route,
             ]
         }
-        self.store.put("op/config", configuration)
+        self.store.put("op/config", self.configuration)
         for service in ("models", "desk"):
             for _ in range(_SERVERS_PER_SERVICE):
                 await self.add_server(service, "v1")
@@ -166,6 +200,12 @@
             self.stopping = True
             results = await asyncio.gather(*callers, return_exceptions=True)
             self.violations += [f"caller: {e!r}" for e in results if isinstance(e, Exception)]
+            self.check_bookings()
+            self.violations += [
+                f"{node.name}: ended by itself with status {node.process.returncode}"
+                for node in self.nodes
+                if node.process.returncode is not None and not node.may_end
+            ]
             for node in self.nodes:
                 await node.end(signal.SIGKILL)
             self.store.server.close_listener()
@@ -189,7 +229,10 @@
             return None
         writer.write(raw)
         try:
-            return await read_response(reader)
+            async with asyncio.timeout(_EXCHANGE_LIMIT_S):
+                return await read_response(reader)
+        except TimeoutError:
+            return None
         finally:
             writer.close()
 
@@ -201,6 +244,7 @@
         answer = self.answer_stream if service == "models" else self.answer_booking
         server = ServerStandin(server_id, answer)
         server.service, server.version, server.leaving = service, version, False
+        server.gap_s = self.random.choice([_EVENT_GAP_S, _SLOW_EVENT_GAP_S])
         await server.start()
         self.servers[server_id] = server
         self.put_entry(server, "ready")
@@ -225,11 +269,15 @@
             return
         kind = ("content-type: text/event-stream", "transfer-encoding: chunked")
         writer.write(response_head(headers, "200 OK", *kind))
+        if self.endless_next:
+            self.endless_next = False
+            await self.send_small_chunks(writer, f"{_ENDLESS_EVENT}\n\n".encode())
+            raise ConnectionResetError
         for number in range(int(headers.get("last-event-id", 0)) + 1, _EVENTS + 1):
             event = f"id: {number}\ndata: {server.version} {number}\n\n"
             writer.write(encode_chunk(event.encode()))
             await writer.drain()
-            await asyncio.sleep(_EVENT_GAP_S)
+            await asyncio.sleep(server.gap_s)
         writer.write(b"0\r\n\r\n")
 
     async def answer_booking(self, server, headers, reader, writer):
@@ -257,6 +305,13 @@
             self.crash_server,
             self.silence_store,
             self.write_odd_entry,
+            self.retire_version,
+            self.retire_version,
+            self.change_timeout,
+            self.pause_node,
+            self.reload_node,
+            self.answer_in_small_chunks,
+            self.upload_in_small_chunks,
         ]
 
     async def kill_node(self):
@@ -279,8 +334,83 @@
         await asyncio.sleep(_DRAIN_S * 1.2)
         self.remove_server(server)
 
+    async def retire_version(self):
+        """Starts a new version, if there is one only, then removes all servers of an older one.
+
+        They leave without notice. In half of all cases all nodes are killed a moment later, or the
+        timeout of the streams changes.
+        """
+        models = [server for server in self.servers.values() if server.service == "models"]
+        versions = sorted({server.version for server in models})
+        if len(versions) == 1:
+            self.version_number += 1
+            for _ in range(2):
+                await self.add_server("models", f"v{self.version_number}")
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        retired = [s for s in models if s.version == versions[0] and not s.leaving]
+        for server in retired:
+            server.leaving = True
+            self.store.delete(f"servers/{server.server_id}")
+        loop = asyncio.get_running_loop()
+        for server in retired:
+            loop.call_later(self.random.uniform(_DRAIN_S, _MAX_LINGER_S), self.end_server, server)
+        await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        follow_up = self.random.choice([self.kill_all_nodes, self.change_timeout, None, None])
+        if follow_up is not None:
+            await follow_up()
+
+    def end_server(self, server):
+        """Ends a server whose entry is gone already."""
+        server.crash()
+        self.servers.pop(server.server_id, None)
+
+    async def change_timeout(self):
+        """Publishes a configuration with another timeout of the streams' route."""
+        chat, book = self.configuration["routes"]
+        chat = chat | {"timeout-ms": self.random.choice(_STREAM_TIMEOUTS_MS)}
+        version = self.configuration["version"] + 1
+        self.configuration = self.configuration | {"version": version, "routes": [chat, book]}
+        self.store.put("op/config", self.configuration)
+
+    async def pause_node(self):
+        node = self.random.choice(self.nodes)
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.1, _MAX_PAUSE_S))
+        node.signal(signal.SIGCONT)
+
+    async def reload_node(self):
+        self.random.choice(self.nodes).signal(signal.SIGHUP)
+
+    async def answer_in_small_chunks(self):
+        """Lets a server answer one stream with small chunks without end."""
+        self.endless_next = True
+
+    async def upload_in_small_chunks(self):
+        """Sends a body in small chunks to one node, for as long as it reads."""
+        node = self.random.choice(self.nodes)
+        host, _colon, port = node.callers.rpartition(":")
+        try:
+            _reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(self.request("/chat/x", self.next_call_id(), "transfer-encoding: chunked"))
+            await self.send_small_chunks(writer, b"b")
+        except OSError:
+            return
+        writer.close()
+
+    async def send_small_chunks(self, writer, data):
+        chunks = encode_chunk(data) * (_SMALL_CHUNKS_BLOCK // len(encode_chunk(data)))
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + _SMALL_CHUNKS_S
+        while loop.time() < until_s:
+            writer.write(chunks)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, until_s - loop.time())):
+                    await writer.drain()
+            await asyncio.sleep(0.014)
+
     async def crash_server(self):
         server = self.choose_staying_server()
+        self.record_shared_fault(server)
         server.crash()
         await asyncio.sleep(self.random.uniform(0.0, 0.5))
         self.remove_server(server)
@@ -294,14 +424,20 @@
         return server
 
     def remove_server(self, server):
+        self.record_shared_fault(server)
         server.server.close()
         del self.servers[server.server_id]
         self.store.delete(f"servers/{server.server_id}")
 
+    def record_shared_fault(self, server):
+        if server.service == "desk":
+            self.last_shared_fault_s = asyncio.get_running_loop().time()
+
     async def silence_store(self):
         self.store.mode = self.random.choice(["silent", "busy", "garbage"])
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         self.store.mode = ""
+        self.last_shared_fault_s = asyncio.get_running_loop().time()
 
     async def write_odd_entry(self):
         entry = WIRE_ENTRY | {"capacity": int("9" * 400)}
@@ -345,6 +481,9 @@
                 await asyncio.sleep(0.1)
                 continue
             received = [part for part in response.body.decode().split("\n\n") if part]
+            if _ENDLESS_EVENT in received:
+                self.outcomes["stream without end"] += 1
+                return
             if received and not events:
                 first_id = call_id
             events += received
@@ -366,15 +505,32 @@
     async def book(self):
         call_id = self.next_call_id()
         node = self.random.choice(self.nodes)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
         response = await self.exchange(node.callers, self.request("/book/x", call_id))
+        took_s = loop.time() - began_s
         status = response.status if response is not None else None
         self.outcomes[f"booking {status}"] += 1
+        calm_since_s = max(node.last_fault_s, self.last_shared_fault_s) + _CONTACT_S
+        if began_s > calm_since_s and self.store.mode == "" and not node.restarting.locked():
+            self.booking_times.append(took_s)
         await asyncio.sleep(0.05)
         if self.runs[call_id] > 1:
             self.violations.append(f"{call_id}: ran {self.runs[call_id]} times")
         if status in _PROMISES and self.runs[call_id]:
             self.violations.append(f"{call_id}: ran, though {status} promises that it did not")
 
+    def check_bookings(self):
+        """Checks that callers beside others' trouble are answered, by the bound of the rule."""
+        overdue = [took_s for took_s in self.booking_times if took_s >= _BOOKING_TIMEOUT_S]
+        limit_s = _BOOKING_TIMEOUT_S + _ANSWER_GRACE_S
+        unanswered = [took_s for took_s in overdue if took_s >= limit_s]
+        if len(unanswered) > max(_MAX_UNANSWERED, len(overdue) / 2):
+            self.violations.append(
+                f"{len(unanswered)} of {len(self.booking_times)} bookings without answer for"
+                f" {limit_s} s"
+            )
+
 
 async def run_seed(seed, seconds):
     """Runs one seed; returns the violations and prints what was seen."""
--- a/tests/test_edge_soak.py
+++ b/tests/test_edge_soak.py
@@ -19,3 +19,10 @@
     soak.check_stream("c2", ["id: 1\ndata: v1 1", "id: 3\ndata: v1 3"], False)
     soak.check_stream("c3", ["id: 1\ndata: v1 1"], True)
     assert [line.partition(":")[0] for line in soak.violations] == ["c1", "c2", "c3"]
+    soak.booking_times = [0.1] * 100 + [1.4] * 8
+    soak.check_bookings()
+    assert soak.violations[-1].startswith("8 of 108 bookings without answer")
+    soak.violations.clear()
+    soak.booking_times = [0.1] * 100 + [0.9] * 9 + [1.4] * 8
+    soak.check_bookings()
+    assert not soak.violations
