Do not parse what is left of an answer that its reader has closed

A turn of the event loop that was scheduled before the reader closed the connection logged the rest of the answer as data that belongs to no request.

--- a/src/tanagerworks/dispatch/software_versions.py
+++ b/src/tanagerworks/dispatch/software_versions.py
@@ -13,6 +13,7 @@
 # With longer timeouts, it lasts at most this multiple of the longest one, as a caller may come back
 # after a broken connection.
 _LIFETIME_PER_TIMEOUT = 1.5
+# Bounds what a configuration or a message can demand.
 _MAX_LIFETIME_S = 86_400.0
 
 
--- a/src/tanagerworks/edge/backend_connection.py
+++ b/src/tanagerworks/edge/backend_connection.py
@@ -116,6 +116,10 @@
         The rest is parsed in the next turns; until then, nothing more is read.
         """
         self.parse_pending = False
+        if not self.awaiting_response:
+            # The reader has closed the connection since the last turn.
+            self._wake_reader()
+            return
         try:
             for _ in range(MAX_EVENTS_PER_TURN):
                 if not self.awaiting_response or not self._parse_event():
