Close connections whose caller has reset them while input waits

Cause: a caller sends many small chunks and leaves. While they wait to be parsed, nothing is read, so its departure is not noticed. At the timeout the refusal is written, the caller's system answers with a reset at once, and shutting the output down fails.

Change: a connection that cannot be shut down is aborted, with a log line.

Evidence: test_caller_that_leaves_amid_small_chunks_leaves_no_connection fails before: the connection is still open after 10 s.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -421,8 +421,13 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.lingering = True
-        if self.transport.can_write_eof():
+        try:
             self.transport.write_eof()
+        except OSError as error:
+            # A reset is not noticed while the rest of the input waits to be parsed.
+            _LOGGER.info("caller has reset the connection", extra={"reason": str(error)})
+            self.abort()
+            return
         self.transport.resume_reading()
         self._start_timer(_LINGER_S, self.close)
 
--- a/tests/test_fault_small_chunks.py
+++ b/tests/test_fault_small_chunks.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
 import h11
 import pytest
@@ -175,6 +176,27 @@
     assert response.body == b"".join(data)
 
 
+def test_caller_that_leaves_amid_small_chunks_leaves_no_connection(caplog):
+    """Guards against an exception in a timer, after which the connection is never closed.
+
+    The reset that answers the refusal is not noticed while the rest of the body waits.
+    """
+    limits = replace(configuration().limits, idle_timeout_s=1.0)
+
+    async def scenario(port, pipeline, servers):
+        _reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(request_bytes("/desk-book/x", "c1", "POST", b"", "transfer-encoding: chunked"))
+        for _ in range(60):
+            writer.write(b"1\r\nb\r\n" * 5_000)
+            await asyncio.sleep(0)
+        writer.close()
+        await wait_until(lambda: port.connections)
+        await wait_until(lambda: not port.connections)
+
+    run_scenario([[respond_with()]], scenario, configuration(limits=limits))
+    assert not [record for record in caplog.records if record.name == "asyncio"]
+
+
 def test_upload_that_its_caller_gives_up_is_not_served():
     """Guards against a request of a caller that has left while its body was parsed."""
     raw = request_bytes("/desk-book/x", "c1", "POST", b"", "transfer-encoding: chunked")
