--- a/src/tanagerworks/dispatch/software_versions.py
+++ b/src/tanagerworks/dispatch/software_versions.py
@@ -62,12 +62,12 @@
         self.known_from_s = -math.inf
 
     def record_gap(self, until_s: float) -> None:
-        """Records that versions may have come and gone unseen until a time."""
+        """Records that versions may have come and gone unseen until a time, in seconds."""
         if self.known_from_s is not None:
             self.known_from_s = max(self.known_from_s, until_s)
 
     def extend_back(self, known_from_s: float, known_until_s: float) -> None:
-        """Records that a peer knows all versions of a period.
+        """Records that a peer knows all versions from one time to another, both in seconds.
 
         A period that ends before this node's own knowledge begins leaves a gap, so it says nothing.
         """
--- a/src/tanagerworks/edge/body_budget.py
+++ b/src/tanagerworks/edge/body_budget.py
@@ -49,7 +49,7 @@
 
 
 class BodyReservation:
-    """Room for one body; it has to be released, whether it was granted or not."""
+    """Room for one body, `size` in bytes; it has to be released, whether it was granted or not."""
 
     def __init__(self, budget: BodyBudget, size: int, on_granted: Callable[[], None]) -> None:
         self.budget = budget
@@ -59,7 +59,7 @@
         self.released = False
 
     def shrink(self, size: int) -> None:
-        """Gives back what a body turned out not to need."""
+        """Gives back what a body of `size` bytes does not need; ignored if that is not less."""
         if self.granted and not self.released and size < self.size:
             self.budget.reserved_bytes -= self.size - size
             self.size = size
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -132,7 +132,7 @@
         self.head: RequestHead | None = None
         self.head_started = False
         self.body = bytearray()
-        # Memory for the body of the request in progress, and until when it waits for it.
+        # Memory for the body of the request in progress, and the timer that ends the wait for it.
         self.reservation: BodyReservation | None = None
         self.room_timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
@@ -285,7 +285,10 @@
     # Memory for bodies
 
     def _reserve_room(self, size: int) -> None:
-        """Reserves memory for a body in place of a former reservation; may have to wait for it."""
+        """Reserves memory for a body of `size` bytes in place of a former reservation.
+
+        If there is none now, the request waits for up to `_MAX_ROOM_WAIT_S`.
+        """
         self.release_body()
         self.reservation = self.server.body_budget.reserve(size, self._continue_with_room)
         if not self.reservation.granted:
--- a/tests/test_fault_out_of_step.py
+++ b/tests/test_fault_out_of_step.py
@@ -140,17 +140,35 @@
 
     async def scenario(port, pipeline, servers, store, copy_check):
         loop = asyncio.get_running_loop()
-        store.mode = "silent"
+        read_changes, calls, answer = copy_check.store.wait_for_changes, [], asyncio.Event()
+
+        async def answer_first_call_late(*arguments):
+            calls.append(arguments)
+            change_set = await read_changes(*arguments)
+            if len(calls) == 1:
+                await answer.wait()
+            return change_set
+
+        copy_check.store.wait_for_changes = answer_first_call_late
         early = loop.create_task(copy_check.catch_up(loop.time()))
-        await wait_until(lambda: copy_check.read_task is not None)
-        read_began_s = loop.time()
-        store.mode = ""
-        assert not await early
-        copy_check.failed_at_s = float("-inf")
-        assert await copy_check.catch_up(read_began_s)
-        return copy_check.confirmed_s >= read_began_s
+        await wait_until(lambda: calls)
+        late = loop.create_task(copy_check.catch_up(loop.time()))
+        await asyncio.sleep(0)
+        answer.set()
+        return await early, await late, len(calls)
+
+    assert run_with_store(scenario) == (True, True, 2)
 
-    assert run_with_store(scenario)
+
+async def settled_fleet(count):
+    """Returns a fleet in three zones that knows one server and has read the store just now."""
+    fleet = VirtualFleet(count, 3)
+    fleet.put_servers([server_entry("s-1")])
+    fleet.start()
+    await asyncio.sleep(3.0)
+    for node in fleet.nodes:
+        node.store_view.confirm(fleet.loop.time())
+    return fleet
 
 
 def test_streams_go_on_while_the_store_is_down():
@@ -160,12 +178,7 @@
     """
 
     async def scenario():
-        fleet = VirtualFleet(24, 3)
-        fleet.put_servers([server_entry("s-1")])
-        fleet.start()
-        await asyncio.sleep(3.0)
-        for node in fleet.nodes:
-            node.store_view.confirm(fleet.loop.time())
+        fleet = await settled_fleet(24)
         first = fleet.nodes[0]
         for number in range(40):
             first.exchange.stream_origins.record_begin(f"c{number}", MODEL_SERVICE, "v1")
@@ -182,12 +195,7 @@
     """Guards against the loss of streams at a node that the store turns away."""
 
     async def scenario():
-        fleet = VirtualFleet(6, 3)
-        fleet.put_servers([server_entry("s-1")])
-        fleet.start()
-        await asyncio.sleep(3.0)
-        for node in fleet.nodes:
-            node.store_view.confirm(fleet.loop.time())
+        fleet = await settled_fleet(6)
         fleet.nodes[0].exchange.stream_origins.record_begin("c1", MODEL_SERVICE, "v1")
         assert await fleet.nodes[4].exchange.stream_origins.find_version("c1") == "v1"
 
