Do not keep replaced configurations for peers

A node keeps the last 256 changes of the store for peers that are a few revisions behind. In a storm of configuration changes these were up to 256 configurations, of up to hundreds of kilobytes each. A change with a large value is now dropped when its key changes again. Changes of server entries are all kept, as they show which software versions have come and gone.

The new test fails before: 19 configurations of 20,000 bytes were kept, now one is.

--- a/src/tanagerworks/published/replica.py
+++ b/src/tanagerworks/published/replica.py
@@ -13,6 +13,10 @@
 
 # Changes kept for peers that are a few revisions behind; peers further behind fetch all items.
 _MAX_RECENT_CHANGES = 256
+# A change with a larger value is dropped when its key changes again: a configuration may have
+# hundreds of kilobytes, and operators may publish several a second. All changes of server entries,
+# which are small, are kept: they show peers which software versions have come and gone.
+_MAX_KEPT_VALUE_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +37,8 @@
         # The last write of each key that exists.
         self.items: dict[str, Change] = {}
         self.recent_changes: deque[Change] = deque()
-        # `recent_changes` contains all changes after this revision.
+        # `recent_changes` contains all changes after this revision, except large ones that a later
+        # one has replaced.
         self.recent_after_revision = 0
 
     def is_older_than(self, era: int, revision: int) -> bool:
@@ -47,6 +52,9 @@
         return [change for change in self.recent_changes if change.revision > revision]
 
     def _record(self, change: Change) -> None:
+        replaced = self.items.get(change.key)
+        if replaced is not None and _is_large(replaced) and replaced in self.recent_changes:
+            self.recent_changes.remove(replaced)
         self.recent_changes.append(change)
         while len(self.recent_changes) > _MAX_RECENT_CHANGES:
             self.recent_after_revision = max(
@@ -127,3 +135,7 @@
         self.recent_changes.clear()
         self.recent_after_revision = revision
         return applied
+
+
+def _is_large(change: Change) -> bool:
+    return change.value is not None and len(change.value) > _MAX_KEPT_VALUE_BYTES
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -121,3 +121,22 @@
     replica = Replica()
     replica.apply_changes([Change("a", 2, None), Change("a", 1, b"1")], 2)
     assert replica.items == {}
+
+
+def test_replaced_configurations_are_not_kept_for_peers():
+    """Guards against a process that holds every configuration of a storm of changes."""
+    replica, behind = Replica(), Replica()
+    first = [Change("config", 1, b"c" * 20_000), Change("servers/a", 2, b"v1")]
+    for copy in (replica, behind):
+        copy.replace_items(first, 2)
+    for revision in range(3, 40, 2):
+        later = [
+            Change("config", revision, bytes([revision]) * 20_000),
+            Change("servers/a", revision + 1, b"v%d" % revision),
+        ]
+        replica.apply_changes(later, revision + 1)
+    changes = replica.changes_after(2)
+    assert sum(len(change.value) for change in changes) < 2 * 20_000
+    assert len([change for change in changes if change.key == "servers/a"]) == 19
+    behind.apply_changes(changes, replica.revision)
+    assert behind.items == replica.items
