--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -45,9 +45,6 @@
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 # Pause before a failed task is restarted, so that a persistent fault does not occupy the core.
 _TASK_RESTART_DELAY_S = 0.5
-# Delay after the start before the metrics library is imported, so that callers that waited for the
-# start are served first.
-_METRICS_DELAY_S = 1.0
 # A node without contact to anything outside its zone for this long reports that it is not ready.
 _ISOLATION_TIMEOUT_S = 1.5
 # A new node is not ready until it has recovered the index of cached parts, but for at most this
@@ -94,6 +91,7 @@
         self.peer_finder = adapter.peer_finder
         started_s = time.monotonic()
         self.metrics = EdgeMetrics()
+        self.metrics.on_pending_full = self._install_metrics
         self.dispatcher = Dispatcher(
             settings.node, _fleet_bounds(settings.bounds), PeerTable(started_s)
         )
@@ -203,7 +201,6 @@
             self.peer_exchange.run,
             self._clean_up_connections,
             self.cache_recovery.run,
-            self._install_metrics,
             self._watch_settings,
         ):
             self.tasks.append(loop.create_task(_run_with_restarts(task_function)))
@@ -258,6 +255,7 @@
         responder.send_response(200 if self.is_ready() else 503, [], b"")
 
     async def _respond_metrics(self, head: RequestHead, body: bytes, responder: Responder) -> None:
+        self._install_metrics()
         from tanagerworks.telemetry.metrics import METRICS_CONTENT_TYPE, render_metrics
 
         headers = [(b"content-type", METRICS_CONTENT_TYPE.encode())]
@@ -266,9 +264,10 @@
     async def _clean_up_connections(self) -> None:
         await self.pipeline.backend_exchange.run_connection_cleanup(_CONNECTION_CLEANUP_INTERVAL_S)
 
-    async def _install_metrics(self) -> None:
-        """Imports the metrics SDK late, as the import takes a tenth of the start-up time."""
-        await asyncio.sleep(_METRICS_DELAY_S)
+    def _install_metrics(self) -> None:
+        """Imports the metrics SDK, at the first call, and creates the instruments."""
+        if self.metrics.meter is not None:
+            return
         from tanagerworks.telemetry.metrics import create_meter
 
         self.metrics.bind_meter(create_meter(PROGRAM))
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -8,25 +8,27 @@
 from tanagerworks.edge.request_state import RequestKind, RetryDenial
 
 if TYPE_CHECKING:
-    # Importing the library takes a tenth of the start-up time, so it happens after the ports are
-    # open.
+    # Importing the library takes a tenth of the start-up time and 3 MB, so it happens only when
+    # somebody reads the metrics or many measurements are stored.
     from opentelemetry.metrics import Meter
 
 # Bucket bounds of the histograms; the latency objectives of the routes are among them.
 _DURATION_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 8.0, 15.0)
-# Measurements stored until the library is imported; a process makes fewer in its first second.
-_MAX_PENDING = 2_000
+# Measurements that are stored before the library is imported for them.
+MAX_PENDING = 2_000
 
 
 class EdgeMetrics:
     """Counters and histograms of one process; names follow the OpenTelemetry conventions.
 
-    Up to `_MAX_PENDING` measurements made before `bind_meter` are stored and recorded by it.
+    Measurements made before `bind_meter` are stored and recorded by it.
     """
 
     def __init__(self) -> None:
         self.meter: Meter | None = None
         self.pending: list[Callable[[], None]] = []
+        # Called once `MAX_PENDING` measurements are stored; has to call `bind_meter`.
+        self.on_pending_full: Callable[[], None] = lambda: None
 
     def bind_meter(self, meter: Meter) -> None:
         """Creates the instruments and records the stored measurements."""
@@ -86,8 +88,10 @@
     def _record_or_defer(self, measurement: Callable[[], None]) -> None:
         if self.meter is not None:
             measurement()
-        elif len(self.pending) < _MAX_PENDING:
-            self.pending.append(measurement)
+            return
+        self.pending.append(measurement)
+        if len(self.pending) >= MAX_PENDING:
+            self.on_pending_full()
 
     def record_request_end(
         self,
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -28,7 +28,8 @@
         await wait_until(process.is_ready)
         assert (await send_request(process.readiness_server, GET_READY)).status == 200
         assert (await send_request(process.caller_server, request_bytes("/book/x"))).status == 200
-        await wait_until(lambda: process.metrics.meter is not None)
+        # Nobody has asked for the metrics, so their library is not imported for this process.
+        assert process.metrics.meter is None
         metrics = await send_request(process.metrics_server, GET_METRICS)
         assert b"tanager_requests_total" in metrics.body
         process.stop_requested.set()
--- a/tests/test_edge_telemetry.py
+++ b/tests/test_edge_telemetry.py
@@ -12,7 +12,7 @@
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
 from tanagerworks.edge.request_state import RequestKind, RetryDenial
-from tanagerworks.edge.telemetry import EdgeMetrics
+from tanagerworks.edge.telemetry import MAX_PENDING, EdgeMetrics
 from tanagerworks.telemetry.queued_logs import (
     MAX_QUEUED_RECORDS,
     MAX_RECORDS_PER_S,
@@ -128,3 +128,21 @@
     assert {point.attributes["reason"] for point in failures} == {"may_have_run", "sent_again"}
     assert exported["tanager.requests.active"].data.data_points[0].value == 3.0
     assert exported["tanager.repeats"].data.data_points[0].value == 1
+
+
+def test_many_measurements_are_not_lost_before_the_metrics_are_read():
+    """Guards against counters that miss requests because nobody has read the metrics yet."""
+    metrics = EdgeMetrics()
+    reader = InMemoryMetricReader()
+    meter = MeterProvider(metric_readers=[reader]).get_meter("test")
+    metrics.on_pending_full = lambda: metrics.bind_meter(meter)
+    for _number in range(MAX_PENDING + 10):
+        metrics.record_retry("service")
+    (metric,) = (
+        metric
+        for resource in reader.get_metrics_data().resource_metrics
+        for scope in resource.scope_metrics
+        for metric in scope.metrics
+    )
+    assert metric.data.data_points[0].value == MAX_PENDING + 10
+    assert not metrics.pending
