Leave cache listings after a restart of a large fleet to the first nodes

After a loss of power of all 90 nodes of a fleet, 788 listings were made of 45 to 60 servers: nodes start within a second of each other, a new one knows few peers, and each listed up to eight servers. A listing delays its server's work, and its contents are sent to every node. Fleets of up to 16 nodes do as before.

The new test fails before (listings in the first round).

--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -36,6 +36,10 @@
 # at the same time may not have arrived yet. Without the limit the first node of a large fleet would
 # list and announce all servers. Two nodes cover the servers of the services in use.
 _MAX_SERVERS_IN_FIRST_ROUND = 8
+# A node that hears this many peers when it has started leaves the first round to them: they have
+# started before and list the servers. A listing slows its server down, and 90 nodes that restarted
+# together made 788 listings of 60 servers, each of which all nodes were sent.
+_PEERS_THAT_LIST = 16
 # If fewer parts of a server are known, no peer has listed its cache: they come from requests that
 # were sent to it.
 _MIN_LISTED_PARTS = 16
@@ -72,9 +76,9 @@
     async def run(self) -> None:
         """Copies the index of a peer that started earlier; without one, lists the servers' caches.
 
-        Waits until a server entry is known. Nodes that started together list different servers. A
-        second round lists the remaining servers of this node for which no peer has announced a
-        listing by then.
+        Waits until a server entry is known. Nodes that started together list different servers, in
+        a large fleet only the first of them. A second round lists the remaining servers of this
+        node for which no peer has announced a listing by then.
         """
         await asyncio.sleep(_FIRST_MESSAGES_WAIT_S)
         while not self.dispatcher.directory.servers:
@@ -82,8 +86,10 @@
         if await self._copy_from_older_peer():
             self.recovered.set()
             return
-        listed = self._assigned_servers()[:_MAX_SERVERS_IN_FIRST_ROUND]
-        await self._list_caches(listed)
+        listed: list[ServerState] = []
+        if self._count_live_peers() < _PEERS_THAT_LIST:
+            listed = self._assigned_servers()[:_MAX_SERVERS_IN_FIRST_ROUND]
+            await self._list_caches(listed)
         self.recovered.set()
         await asyncio.sleep(_ANNOUNCEMENT_WAIT_S)
         by_server = self.dispatcher.cached_parts.keys_by_server()
@@ -96,6 +102,10 @@
             if state not in listed and state.server_id not in announced
         )
 
+    def _count_live_peers(self) -> int:
+        now_s = asyncio.get_running_loop().time()
+        return sum(1 for _peer in self.dispatcher.peer_table.live_peers(now_s))
+
     async def _list_caches(self, states: Iterable[ServerState]) -> None:
         await asyncio.gather(*(self._list_cache(state) for state in states))
 
--- a/tests/test_edge_recovery.py
+++ b/tests/test_edge_recovery.py
@@ -7,7 +7,7 @@
 
 from tanagerworks.dispatch.cached_parts import part_key
 from tanagerworks.edge.recovery import CacheRecovery
-from tests.edge_builders import MODEL_SERVICE, configuration, server_entry
+from tests.edge_builders import MODEL_SERVICE, configuration, peer, server_entry
 from tests.platform_standin import wait_until
 from tests.test_edge_peers import Node, Seeds
 
@@ -112,6 +112,38 @@
     asyncio.run(scenario())
 
 
+def test_late_node_of_a_restarted_fleet_leaves_the_listings_to_the_first_ones():
+    """Guards against listings by every node of a fleet that lost power, which slow the servers."""
+
+    async def scenario():
+        listings = [ListingServer([f"part-{n}-{k}" for k in range(16)]) for n in range(120)]
+        servers = [
+            server_entry(f"m{n}", service=MODEL_SERVICE, port=await listing.start())
+            for n, listing in enumerate(listings)
+        ]
+        nodes, recoveries = await start_together(1, servers)
+        now_s = asyncio.get_running_loop().time()
+        for number in range(16):
+            # They rank behind this node for some of the servers.
+            nodes[0].dispatcher.peer_table.record_message(
+                peer(f"early-{number}", now_s, incarnation=recoveries[0].incarnation)
+            )
+        task = asyncio.ensure_future(recoveries[0].run())
+        await wait_until(recoveries[0].recovered.is_set)
+        assert sum(listing.requests for listing in listings) == 0
+        announced, *unannounced = [state.server_id for state in recoveries[0]._assigned_servers()]
+        parts = [part_key("m", f"part-{announced[1:]}-{k}") for k in range(16)]
+        nodes[0].dispatcher.cached_parts.record_parts(parts, announced, now_s)
+        await task
+        # What the early nodes have not announced by then is listed nevertheless.
+        listed = [f"m{n}" for n, listing in enumerate(listings) if listing.requests]
+        assert unannounced
+        assert sorted(listed) == sorted(unannounced)
+        nodes[0].stop()
+
+    asyncio.run(scenario())
+
+
 def test_node_that_starts_later_copies_the_contents_from_a_peer():
     """Guards against listing requests, which slow servers down, when a peer has the contents."""
 
