Serve from servers out of service while no other is usable

Requests were refused at once when the last usable server of a service left while the others were in a zone out of service, although such servers work on for the time that operators set.

Directory records the earliest time at which the store can have acknowledged that a server leaves or a zone is out of service: the confirmed time of the copy before the change. If a service has no server in service, requests go to those whose bound has not passed, the latest end first. BackendExchange checks the same end after connecting. Settings: bounds.leaving_notice_ms and the new bounds.zone_notice_ms. Metric: tanager.last_resort.requests.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -157,6 +157,8 @@
     considered: tuple["ScoredCandidate", ...] = ()
     # Whether any server that the request has not tried may accept it, now or after a wait.
     has_candidates: bool = True
+    # Whether the server is out of service and was chosen because no other is usable.
+    last_resort: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -43,6 +43,11 @@
         self.confirmed_s = float("-inf")
         self.by_service: dict[str, list[ServerState]] = {}
         self.zones_out: set[str] = set()
+        # Earliest time at which the store can have acknowledged that a zone is out of service;
+        # -infinity if unknown.
+        self.zone_out_since_s: dict[str, float] = {}
+        # Whether the changes that are being applied may be older than `confirmed_s`.
+        self.change_times_unknown = False
         # States by `server_key`.
         self.by_key: dict[int, ServerState] = {}
         # Names under which the loads of other zones are recorded.
@@ -68,12 +73,15 @@
     def put_zone_out(self, zone: str) -> None:
         """Takes a zone out of service."""
         self.held_zone_returns.pop(zone, None)
+        if zone not in self.zones_out:
+            self.zone_out_since_s[zone] = self._change_since_s()
         self.zones_out.add(zone)
 
     def return_zone(self, zone: str) -> None:
         """Puts a zone back in service."""
         self.held_zone_returns.pop(zone, None)
         self.zones_out.discard(zone)
+        self.zone_out_since_s.pop(zone, None)
 
     def hold_zone_return(self, zone: str, now_s: float) -> None:
         """Keeps a zone that the store has lost out of service for `OPERATOR_REWRITE_S`."""
@@ -86,6 +94,10 @@
             self.return_zone(zone)
         return due
 
+    def _change_since_s(self) -> float:
+        """Returns the earliest time at which the store can have taken the change being applied."""
+        return float("-inf") if self.change_times_unknown else self.confirmed_s
+
     def put(self, entry: ServerEntry, now_s: float) -> str:
         """Applies a published entry.
 
@@ -102,12 +114,17 @@
             was_leaving = known.entry.leaving
             if entry.cold_s > 0.0 and entry.cold_s != known.entry.cold_s:
                 known.cold_until_s = now_s + entry.cold_s
+            if entry.leaving and known.entry_leaving_since_s is None:
+                known.entry_leaving_since_s = self._change_since_s()
             known.entry = entry
             known.removed = False
             if moved:
                 self._rebuild_index(now_s)
             return "leaving" if entry.leaving and not was_leaving else "updated"
         state = ServerState(entry, now_s + entry.cold_s)
+        if entry.leaving:
+            # The entry of a process that this node does not know may have expired and come back.
+            state.entry_leaving_since_s = float("-inf")
         self._restore_statements(state)
         if known is not None:
             for peer, load in known.peer_loads.items():
@@ -164,7 +181,7 @@
         started_ms = state.entry.started_ms
         if started_ms is None:
             return
-        if state.leaving_said_at_s is None and not state.resume_allowance:
+        if not state.leaving and not state.resume_allowance:
             return
         self.removed_processes[state.server_id, started_ms] = state
         if len(self.removed_processes) > _MAX_REMOVED_PROCESSES:
@@ -178,6 +195,9 @@
         if removed is None:
             return
         state.leaving_said_at_s = removed.leaving_said_at_s
+        state.entry_leaving_since_s = removed.entry_leaving_since_s
+        if state.entry.leaving and state.entry_leaving_since_s is None:
+            state.entry_leaving_since_s = self._change_since_s()
         if removed.resume_allowance:
             state.record_pause(removed.paused_until_s, removed.pause_said_at_s)
 
@@ -228,6 +248,10 @@
                 loads[key] = load
         return loads
 
+    def is_out_of_service(self, state: ServerState) -> bool:
+        """Whether a server is leaving or in a zone out of service."""
+        return state.leaving or state.entry.zone in self.zones_out
+
     def usable_servers(self, service: str, now_s: float) -> Iterator[ServerState]:
         """Yields the servers of a service that may get new work, whatever their load.
 
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
 """Combines the decisions of a node: which backend server gets a request, and when."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from tanagerworks.dispatch.cached_parts import CachedPartIndex
@@ -21,6 +21,12 @@
     RetryBudget,
     SenderLimiter,
 )
+from tanagerworks.dispatch.last_resort import (
+    NoticeBounds,
+    choose_longest_lasting,
+    find_last_resort,
+    last_resort_end_s,
+)
 from tanagerworks.dispatch.quarantine_gate import QuarantineGate, QuarantineRefusal
 from tanagerworks.dispatch.request_queue import RequestQueue
 from tanagerworks.dispatch.server_state import ServerState
@@ -52,6 +58,8 @@
     # A cold server accepts, in any second, its declared rate times the factor plus the extra.
     cold_factor: float
     cold_extra: float
+    # How long servers out of service may get requests if no other is usable.
+    notice: NoticeBounds = NoticeBounds()
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,12 +177,45 @@
         if usable:
             return usable
         # If all servers are ejected, the cause is not a single server, so ejections are ignored.
-        return [
+        ejected = [
             state
             for state in self.directory.by_service.get(service.name, ())
             if not (state.leaving or state.removed or state.entry.zone in self.directory.zones_out)
             and dispatch_request.accepts_version(state.entry.version)
         ]
+        return ejected or self._last_resort_servers(dispatch_request, now_s)
+
+    def _last_resort_servers(
+        self, dispatch_request: DispatchRequest, now_s: float
+    ) -> list[ServerState]:
+        """Returns the servers out of service that may get the request if none is in service."""
+        states = [
+            state
+            for state in self.directory.by_service.get(dispatch_request.service, ())
+            if dispatch_request.accepts_version(state.entry.version)
+        ]
+        return find_last_resort(states, self.directory, self.bounds.notice, now_s)
+
+    def last_resort_end_s(self, state: ServerState) -> float:
+        """Returns until when a server may get requests; infinite if it is in service."""
+        return last_resort_end_s(state, self.directory, self.bounds.notice)
+
+    def retry_after_without_servers_s(self, service: str, default_s: float | None) -> float | None:
+        """Returns when a service without servers may have one again, in seconds from now.
+
+        None if its servers are out of service and operators have set a bound for that, which has
+        passed: nothing is known of their return. `default_s` otherwise.
+        """
+        directory, notice = self.directory, self.bounds.notice
+        states = [state for state in directory.by_service.get(service, ()) if not state.removed]
+        if not all(directory.is_out_of_service(state) for state in states):
+            return default_s
+        bounded = any(
+            (notice.leaving_s > 0.0 and state.leaving)
+            or (notice.zone_s > 0.0 and state.entry.zone in directory.zones_out)
+            for state in states
+        )
+        return None if bounded else default_s
 
     def _check_limits(self, state: ServerState, service: Service, nodes: int, now_s: float) -> bool:
         """Returns whether a limit or a pause allows this node no request at the server now.
@@ -245,9 +286,20 @@
             and not state.consecutive_failures
             and dispatch_request.accepts_version(state.entry.version)
         ]
-        return chooser.choose_server(
-            service, found, healthy_servers, dispatch_request.prompt, dispatch_request.zone, now_s
-        )
+
+        def choose(candidates: Sequence[Candidate]) -> Choice:
+            return chooser.choose_server(
+                service,
+                candidates,
+                healthy_servers,
+                dispatch_request.prompt,
+                dispatch_request.zone,
+                now_s,
+            )
+
+        if found and self.directory.is_out_of_service(found[0].state):
+            return choose_longest_lasting(found, self.last_resort_end_s, choose)
+        return choose(found)
 
     def check_quarantine(
         self, dispatch_request: DispatchRequest, now_s: float
@@ -310,7 +362,7 @@
             state
             for state in self.directory.usable_servers(dispatch_request.service, now_s)
             if dispatch_request.accepts_version(state.entry.version)
-        ]
+        ] or self._last_resort_servers(dispatch_request, now_s)
         if not states:
             return False
         starts_s = now_s + max(
@@ -320,6 +372,7 @@
         service_time_s = min(state.service_time_s for state in states)
         return (
             starts_s < dispatch_request.start_by_s
+            and starts_s < max(self.last_resort_end_s(state) for state in states)
             and starts_s + service_time_s < dispatch_request.deadline_s
         )
 
@@ -393,7 +446,11 @@
         pause_s = self.remaining_pause_s(dispatch_request.service, now_s)
         if pause_s > 0.0:
             return max(_MIN_RETRY_AFTER_S, pause_s)
-        states = _unpaused(self.directory.usable_servers(dispatch_request.service, now_s), now_s)
+        states = _unpaused(
+            list(self.directory.usable_servers(dispatch_request.service, now_s))
+            or self._last_resort_servers(dispatch_request, now_s),
+            now_s,
+        )
         rate = sum(_requests_per_s(state) for state in states)
         if rate <= 0.0:
             return _RETRY_AFTER_WITHOUT_SERVERS_S
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -57,6 +57,9 @@
     limit_per_s: float | None = None
     limit_named_at_s: float = float("-inf")
     limit_changed_at_s: float = float("-inf")
+    # Earliest time at which the store can have acknowledged that the process is leaving, -infinity
+    # if unknown; None while no entry has said so.
+    entry_leaving_since_s: float | None = None
     # When an answer first said that the process is leaving; None if none did.
     leaving_said_at_s: float | None = None
     # Until when the process wants no requests of this node, as answers said, the last of them at
@@ -87,6 +90,16 @@
         """Whether the process is leaving, as its entry or one of its answers says."""
         return self.entry.leaving or self.leaving_said_at_s is not None
 
+    @property
+    def leaving_since_s(self) -> float:
+        """Earliest known time since which the process is leaving; -infinity if unknown."""
+        since_s = float("-inf") if self.entry.leaving else float("inf")
+        if self.entry_leaving_since_s is not None:
+            since_s = self.entry_leaving_since_s
+        if self.leaving_said_at_s is not None:
+            since_s = min(since_s, self.leaving_said_at_s)
+        return since_s
+
     @property
     def total_running(self) -> int:
         """Requests in progress at the server, of this node and its peers."""
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -87,7 +87,7 @@
         complete = False
         headers: HeaderList = []
         try:
-            self._check_accepts_work(state)
+            self._check_accepts_work(attempt)
             now_s = loop.time()
             remaining_s = request.deadline_s - now_s - RESPONSE_MARGIN_S
             service = self.dispatcher.find_service(request.service)
@@ -128,14 +128,14 @@
             else:
                 connection.close()
 
-    def _check_accepts_work(self, state: ServerState) -> None:
+    def _check_accepts_work(self, attempt: Attempt) -> None:
         """Raises BackendConnectError if the server must not get new work."""
-        if (
-            state.leaving
-            or state.removed
-            or state.is_paused(asyncio.get_running_loop().time())
-            or state.entry.zone in self.dispatcher.directory.zones_out
-        ):
+        state, now_s = attempt.state, asyncio.get_running_loop().time()
+        if attempt.last_resort:
+            out_of_service = now_s >= self.dispatcher.last_resort_end_s(state)
+        else:
+            out_of_service = self.dispatcher.directory.is_out_of_service(state)
+        if out_of_service or state.removed or state.is_paused(now_s):
             raise BackendConnectError("the server went out of service while connecting to it")
 
     async def _acquire_connection(
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -148,7 +148,12 @@
                 continue
             directory.hold_zone_return(zone, now_s)
             ignored.add(key)
-        self._apply_changes([change for change in changes if change.key not in ignored], source)
+        # What a restored copy holds may have been acknowledged long before.
+        directory.change_times_unknown = True
+        try:
+            self._apply_changes([change for change in changes if change.key not in ignored], source)
+        finally:
+            directory.change_times_unknown = False
         if source == STORE_SOURCE:
             self.on_store_changed()
 
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -31,6 +31,7 @@
     Call,
     CallerDialect,
 )
+from tanagerworks.edge.last_resort_log import LastResortLog
 from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.placing import RequestPlacer
 from tanagerworks.edge.request_state import (
@@ -106,6 +107,7 @@
         self.stream_origins = StreamOriginTable(dispatcher)
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
         self.crash_detector = CrashDetector(dispatcher, metrics)
+        self.last_resort_log = LastResortLog(metrics)
         dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
         # Brings the copy of the store up to date as of an event loop time; returns whether it is.
         self.catch_up: Callable[[float], Awaitable[bool]] = _cannot_catch_up
@@ -356,6 +358,8 @@
             try:
                 choice = await self.placer.place_request(request)
             except CapacityError as error:
+                if isinstance(error, NoServerError):
+                    self.last_resort_log.record_no_server(request.dispatch_request)
                 if error_response is not None and not request.responder.started:
                     return self.backend_exchange.send_response(request, error_response)
                 if executed_error is not None:
@@ -368,6 +372,13 @@
                 choice.prefill_tokens,
                 asyncio.get_running_loop().time(),
                 f"{source.entry.host}:{source.entry.port}" if source else None,
+                last_resort=choice.last_resort,
+            )
+            self.last_resort_log.record_choice(
+                request.dispatch_request,
+                choice.state.server_id,
+                choice.last_resort,
+                self.dispatcher.last_resort_end_s(choice.state) - attempt.sent_s,
             )
             request.server_id = choice.state.server_id
             self._log_choice(request, choice)
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -12,6 +12,7 @@
 
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
+from tanagerworks.dispatch.last_resort import NoticeBounds
 from tanagerworks.edge.body_budget import BodyBudget
 from tanagerworks.edge.copy_check import CopyCheck
 from tanagerworks.edge.early_listen import BACKLOG
@@ -450,6 +451,7 @@
         bounds.repeat_window_s,
         bounds.cold_factor,
         bounds.cold_extra,
+        NoticeBounds(bounds.leaving_notice_s, bounds.zone_notice_s),
     )
 
 
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -131,6 +131,8 @@
     last_event_s: float = 0.0
     # Buffered 5xx responses of the server.
     responses: list[BackendResponse] = field(default_factory=list)
+    # Whether the server was chosen although it is out of service.
+    last_resort: bool = False
 
     def end_prefill(self) -> None:
         """Subtracts the prompt from the server's pending prefill; later calls have no effect."""
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -51,6 +51,11 @@
         self.store_calls = meter.create_counter(
             "tanager.store.calls", unit="{call}", description="Calls to the published store."
         )
+        self.last_resort_requests = meter.create_counter(
+            "tanager.last_resort.requests",
+            unit="{request}",
+            description="Requests placed at servers that are leaving or in zones out of service.",
+        )
         self.duration = meter.create_histogram(
             "http.server.request.duration",
             unit="s",
@@ -140,6 +145,10 @@
         """Counts a server that ended while it ran requests of this node."""
         self._record_or_defer(lambda: self.server_crashes.add(1, {"service": service}))
 
+    def record_last_resort(self, service: str) -> None:
+        """Counts a request that was placed at a server out of service."""
+        self._record_or_defer(lambda: self.last_resort_requests.add(1, {"service": service}))
+
     def record_store_call(self, call: str) -> None:
         """Counts a call to the published store; `call` is "list" or "changes"."""
         self._record_or_defer(lambda: self.store_calls.add(1, {"call": call}))
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -36,12 +36,20 @@
     # A server that says it leaves serves requests for this time. Nodes have to stop sending it
     # requests by then, also if some of them lose the store.
     leaving_notice_ms: float = Field(default=2_000.0, gt=0)
+    # Servers of a zone that is taken out of service serve requests for this time if their service
+    # has no other; they never do if it is 0 or not stated.
+    zone_notice_ms: float | None = Field(default=None, ge=0)
 
     @property
     def leaving_notice_s(self) -> float:
         """`leaving_notice_ms` in seconds."""
         return self.leaving_notice_ms / 1000
 
+    @property
+    def zone_notice_s(self) -> float:
+        """`zone_notice_ms` in seconds; 0 if not stated."""
+        return (self.zone_notice_ms or 0.0) / 1000
+
 
 class StoreSettings(SettingsModel):
     """Address of the published store and timeouts for reading it."""
