Keep the Retry-After of a service without servers

A caller that is refused after the last resort has ended would return at once without it and be refused again, while a server may register at any moment.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -200,23 +200,6 @@
         """Returns until when a server may get requests; infinite if it is in service."""
         return last_resort_end_s(state, self.directory, self.bounds.notice)
 
-    def retry_after_without_servers_s(self, service: str, default_s: float | None) -> float | None:
-        """Returns when a service without servers may have one again, in seconds from now.
-
-        None if its servers are out of service and operators have set a bound for that, which has
-        passed: nothing is known of their return. `default_s` otherwise.
-        """
-        directory, notice = self.directory, self.bounds.notice
-        states = [state for state in directory.by_service.get(service, ()) if not state.removed]
-        if not all(directory.is_out_of_service(state) for state in states):
-            return default_s
-        bounded = any(
-            (notice.leaving_s > 0.0 and state.leaving)
-            or (notice.zone_s > 0.0 and state.entry.zone in directory.zones_out)
-            for state in states
-        )
-        return None if bounded else default_s
-
     def _check_limits(self, state: ServerState, service: Service, nodes: int, now_s: float) -> bool:
         """Returns whether a limit or a pause allows this node no request at the server now.
 
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -106,13 +106,9 @@
     def _no_server_error(self, dispatch_request: DispatchRequest) -> NoServerError:
         now_s = asyncio.get_running_loop().time()
         unusable = self.dispatcher.describe_unusable_servers(dispatch_request.service, now_s)
-        error = NoServerError(
+        return NoServerError(
             f"no backend server may take the request: {unusable or 'none is left'}"
         )
-        error.retry_after_s = self.dispatcher.retry_after_without_servers_s(
-            dispatch_request.service, error.retry_after_s
-        )
-        return error
 
     def _check_quarantine(self, dispatch_request: DispatchRequest) -> None:
         refusal = self.dispatcher.check_quarantine(
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -361,7 +361,7 @@
     """The service has no backend server that may receive new requests."""
 
     code = "no_server"
-    retry_after_s: float | None = 0.5
+    retry_after_s = 0.5
 
 
 class StreamOriginError(CapacityError):
