Recognize nodes that restarted late by their start times

A node now leaves the first round of listings to peers that started at least 0.25 s before it. If clocks differ, the second round lists what nobody has listed.

--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -19,6 +19,7 @@
 from tanagerworks.edge.interfaces import BackendDialect
 from tanagerworks.edge.store_copies import fetch_store_copy
 from tanagerworks.errors import BackendProtocolError, PeerError, PublishedStoreError
+from tanagerworks.membership.peer_table import Peer
 from tanagerworks.routing.ranking import rank_equally
 from tanagerworks.rpc.edge_pb2 import StoreCopyRequest
 
@@ -36,10 +37,10 @@
 # at the same time may not have arrived yet. Without the limit the first node of a large fleet would
 # list and announce all servers. Two nodes cover the servers of the services in use.
 _MAX_SERVERS_IN_FIRST_ROUND = 8
-# A node that hears this many peers when it has started leaves the first round to them: they have
-# started before and list the servers. A listing slows its server down, and 90 nodes that restarted
-# together made 788 listings of 60 servers, each of which all nodes were sent.
-_PEERS_THAT_LIST = 16
+# A node leaves the first round to peers that started this much earlier, as they list the servers.
+# A listing slows its server down, and 90 nodes that restarted together within 0.7 s made 788
+# listings of 60 servers, each of which all nodes were sent.
+_LISTING_HEAD_START_S = 0.25
 # If fewer parts of a server are known, no peer has listed its cache: they come from requests that
 # were sent to it.
 _MIN_LISTED_PARTS = 16
@@ -76,9 +77,9 @@
     async def run(self) -> None:
         """Copies the index of a peer that started earlier; without one, lists the servers' caches.
 
-        Waits until a server entry is known. Nodes that started together list different servers, in
-        a large fleet only the first of them. A second round lists the remaining servers of this
-        node for which no peer has announced a listing by then.
+        Waits until a server entry is known. Nodes that started together list different servers;
+        those that started a little later list none at first. A second round lists the remaining
+        servers of this node for which no peer has announced a listing by then.
         """
         await asyncio.sleep(_FIRST_MESSAGES_WAIT_S)
         while not self.dispatcher.directory.servers:
@@ -87,7 +88,7 @@
             self.recovered.set()
             return
         listed: list[ServerState] = []
-        if self._count_live_peers() < _PEERS_THAT_LIST:
+        if not self._earlier_peers(_LISTING_HEAD_START_S):
             listed = self._assigned_servers()[:_MAX_SERVERS_IN_FIRST_ROUND]
             await self._list_caches(listed)
         self.recovered.set()
@@ -102,9 +103,17 @@
             if state not in listed and state.server_id not in announced
         )
 
-    def _count_live_peers(self) -> int:
+    def _earlier_peers(self, head_start_s: float) -> list[Peer]:
+        """Returns the live peers that started at least `head_start_s` before this node.
+
+        Incarnations are start times in nanoseconds, by clocks that may differ between VMs.
+        """
         now_s = asyncio.get_running_loop().time()
-        return sum(1 for _peer in self.dispatcher.peer_table.live_peers(now_s))
+        return [
+            peer
+            for peer in self.dispatcher.peer_table.live_peers(now_s)
+            if (self.incarnation - peer.incarnation) / 1e9 >= head_start_s
+        ]
 
     async def _list_caches(self, states: Iterable[ServerState]) -> None:
         await asyncio.gather(*(self._list_cache(state) for state in states))
@@ -116,13 +125,8 @@
         same time, and if all asked one peer, their copies would saturate its network link.
         """
         now_s = asyncio.get_running_loop().time()
-        # Incarnations are start times in nanoseconds. The clocks of VMs differ by far less than
-        # `_MIN_START_DIFFERENCE_S`.
-        peers = [
-            peer
-            for peer in self.dispatcher.peer_table.live_peers(now_s)
-            if (self.incarnation - peer.incarnation) / 1e9 >= _MIN_START_DIFFERENCE_S
-        ]
+        # The clocks of VMs differ by far less than `_MIN_START_DIFFERENCE_S`.
+        peers = self._earlier_peers(_MIN_START_DIFFERENCE_S)
         self.random.shuffle(peers)
         peers.sort(key=lambda peer: peer.zone != self.zone)
         for peer in peers:
