--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -52,6 +52,8 @@
     # Requests in progress that the server itself reported in a response, and when it arrived.
     reported_running: int = 0
     reported_at_s: float = float("-inf")
+    # Whether the log has the first report of the process that could not be read.
+    unreadable_load_logged: bool = False
     # Requests per second that the server takes from all nodes together, as an answer said that
     # arrived at `limit_named_at_s`; None without a limit.
     limit_per_s: float | None = None
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -236,6 +236,12 @@
         if statement.load is not None:
             state.reported_running = statement.load
             state.reported_at_s = now_s
+        if statement.unreadable_load is not None and not state.unreadable_load_logged:
+            state.unreadable_load_logged = True
+            _LOGGER.warning(
+                "load of a server cannot be read",
+                extra={"server": state.server_id, "value": statement.unreadable_load},
+            )
         if statement.leaving and state.record_leaving(now_s):
             _LOGGER.info(
                 "server says that it leaves",
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -113,6 +113,12 @@
 
     # Requests running and queued at the server; None if not stated.
     load: int | None = None
+    # The part of `load` that is queued.
+    waiting: int = 0
+    # How long work takes at the server now, as a multiple of the usual time; None if not stated.
+    work_time_factor: float | None = None
+    # The start of a stated load that cannot be believed, for the log; None otherwise.
+    unreadable_load: str | None = None
     # Requests per second that the server takes from all nodes together; None without a limit.
     limit_per_s: float | None = None
     # The server is leaving and wants no new requests.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -156,6 +156,32 @@
     assert unreadable.statement.load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "load", "factor"),
+    [
+        (b"3,1,8", 4, None),
+        (b"3, 1, 8, 250", 4, 2.5),
+        (b"0,0,8,97.5", 0, 0.975),
+        (b"3,1,8,10", 4, 0.1),
+        (b"3,1,8,10000", 4, 100.0),
+        (b"3,1,8,9", None, None),
+        (b"3,1,8,10001", None, None),
+        (b"3,1,8,nan", None, None),
+        (b"3,1,8,-100", None, None),
+        (b"3,1,8,", None, None),
+        (b"3,1,8,100,1", None, None),
+        (b"3,1", None, None),
+        (b"9999999,1,8,100", None, None),
+    ],
+)
+def test_parse_server_load(value, load, factor):
+    """Guards against the loss of loads with four figures, and against believing impossible ones."""
+    head = BackendHttp().parse_response_head(200, [(b"x-tanagerworks-server-load", value)])
+    statement = head.statement
+    assert (statement.load, statement.work_time_factor) == (load, factor)
+    assert (statement.unreadable_load is None) == (load is not None)
+
+
 @pytest.mark.parametrize(
     ("value", "limit_per_s"),
     [
