Use the load and the speed that servers report, and share them

A node used only the loads in its own answers. With 90 nodes it sends a server a request every few seconds, so it rarely had a load that was not too old, and it did not know the speed of servers at all.

Nodes now report in field 25 of NodeState what servers stated. The youngest report of a process holds as its load for 0.5 s, with the requests that this node sent later, and never below the count of the fleet. The work time factors of all reports are averaged over about a second; the mean less 0.3, at least 1, multiplies the work in the scores, the expected times and the estimates of waits.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -258,19 +258,24 @@
         )
         uncached_shared = max(0, source_uncached - prompt.unshared_tokens)
         rank_tokens = _RANK_WEIGHT * uncached_shared + _TOKENS_PER_RANK
+        # Only differences between servers count. If all were slow alike, a slowdown of all scores
+        # would make copies of parts, which it does not multiply, seem cheap.
+        slowdowns = [candidate.state.slowdown(now_s) for candidate in candidates]
+        least_slowdown = min(slowdowns)
         considered: list[ScoredCandidate] = []
         best: Choice | None = None
         best_score = float("inf")
-        for candidate in candidates:
+        for candidate, slowdown in zip(candidates, slowdowns, strict=True):
             state = candidate.state
             uncached = uncached_after[cached_counts.get(state.server_id, 0)]
             copied = max(0, uncached - source_uncached)
             if copied < _MIN_COPIED_TOKENS:
                 copied = 0
             prefilled = uncached - copied
-            score = _PREFILL_WEIGHT * prefilled + _COPY_WEIGHT * copied
-            score += _QUEUED_PREFILL_WEIGHT * state.total_prefill_tokens
-            score += _TOKENS_PER_RUNNING_REQUEST * candidate.load
+            work = _PREFILL_WEIGHT * prefilled
+            work += _QUEUED_PREFILL_WEIGHT * state.total_prefill_tokens
+            work += _TOKENS_PER_RUNNING_REQUEST * candidate.load
+            score = work * slowdown / least_slowdown + _COPY_WEIGHT * copied
             score += rank_tokens * min(rank_by_id[state.server_id], _MAX_RANK)
             score *= 1.0 + _FAILURE_WEIGHT * state.failure_share
             considered.append(ScoredCandidate(state.server_id, score, candidate.load, uncached))
@@ -360,7 +365,7 @@
             queue_factor = 1.0 + max(0, candidate.load + 1 - slots) / slots
             # Servers slow down before all slots are used, and equal servers should share work.
             slowdown = 1.0 + 0.25 * candidate.load / slots
-            expected_s = state.service_time_s * queue_factor * slowdown
+            expected_s = state.expected_service_time_s(now_s) * queue_factor * slowdown
             expected_s *= 1.0 + 2.0 * state.failure_share
             if state.entry.zone != zone:
                 expected_s += _CROSS_ZONE_DELAY_S
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -280,6 +280,7 @@
         assert choice.state is not None
         state = choice.state
         state.record_start(dispatch_request.call_id, choice.prefill_tokens)
+        state.reports.record_start(dispatch_request.call_id, now_s)
         for limiter in self._limiters(state.server_id):
             limiter.use_token()
 
@@ -317,7 +318,7 @@
             self.estimate_retry_after_s(dispatch_request, now_s),
             self._estimate_own_wait_s(dispatch_request, states, now_s),
         )
-        service_time_s = min(state.service_time_s for state in states)
+        service_time_s = min(state.expected_service_time_s(now_s) for state in states)
         return (
             starts_s < dispatch_request.start_by_s
             and starts_s + service_time_s < dispatch_request.deadline_s
@@ -336,7 +337,7 @@
         for state in _unpaused(states, now_s):
             limiter = self.named_limit_limiters.get(state.server_id)
             if limiter is None:
-                rate += _requests_per_s(state)
+                rate += _requests_per_s(state, now_s)
                 continue
             senders = limiter.sender_count(nodes)
             if senders >= nodes or self._is_sender(state.server_id, senders, now_s):
@@ -394,7 +395,7 @@
         if pause_s > 0.0:
             return max(_MIN_RETRY_AFTER_S, pause_s)
         states = _unpaused(self.directory.usable_servers(dispatch_request.service, now_s), now_s)
-        rate = sum(_requests_per_s(state) for state in states)
+        rate = sum(_requests_per_s(state, now_s) for state in states)
         if rate <= 0.0:
             return _RETRY_AFTER_WITHOUT_SERVERS_S
         ahead = self.queue(dispatch_request.service).count_ahead(dispatch_request.priority) + 1
@@ -431,7 +432,7 @@
     return [state for state in found if not state.is_paused(now_s)] or found
 
 
-def _requests_per_s(state: ServerState) -> float:
+def _requests_per_s(state: ServerState, now_s: float) -> float:
     """Returns the requests a second that a server can complete, within the limit that it names."""
-    by_slots = state.entry.slots / max(0.001, state.service_time_s)
+    by_slots = state.entry.slots / max(0.001, state.expected_service_time_s(now_s))
     return by_slots if state.limit_per_s is None else min(by_slots, state.limit_per_s)
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from tanagerworks.dispatch.server_load import ServerReports
 from tanagerworks.published.model import ServerEntry
 
 # Weight of the newest response in the moving averages. An average follows a change within about ten
@@ -10,9 +11,6 @@
 _NEWEST_WEIGHT = 0.1
 # Service time assumed before the first response: between those of the two plain services.
 _FIRST_SERVICE_TIME_S = 0.05
-# A load that a server reported in a response is used for this long: after a second, a server whose
-# requests take a second has other requests in progress.
-REPORT_MAX_AGE_S = 0.5
 # Consecutive failures after which a server is ejected: a single one may be chance, three are not.
 FAILURES_TO_EJECT = 3
 # Duration of the first ejection; it doubles up to the maximum while probes fail.
@@ -49,9 +47,8 @@
     peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
     peers_running: int = 0
     peers_prefill_tokens: int = 0
-    # Requests in progress that the server itself reported in a response, and when it arrived.
-    reported_running: int = 0
-    reported_at_s: float = float("-inf")
+    # Load and speed that the server itself reported in answers to any node.
+    reports: ServerReports = field(default_factory=ServerReports)
     # Whether the log has the first report of the process that could not be read.
     unreadable_load_logged: bool = False
     # Requests per second that the server takes from all nodes together, as an answer said that
@@ -69,7 +66,8 @@
     # before; 0 for no bound. The ids of these requests.
     resume_allowance: int = 0
     resumed_call_ids: set[str] = field(default_factory=set)
-    # Moving averages of the time to a complete response and of the share of failures.
+    # Moving averages of the time to a complete response while work takes as long as usual, and of
+    # the share of failures.
     service_time_s: float = _FIRST_SERVICE_TIME_S
     failure_share: float = 0.0
     consecutive_failures: int = 0
@@ -126,9 +124,15 @@
 
         This is the count of this node and its peers, or a recent report of the server if higher.
         """
-        if now_s - self.reported_at_s > REPORT_MAX_AGE_S:
-            return self.total_running
-        return max(self.total_running, self.reported_running)
+        return max(self.total_running, self.reports.load(self.entry.slots, now_s))
+
+    def slowdown(self, now_s: float) -> float:
+        """Returns by which multiple work takes longer than usual at the server, at least 1."""
+        return self.reports.work_time.slowdown(now_s)
+
+    def expected_service_time_s(self, now_s: float) -> float:
+        """Returns the expected time to a complete response at the present speed, in seconds."""
+        return self.service_time_s * self.slowdown(now_s)
 
     def record_limit(self, limit_per_s: float | None, named_at_s: float) -> bool:
         """Records the limit that an answer names, or None; returns whether the limit has changed.
@@ -210,6 +214,7 @@
     def record_end(self, call_id: str) -> None:
         """Subtracts a request that has ended; only the end of the probe itself ends the probe."""
         self.running -= 1
+        self.reports.record_end(call_id)
         self.resumed_call_ids.discard(call_id)
         if self.probe_call_id == call_id:
             self.probe_call_id = None
@@ -219,7 +224,7 @@
         self.prefill_tokens -= prefill_tokens
 
     def record_success(self, service_time_s: float) -> None:
-        """Records a complete response that took `service_time_s`."""
+        """Records a complete response that would take `service_time_s` at the usual speed."""
         self.service_time_s += _NEWEST_WEIGHT * (service_time_s - self.service_time_s)
         self.failure_share -= _NEWEST_WEIGHT * self.failure_share
         self.consecutive_failures = 0
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -16,6 +16,7 @@
 from tanagerworks.edge.http_messages import HeaderList, find_header
 from tanagerworks.edge.interfaces import BackendDialect, BackendRequestContext, ResponseMetadata
 from tanagerworks.edge.limit_reports import log_limit
+from tanagerworks.edge.load_reports import record_answer_load
 from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.request_state import (
     ANSWER_START_S,
@@ -234,8 +235,7 @@
         now_s = asyncio.get_running_loop().time()
         statement = metadata.statement
         if statement.load is not None:
-            state.reported_running = statement.load
-            state.reported_at_s = now_s
+            record_answer_load(state, statement, now_s)
         if statement.unreadable_load is not None and not state.unreadable_load_logged:
             state.unreadable_load_logged = True
             _LOGGER.warning(
@@ -499,7 +499,8 @@
     def _record_success(self, request: RequestState, attempt: Attempt) -> None:
         now_s = asyncio.get_running_loop().time()
         self._record_answer(request, attempt)
-        attempt.state.record_success(now_s - attempt.sent_s)
+        slowdown = attempt.state.slowdown(now_s)
+        attempt.state.record_success((now_s - attempt.sent_s) / slowdown)
 
     async def run_connection_cleanup(self, interval_s: float) -> None:
         """Closes expired idle connections and those to removed servers, every `interval_s`."""
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -31,6 +31,7 @@
     merge_limit_reports,
     recent_limit_reports,
 )
+from tanagerworks.edge.load_reports import LoadReports
 from tanagerworks.edge.part_announcements import PartAnnouncements
 from tanagerworks.edge.store_copies import fetch_store_copy, serve_store_copy
 from tanagerworks.edge.stream_origins import StreamOriginTable
@@ -101,6 +102,10 @@
 # Bytes of a datagram that reports of crashed servers and of limits may take.
 _MAX_CRASH_BYTES = 400
 _MAX_LIMIT_BYTES = 300
+# The same for reports of loads, about nine servers.
+_MAX_LOAD_REPORT_BYTES = 200
+# Messages have the reports since this multiple of the interval, as rounds are not equally long.
+_LOAD_REPORT_INTERVALS = 1.2
 # Servers in one message of a summary, at about 11 bytes each.
 _SERVERS_PER_SUMMARY = 80
 # Maximum number of datagrams to one peer in a round. The listing of a server's cache, about 400
@@ -131,6 +136,7 @@
         self.incarnation = incarnation
         self.dispatcher = dispatcher
         self.peer_table: PeerTable = dispatcher.peer_table
+        self.load_reports = LoadReports(dispatcher.directory)
         self.store_view = store_view
         self.finder = finder
         self.sequence = 0
@@ -220,6 +226,8 @@
         self.introduction_attempts.pop(state.address, None)
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
+        in_zone = state.zone == self.zone
+        self.load_reports.merge(state.server_loads, now_s, state.name, in_zone)
         self._confirm_copy(peer)
         versions = self.dispatcher.directory.versions
         merge_version_reports(state, versions, now_s, peer.copy_confirmed_s)
@@ -528,6 +536,9 @@
             if len(queue):
                 state.waiting.add(service=service, requests=len(queue))
         self._add_reports(state, now_s, regular=math.isfinite(parts_since_s))
+        since_s = now_s - _LOAD_REPORT_INTERVALS * self.zone_period_s
+        room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
+        state.server_loads.extend(self.load_reports.own_reports(since_s, now_s, room))
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -560,6 +571,8 @@
                 )
             )
             self._add_reports(state, now_s, regular=True)
+            room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
+            state.server_loads.extend(self.load_reports.zone_reports(part, parts, now_s, room))
             if part:
                 yield state
                 continue
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -282,6 +282,7 @@
         add_gauge("tanager.belief.age", "s", "Age of what the node believes.", self._view_ages_s)
         add_gauge("tanager.fleet.size", "{node}", "Nodes heard and assumed.", self._fleet_size)
         add_gauge("tanager.server.running", "{request}", "Load by server.", self._server_loads)
+        add_gauge("tanager.server.slowdown", "1", "Slower servers.", self._server_slowdowns)
         add_gauge("tanager.server.limit", "{request}/s", "Limits of servers.", self._server_limits)
         add_gauge(
             "tanager.parts.quarantined",
@@ -331,6 +332,9 @@
         servers = self.dispatcher.directory.servers.values()
         return {state.server_id: state.load(now_s) for state in servers}
 
+    def _server_slowdowns(self) -> dict[str, float]:
+        return self.peer_exchange.load_reports.slowdowns(asyncio.get_running_loop().time())
+
     def _server_limits(self) -> dict[str, float]:
         servers = self.dispatcher.directory.servers.values()
         return {
