Ask a second server for a late answer to an idempotent request

One slow server makes one slow answer: nothing is done before half of the route's timeout. With the setting `hedging.enabled` (off by default), a node asks a second server once the first is later than a quantile of the recent times of the route over the fleet. The first good answer wins and the other attempt is withdrawn.

Both attempts run as tasks of their own. A buffered answer has to be claimed before the caller's head is sent, so the caller never gets pieces of two. Withdrawn attempts count in the load as ended and in nothing else.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -220,7 +220,9 @@
         self._check_request_id(request, metadata, event.status_code, is_new)
         if metadata.is_own:
             self._record_statement(attempt.state, metadata)
-        if not (metadata.not_run or metadata.wrong_server or self._can_retry(request)):
+        # While another attempt is in progress, that one may still have to send the body.
+        is_only = attempt.claim_answer is None
+        if is_only and not (metadata.not_run or metadata.wrong_server or self._can_retry(request)):
             request.body = b""
             request.responder.release_body()
         response = BackendResponse(event.status_code, headers, metadata=metadata)
@@ -285,11 +287,17 @@
             BackendRefusedError: the server has not run the request.
             BackendError: a 5xx response to a retryable request, an incomplete response, or a
                 response to a stream that the caller has already received in part.
+
+        Another attempt may have answered the caller meanwhile; then nothing is relayed.
         """
         response.body, complete = await self._read_buffered_body(request, connection)
         self._check_executed(attempt, response)
         if response.status >= 500:
             self._handle_server_error(request, attempt, response, complete)
+        if attempt.claim_answer is not None and not attempt.claim_answer():
+            if complete:
+                self._record_success(request, attempt)
+            return "answered"
         if request.responder.started:
             raise BackendProtocolError(
                 f"the server responded with status {response.status} instead of resuming the stream"
@@ -339,7 +347,8 @@
         )
         if complete:
             attempt.responses.append(response)
-        if self._can_retry(request) or (request.is_retryable() and complete):
+        has_other = attempt.claim_answer is not None
+        if has_other or self._can_retry(request) or (request.is_retryable() and complete):
             # Without a retry, the pipeline sends the complete response to the caller.
             raise error
         attempt.failed = True
@@ -517,7 +526,7 @@
         "attempt failed",
         extra={
             "call": request.call.call_id,
-            "server": request.server_id,
+            "server": attempt.state.server_id,
             "error": error.code,
             "reason": error.message,
             "outcome": error.outcome.value,
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable, Iterable, Iterator
 from heapq import nsmallest
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from google.protobuf.message import DecodeError
 
@@ -56,6 +56,10 @@
     ZoneSummary,
 )
 
+if TYPE_CHECKING:
+    # Imports the histogram library, which only nodes with hedging need.
+    from tanagerworks.edge.route_times import RouteTimeTable
+
 _LOGGER = logging.getLogger(__name__)
 
 # Time between two rounds of messages; in a small fleet each round sends to all peers. Requests take
@@ -101,6 +105,10 @@
 # Bytes of a datagram that reports of crashed servers and of limits may take.
 _MAX_CRASH_BYTES = 400
 _MAX_LIMIT_BYTES = 300
+# Bytes of a datagram that the times of routes may take: of one node, in up to 50 messages a second,
+# and of a zone, in up to 8.
+_MAX_ROUTE_TIMES_BYTES = 150
+_MAX_ZONE_ROUTE_TIMES_BYTES = 300
 # Servers in one message of a summary, at about 11 bytes each.
 _SERVERS_PER_SUMMARY = 80
 # Maximum number of datagrams to one peer in a round. The listing of a server's cache, about 400
@@ -157,6 +165,8 @@
         # Event loop time of the last summary of each other zone, and the time until the next.
         self.summaries_received: dict[str, tuple[float, float]] = {}
         self.stream_origins = StreamOriginTable(dispatcher)
+        # Times of hedged routes over the fleet; None if hedging is off.
+        self.route_times: RouteTimeTable | None = None
         self.fetch_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
@@ -220,6 +230,8 @@
         self.introduction_attempts.pop(state.address, None)
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
+        if self.route_times is not None and state.route_times:
+            self.route_times.merge(state, now_s)
         self._confirm_copy(peer)
         versions = self.dispatcher.directory.versions
         merge_version_reports(state, versions, now_s, peer.copy_confirmed_s)
@@ -511,6 +523,21 @@
         room = min(_MAX_LIMIT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
         state.limits.extend(to_limit_reports(directory, now_s, room))
 
+    def _add_route_times(self, state: NodeState, now_s: float) -> None:
+        """Adds the times of hedged routes to one of `_RARE_FIELDS_INTERVAL` messages.
+
+        A random choice reaches all peers also if the rounds that they are divided among are as many
+        as this interval.
+        """
+        if self.route_times is None or self.random.random() * _RARE_FIELDS_INTERVAL >= 1.0:
+            return
+        in_summary = state.HasField("summary")
+        room = min(
+            _MAX_ZONE_ROUTE_TIMES_BYTES if in_summary else _MAX_ROUTE_TIMES_BYTES,
+            _MAX_DATAGRAM_BYTES - state.ByteSize(),
+        )
+        state.route_times.extend(self.route_times.to_reports(in_summary, now_s, room))
+
     def _own_states(
         self, parts_since_s: float, now_s: float, greeting: bool = False
     ) -> Iterator[NodeState]:
@@ -528,6 +555,7 @@
             if len(queue):
                 state.waiting.add(service=service, requests=len(queue))
         self._add_reports(state, now_s, regular=math.isfinite(parts_since_s))
+        self._add_route_times(state, now_s)
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -560,6 +588,7 @@
                 )
             )
             self._add_reports(state, now_s, regular=True)
+            self._add_route_times(state, now_s)
             if part:
                 yield state
                 continue
@@ -589,6 +618,7 @@
                     _LOGGER.warning("prompt parts left out of a message", extra={"sent": sent})
                     return
                 del state.placements[:]
+                del state.route_times[:]
                 self.sequence += 1
                 state.sequence = self.sequence
             state.placements.append(placement)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Awaitable, Callable, Set
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from tanagerworks.dispatch.choice import Choice
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
@@ -36,7 +37,6 @@
 from tanagerworks.edge.request_state import (
     RESPONSE_MARGIN_S,
     Attempt,
-    BackendResponse,
     RequestState,
     RetryDenial,
 )
@@ -63,6 +63,10 @@
 from tanagerworks.outcome import Outcome
 from tanagerworks.published.model import ExecutionSemantics, Route
 
+if TYPE_CHECKING:
+    # Imports the histogram library, which only nodes with hedging need.
+    from tanagerworks.edge.hedging import Hedger
+
 _LOGGER = logging.getLogger(__name__)
 
 # Retry-After while the node has no configuration. The store may be unavailable for seconds, and a
@@ -109,6 +113,8 @@
         dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
         # Brings the copy of the store up to date as of an event loop time; returns whether it is.
         self.catch_up: Callable[[float], Awaitable[bool]] = _cannot_catch_up
+        # Asks a second server if the first is late; None if that is off.
+        self.hedger: Hedger | None = None
         self.random = random.Random()
         self.durations = RouteDurations()
         # Event loop time by which all requests have to end; None unless shutting down.
@@ -348,66 +354,86 @@
         response has not begun. Otherwise the error of the last attempt that may have run the
         request is raised, as a later refusal does not make it true that the request has not run.
         """
-        error_response: BackendResponse | None = None
-        executed_error: BackendError | None = None
         if request.goes_on_with_stream:
             await self._find_origin(request)
         while True:
             try:
                 choice = await self.placer.place_request(request)
             except CapacityError as error:
-                if error_response is not None and not request.responder.started:
-                    return self.backend_exchange.send_response(request, error_response)
-                if executed_error is not None:
-                    raise executed_error from error
+                if request.error_response is not None and not request.responder.started:
+                    return self.backend_exchange.send_response(request, request.error_response)
+                if request.executed_error is not None:
+                    raise request.executed_error from error
                 raise
-            assert choice.state is not None
-            source = choice.copy_from
-            attempt = Attempt(
-                choice.state,
-                choice.prefill_tokens,
-                asyncio.get_running_loop().time(),
-                f"{source.entry.host}:{source.entry.port}" if source else None,
-            )
-            request.server_id = choice.state.server_id
-            self._log_choice(request, choice)
+            attempt = self.create_attempt(request, choice)
             try:
-                result = await self.backend_exchange.run_attempt(request, attempt)
+                if self.hedger is None or not self.hedger.covers(request):
+                    result = await self.backend_exchange.run_attempt(request, attempt)
+                else:
+                    attempt, ended = await self.hedger.run_attempt(request, attempt)
+                    result = ended.result()
                 if result == SERVER_ERROR:
                     self.metrics.record_attempt_failure(
                         request.service, BackendError.code, RetryDenial.HAS_RUN
                     )
                 return result
             except BackendError as error:
-                # A refusal without execution does not count as a failure of the server.
-                attempt.failed = error.outcome is not Outcome.NOT_RUN or not isinstance(
-                    error, BackendRefusedError
-                )
-                if attempt.responses:
-                    error_response = attempt.responses[-1]
                 denial = self._decide_retry(request, error)
-                log_attempt_failure(request, attempt, error, denial)
-                check = None
-                if isinstance(error, BackendDisconnectedError):
-                    check = self.crash_detector.record_disconnect(request.dispatch_request, attempt)
-                self.metrics.record_attempt_failure(request.service, error.code, denial)
-                if error.outcome is not Outcome.NOT_RUN:
-                    executed_error = error
+                check = self.record_attempt_failure(request, attempt, error, denial)
                 if denial is None:
                     if check is not None:
                         # The prompt must not crash another server if it has crashed this one.
                         await asyncio.wait({check})
                     continue
-                if error_response is not None and not request.responder.started:
-                    return self.backend_exchange.send_response(request, error_response)
-                if executed_error is not None:
-                    raise executed_error from error
+                if request.error_response is not None and not request.responder.started:
+                    return self.backend_exchange.send_response(request, request.error_response)
+                if request.executed_error is not None:
+                    raise request.executed_error from error
                 if isinstance(error, BackendRefusedError):
                     pause_s = self.placer.retry_after_pause_s(request.service)
                     error.retry_after_s = pause_s or error.retry_after_s
                 raise
             finally:
-                self._end_attempt(request, attempt)
+                self.end_attempt(request, attempt)
+
+    def create_attempt(self, request: RequestState, choice: Choice) -> Attempt:
+        """Returns a new attempt at the chosen server, which becomes that of the request."""
+        assert choice.state is not None
+        source = choice.copy_from
+        request.server_id = choice.state.server_id
+        self._log_choice(request, choice)
+        return Attempt(
+            choice.state,
+            choice.prefill_tokens,
+            asyncio.get_running_loop().time(),
+            f"{source.entry.host}:{source.entry.port}" if source else None,
+        )
+
+    def record_attempt_failure(
+        self,
+        request: RequestState,
+        attempt: Attempt,
+        error: BackendError,
+        denial: RetryDenial | None,
+    ) -> asyncio.Task[None] | None:
+        """Records a failed attempt; `denial` is None if the request is retried.
+
+        Returns the check whether the server has crashed, or None if there is none.
+        """
+        # A refusal without execution does not count as a failure of the server.
+        attempt.failed = error.outcome is not Outcome.NOT_RUN or not isinstance(
+            error, BackendRefusedError
+        )
+        if attempt.responses:
+            request.error_response = attempt.responses[-1]
+        log_attempt_failure(request, attempt, error, denial)
+        check = None
+        if isinstance(error, BackendDisconnectedError):
+            check = self.crash_detector.record_disconnect(request.dispatch_request, attempt)
+        self.metrics.record_attempt_failure(request.service, error.code, denial)
+        if error.outcome is not Outcome.NOT_RUN:
+            request.executed_error = error
+        return check
 
     def _decide_retry(self, request: RequestState, error: BackendError) -> RetryDenial | None:
         """Decides whether a failed request is retried; returns None if so, otherwise why not.
@@ -456,7 +482,11 @@
 
     # account
 
-    def _end_attempt(self, request: RequestState, attempt: Attempt) -> None:
+    def end_attempt(self, request: RequestState, attempt: Attempt) -> None:
+        """Ends the accounting of an attempt; later calls have no effect."""
+        if attempt.ended:
+            return
+        attempt.ended = True
         attempt.end_prefill()
         attempt.state.record_end(request.dispatch_request.call_id)
         self.dispatcher.quarantine_gate.end_probe(request.dispatch_request.call_id)
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -27,7 +27,7 @@
 from tanagerworks.errors import SettingsError
 from tanagerworks.membership.peer_table import PeerTable
 from tanagerworks.published.model import CallerLimits
-from tanagerworks.settings.edge import EdgeBounds, EdgeSettings
+from tanagerworks.settings.edge import EdgeBounds, EdgeSettings, HedgingSettings
 from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
 
 _LOGGER = logging.getLogger(__name__)
@@ -148,6 +148,7 @@
         )
         self.store_view.on_store_changed = self.peer_exchange.announce_in_zone
         self.peer_exchange.is_following_store = self.follower.is_reliable
+        self._apply_hedging(settings.hedging)
         body_budget = BodyBudget(int(_BODY_MEMORY_SHARE * settings.memory_limit_bytes))
         self.caller_server = HttpServer(
             self.pipeline.handle_request, self._caller_limits, body_budget
@@ -391,7 +392,7 @@
             self._apply_settings(settings)
 
     def _apply_settings(self, settings: EdgeSettings) -> None:
-        """Applies the seed addresses, the bounds and the log level.
+        """Applies the seed addresses, the bounds, the hedging and the log level.
 
         A node has one name, zone, set of addresses and store for the lifetime of its process.
         Changes of these fields are logged and have no effect until it restarts.
@@ -403,9 +404,26 @@
         self.peer_finder.apply_settings(self.settings)
         self.dispatcher.apply_bounds(_fleet_bounds(self.settings.bounds))
         self.store_role.leaving_notice_s = self.settings.bounds.leaving_notice_s
+        self._apply_hedging(self.settings.hedging)
         logging.getLogger().setLevel(self.settings.log_level.upper())
         _LOGGER.info("settings reloaded", extra={"ignored_until_restart": ignored})
 
+    def _apply_hedging(self, settings: HedgingSettings) -> None:
+        """Turns hedging on or off, or changes when it is done; requests in progress go on."""
+        if not settings.enabled:
+            self.pipeline.hedger = None
+            self.peer_exchange.route_times = None
+            return
+        # Imports the histogram library, which nodes without hedging do not need.
+        from tanagerworks.edge.hedging import Hedger, hedging_policy
+
+        if self.pipeline.hedger is None:
+            self.pipeline.hedger = Hedger(
+                self.pipeline, self.settings.zone, hedging_policy(settings)
+            )
+        self.pipeline.hedger.policy = hedging_policy(settings)
+        self.peer_exchange.route_times = self.pipeline.hedger.route_times
+
     async def _shut_down(self) -> None:
         """Completes the running requests within the stop limit, then stops the tasks."""
         loop = asyncio.get_running_loop()
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -1,5 +1,6 @@
 """State of one request in an edge process and of its attempts at backend servers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -9,6 +10,7 @@
 from tanagerworks.edge.http_messages import HeaderList, RequestHead
 from tanagerworks.edge.http_server import Responder
 from tanagerworks.edge.interfaces import Call, ResponseMetadata
+from tanagerworks.errors import BackendError
 from tanagerworks.published.model import ExecutionSemantics, Route
 
 # Reserved at the end of a request's deadline to deliver the response to the caller.
@@ -41,6 +43,7 @@
     ATTEMPTS_USED = "the route allows no more attempts"
     NO_TIME = "no time is left"
     BUDGET_USED = "the budget of repeats is used up"
+    OTHER_ATTEMPT = "another attempt is in progress or has answered"
 
 
 @dataclass(slots=True)
@@ -75,6 +78,10 @@
     # request to the head of that response; None if the caller got no server's response.
     status: int | None = None
     first_byte_s: float | None = None
+    # The last buffered 5xx response, and the error of the last attempt that may have run the
+    # request.
+    error_response: "BackendResponse | None" = None
+    executed_error: BackendError | None = None
 
     @property
     def kind(self) -> RequestKind:
@@ -131,6 +138,11 @@
     last_event_s: float = 0.0
     # Buffered 5xx responses of the server.
     responses: list[BackendResponse] = field(default_factory=list)
+    # Set while another attempt of the same request is in progress: returns whether this one may
+    # answer the caller. Called when a good response has been buffered.
+    claim_answer: Callable[[], bool] | None = None
+    # Whether the attempt has been subtracted from the load of its server.
+    ended: bool = False
 
     def end_prefill(self) -> None:
         """Subtracts the prompt from the server's pending prefill; later calls have no effect."""
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -48,6 +48,11 @@
             unit="{server}",
             description="Servers found to have ended while they ran requests of this node.",
         )
+        self.hedges = meter.create_counter(
+            "tanager.hedges",
+            unit="{request}",
+            description="Second servers asked beside a late first one, by result and reason.",
+        )
         self.store_calls = meter.create_counter(
             "tanager.store.calls", unit="{call}", description="Calls to the published store."
         )
@@ -136,6 +141,11 @@
         """Counts a retry of a request."""
         self._record_or_defer(lambda: self.retries.add(1, {"service": service}))
 
+    def record_hedge(self, service: str, result: str, reason: str = "") -> None:
+        """Counts a hedge; `result` is "sent", "won", "withdrawn" or "refused" with its reason."""
+        attributes = {"service": service, "result": result, "reason": reason}
+        self._record_or_defer(lambda: self.hedges.add(1, attributes))
+
     def record_server_crash(self, service: str) -> None:
         """Counts a server that ended while it ran requests of this node."""
         self._record_or_defer(lambda: self.server_crashes.add(1, {"service": service}))
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -53,6 +53,18 @@
     timeout_s: float = Field(default=1.0, gt=0)
 
 
+class HedgingSettings(SettingsModel):
+    """Whether and when a second server is asked for a late answer to an idempotent request."""
+
+    enabled: bool = False
+    # A request is late after this quantile of the recent times of its route, and at the earliest
+    # after `min_delay_ms`.
+    quantile: float = Field(default=0.95, gt=0, lt=1)
+    min_delay_ms: float = Field(default=10.0, ge=0)
+    # Largest share of the requests of a node that may be hedged for which it asks a second server.
+    max_share: float = Field(default=0.05, ge=0, le=1)
+
+
 class EdgeSettings(SettingsModel):
     """Settings of one edge process."""
 
@@ -63,6 +75,7 @@
     seeds: list[Address] = Field(default_factory=list)
     store: StoreSettings
     bounds: EdgeBounds
+    hedging: HedgingSettings = Field(default_factory=HedgingSettings)
     # Whether no process of the fleet has run before, so that no request is older than this process.
     # False if not stated.
     first_start: bool | None = None
