--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable, Iterable, Iterator
 from heapq import nsmallest
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from google.protobuf.message import DecodeError
 
@@ -57,6 +57,10 @@
     ZoneSummary,
 )
 
+if TYPE_CHECKING:
+    # Imports the histogram library, which only nodes with hedging need.
+    from tanagerworks.edge.route_times import RouteTimeTable
+
 _LOGGER = logging.getLogger(__name__)
 
 # Time between two rounds of messages; in a small fleet each round sends to all peers. Requests take
@@ -106,6 +110,10 @@
 _MAX_LOAD_REPORT_BYTES = 200
 # Messages have the reports since this multiple of the interval, as rounds are not equally long.
 _LOAD_REPORT_INTERVALS = 1.2
+# Bytes of a datagram that the times of routes may take: of one node, in up to 50 messages a second,
+# and of a zone, in up to 8.
+_MAX_ROUTE_TIMES_BYTES = 150
+_MAX_ZONE_ROUTE_TIMES_BYTES = 300
 # Servers in one message of a summary, at about 11 bytes each.
 _SERVERS_PER_SUMMARY = 80
 # Maximum number of datagrams to one peer in a round. The listing of a server's cache, about 400
@@ -163,6 +171,8 @@
         # Event loop time of the last summary of each other zone, and the time until the next.
         self.summaries_received: dict[str, tuple[float, float]] = {}
         self.stream_origins = StreamOriginTable(dispatcher)
+        # Times of hedged routes over the fleet; None if hedging is off.
+        self.route_times: RouteTimeTable | None = None
         self.fetch_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
@@ -228,6 +238,8 @@
         self._apply_loads(state, now_s)
         in_zone = state.zone == self.zone
         self.load_reports.merge(state.server_loads, now_s, state.name, in_zone)
+        if self.route_times is not None and state.route_times:
+            self.route_times.merge(state, now_s)
         self._confirm_copy(peer)
         versions = self.dispatcher.directory.versions
         merge_version_reports(state, versions, now_s, peer.copy_confirmed_s)
@@ -519,6 +531,21 @@
         room = min(_MAX_LIMIT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
         state.limits.extend(to_limit_reports(directory, now_s, room))
 
+    def _add_route_times(self, state: NodeState, now_s: float) -> None:
+        """Adds the times of hedged routes to one of `_RARE_FIELDS_INTERVAL` messages.
+
+        A random choice reaches all peers also if the rounds that they are divided among are as many
+        as this interval.
+        """
+        if self.route_times is None or self.random.random() * _RARE_FIELDS_INTERVAL >= 1.0:
+            return
+        in_summary = state.HasField("summary")
+        room = min(
+            _MAX_ZONE_ROUTE_TIMES_BYTES if in_summary else _MAX_ROUTE_TIMES_BYTES,
+            _MAX_DATAGRAM_BYTES - state.ByteSize(),
+        )
+        state.route_times.extend(self.route_times.to_reports(in_summary, now_s, room))
+
     def _own_states(
         self, parts_since_s: float, now_s: float, greeting: bool = False
     ) -> Iterator[NodeState]:
@@ -539,6 +566,7 @@
         since_s = now_s - _LOAD_REPORT_INTERVALS * self.zone_period_s
         room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
         state.server_loads.extend(self.load_reports.own_reports(since_s, now_s, room))
+        self._add_route_times(state, now_s)
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -573,6 +601,7 @@
             self._add_reports(state, now_s, regular=True)
             room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
             state.server_loads.extend(self.load_reports.zone_reports(part, parts, now_s, room))
+            self._add_route_times(state, now_s)
             if part:
                 yield state
                 continue
@@ -602,6 +631,7 @@
                     _LOGGER.warning("prompt parts left out of a message", extra={"sent": sent})
                     return
                 del state.placements[:]
+                del state.route_times[:]
                 self.sequence += 1
                 state.sequence = self.sequence
             state.placements.append(placement)
