Test reported loads through an attempt; compute the mean factor once a report

The test covers what a server states in its answers, the log line of the first unreadable load, and service times of a slow server, which must not count its slowness twice. It fails if the time is not divided by the slowdown.

--- a/src/tanagerworks/dispatch/server_load.py
+++ b/src/tanagerworks/dispatch/server_load.py
@@ -70,6 +70,8 @@
     # Sums as of the last report, the weights of reports and their deviations from 1.
     weights: float = 0.0
     deviations: float = 0.0
+    # Deviation of the mean from 1 as of the last report.
+    mean_deviation: float = 0.0
     last_report_s: float = float("-inf")
 
     def add_factor(self, factor: float, reported_at_s: float) -> None:
@@ -81,15 +83,15 @@
         factor = min(_MAX_FACTOR, max(_MIN_FACTOR, factor))
         self.weights = decay * self.weights + 1.0
         self.deviations = decay * self.deviations + factor - 1.0
+        self.mean_deviation = self.deviations / (self.weights + _USUAL_WEIGHT)
         self.last_report_s = reported_at_s
 
     def factor(self, now_s: float) -> float:
         """Returns the mean factor, which returns to 1 without reports."""
         if not self.weights:
             return 1.0
-        deviation = self.deviations / (self.weights + _USUAL_WEIGHT)
         silent_s = max(0.0, now_s - self.last_report_s)
-        return 1.0 + deviation * math.exp(-silent_s / _RETURN_S)
+        return 1.0 + self.mean_deviation * math.exp(-silent_s / _RETURN_S)
 
     def slowdown(self, now_s: float) -> float:
         """Returns by which multiple work is expected to be slower than usual, at least 1.
@@ -97,7 +99,7 @@
         It is 1 as long as the factor varies as it does at servers that work as usual. A server that
         states that it is faster than usual gains nothing by that.
         """
-        if self.deviations <= 0.0:
+        if self.mean_deviation <= _USUAL_EXCESS:
             return 1.0
         return max(1.0, self.factor(now_s) - _USUAL_EXCESS)
 
--- a/tests/test_fault_malformed_input.py
+++ b/tests/test_fault_malformed_input.py
@@ -345,6 +345,40 @@
     assert [result.status for result in results] == [200] * 3
 
 
+def test_load_with_four_figures_is_used_and_a_false_one_logged_once(caplog):
+    """Guards against the loss of loads and speeds that servers state, and against a log line each.
+
+    Guards also against slowness that counts twice, in the average of the times and as the factor.
+    """
+    loads = iter(["2,3,8,280", "2,3,8,0", "2,3,8,oops", "0,0,8"])
+
+    async def action(server, headers, reader, writer):
+        await asyncio.sleep(0.1)
+        head = f"x-tanagerworks-server-load: {next(loads)}"
+        writer.write(response_head(headers, "200 OK", "content-length: 2", head) + b"ok")
+
+    async def scenario(port, pipeline, servers):
+        state = pipeline.dispatcher.directory.servers["server-0"]
+        seen = []
+        for number in range(4):
+            sent_s = asyncio.get_running_loop().time()
+            await send_request(port, request_bytes("/desk-read/x", f"c{number}"))
+            took_s = asyncio.get_running_loop().time() - sent_s
+            latest = state.reports.latest
+            seen.append((latest.running, latest.waiting, latest.work_time_factor))
+            if number == 0:
+                slowdown = state.slowdown(latest.reported_at_s)
+                assert slowdown > 1.5
+                # The average begins at 0.05 s; a tenth of the new time is taken into it.
+                assert state.service_time_s < 0.045 + 0.1 * took_s * 1.1 / slowdown
+        return seen
+
+    seen = run_scenario([[action]], scenario, configuration(routes=[route()]))
+    assert seen == [(2, 3, 2.8)] * 3 + [(0, 0, None)]
+    messages = [record.getMessage() for record in caplog.records]
+    assert messages.count("load of a server cannot be read") == 1
+
+
 def test_answer_framed_twice_is_relayed_by_its_chunks():
     """Guards against a `content-length` that contradicts the chunks of the same response."""
 
