Share the outcomes of requests at servers between nodes

In a large fleet each node sends one server a request every few seconds, so each node in turn met the failures of a server. Nodes now report outcomes to each other; the evidence of at least two nodes ejects a server or lowers its rank.

--- a/src/tanagerworks/dispatch/choice.py
+++ b/src/tanagerworks/dispatch/choice.py
@@ -54,8 +54,14 @@
 _TOKENS_PER_RANK = 20.0
 # Places after this one, counted from 0, add no more to the score.
 _MAX_RANK = 2
-# The score of a server that fails all requests is multiplied by 1 plus this weight.
+# The score of a server that fails all requests is multiplied by 1 plus this weight. A plain server
+# that fails 45% of its requests then comes after equal sound ones at any load that they may have,
+# since the load multiplies the expected time by 2.6 at most.
 _FAILURE_WEIGHT = 4.0
+# Added for a model server, with that weight: the prefill of the whole prompt at another server, and
+# these tokens, which are more than the weight of all requests that run at a sound server. Without
+# them a failing server that has cached a prompt would keep getting its requests.
+_FAILURE_TOKENS = 1_000.0
 # A plain server may have this many requests per slot plus the extra. Requests beyond the slots fill
 # those that become free before the peers' next messages. They also allow for the change of a load
 # since the peers' last messages, which is about the square root of the load.
@@ -272,7 +278,9 @@
             score += _QUEUED_PREFILL_WEIGHT * state.total_prefill_tokens
             score += _TOKENS_PER_RUNNING_REQUEST * candidate.load
             score += rank_tokens * min(rank_by_id[state.server_id], _MAX_RANK)
-            score *= 1.0 + _FAILURE_WEIGHT * state.failure_share
+            failure_weight = _FAILURE_WEIGHT * state.current_failure_share(now_s)
+            score *= 1.0 + failure_weight
+            score += failure_weight * (_PREFILL_WEIGHT * prompt.tokens + _FAILURE_TOKENS)
             considered.append(ScoredCandidate(state.server_id, score, candidate.load, uncached))
             if score >= best_score:
                 continue
@@ -361,7 +369,7 @@
             # Servers slow down before all slots are used, and equal servers should share work.
             slowdown = 1.0 + 0.25 * candidate.load / slots
             expected_s = state.service_time_s * queue_factor * slowdown
-            expected_s *= 1.0 + 2.0 * state.failure_share
+            expected_s *= 1.0 + _FAILURE_WEIGHT * state.current_failure_share(now_s)
             if state.entry.zone != zone:
                 expected_s += _CROSS_ZONE_DELAY_S
             considered.append(ScoredCandidate(state.server_id, expected_s, candidate.load, 0))
--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 )
 from tanagerworks.dispatch.crash_evidence import CrashEvidence, ServerCrash, Suspect, process_key
 from tanagerworks.dispatch.directory import Directory
+from tanagerworks.dispatch.fleet_health import FleetHealth
 from tanagerworks.dispatch.fleet_limits import (
     ColdStartLimiter,
     NamedLimitLimiter,
@@ -79,6 +80,8 @@
     software_version: str | None = None
     # Ids of the servers of earlier attempts, also of those that refused the connection.
     tried_server_ids: set[str] = field(default_factory=set)
+    # Whether the request may be sent to another server if the first one fails.
+    repeatable: bool = False
 
     def accepts_version(self, version: str) -> bool:
         """Whether a server of a software version may serve the request."""
@@ -107,6 +110,7 @@
         self.named_limit_limiters: dict[str, NamedLimitLimiter] = {}
         self.cached_parts = CachedPartIndex()
         self.crash_evidence = CrashEvidence()
+        self.fleet_health = FleetHealth(name, self.directory, peer_table)
         self.quarantine_gate = QuarantineGate(name, peer_table, self.crash_evidence)
         # Keys of the parts sent since the last announcement to peers, by server id.
         self.unannounced_keys_by_server: dict[str, set[int]] = {}
@@ -236,19 +240,40 @@
         service = self.find_service(dispatch_request.service)
         if service is None:
             return Choice(None, "no such service", has_candidates=False)
+        self.fleet_health.evaluate(now_s)
+        probe = self._choose_probe(dispatch_request, service, now_s)
+        if probe is not None:
+            return probe
         chooser = self.prompt_chooser if service.runs_models else self.plain_chooser
         found = self.find_candidates(dispatch_request, service, now_s)
         healthy_servers = [
             state
             for state in self.directory.by_service.get(service.name, ())
             if not state.removed
-            and not state.consecutive_failures
+            and not (state.consecutive_failures or state.fleet_ejected)
             and dispatch_request.accepts_version(state.entry.version)
         ]
         return chooser.choose_server(
             service, found, healthy_servers, dispatch_request.prompt, dispatch_request.zone, now_s
         )
 
+    def _choose_probe(
+        self, dispatch_request: DispatchRequest, service: Service, now_s: float
+    ) -> Choice | None:
+        """Returns the choice of an ejected server that this node has to probe, or None."""
+        if dispatch_request.tried_server_ids:
+            return None
+        nodes = self.peer_table.assumed_fleet_size(now_s)
+        for state in self.fleet_health.find_probe(service.name, dispatch_request.repeatable, now_s):
+            if not dispatch_request.accepts_version(state.entry.version):
+                continue
+            if self._check_limits(state, service, nodes, now_s):
+                continue
+            prompt = dispatch_request.prompt
+            tokens = prompt.tokens if prompt is not None else 0
+            return Choice(state, "probes an ejected server", tokens)
+        return None
+
     def check_quarantine(
         self, dispatch_request: DispatchRequest, now_s: float
     ) -> QuarantineRefusal | None:
@@ -279,6 +304,8 @@
         """
         assert choice.state is not None
         state = choice.state
+        if state.fleet_ejected:
+            self.fleet_health.record_probe(state, now_s)
         state.record_start(dispatch_request.call_id, choice.prefill_tokens)
         for limiter in self._limiters(state.server_id):
             limiter.use_token()
--- /dev/null
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -0,0 +1,527 @@
+"""Health of backend servers as all nodes of the fleet see it.
+
+In a large fleet each node sends one server a request every few seconds, so a node alone learns too
+slowly that a server has begun to fail. Nodes therefore add up the outcomes of their requests. The
+evidence of at least two nodes ejects a server or lowers its rank in the choice. After an ejection
+one node, or a second one in its place, sends a probe, and its success ends the ejection everywhere.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+from tanagerworks.dispatch.crash_evidence import process_key
+from tanagerworks.dispatch.directory import Directory, server_key
+from tanagerworks.dispatch.server_state import FAILURES_TO_EJECT, FIRST_EJECTION_S, ServerState
+from tanagerworks.membership.peer_table import PeerTable
+from tanagerworks.routing.ranking import place_equally
+
+# Outcomes are evidence for this time.
+WINDOW_S = 2.0
+# Evidence that ejects a server: failures, nodes that report some, and their share of the outcomes.
+_MIN_FAILURES = 3
+_MIN_FAILING_NODES = 2
+_MIN_SHARE = 0.5
+# Share of the usable servers of a service that the evidence of the fleet ejects at most.
+_MAX_EJECTED_SHARE = 0.5
+# Answers added to those observed in a share, so that one or two failures do not make it 1.
+_PRIOR_ANSWERS = 1
+# Longest ejection by the evidence of the fleet. It is shorter than that by a node's own evidence
+# since the whole fleet sends one or two probes, and a server that has recovered has to be used
+# again within about a second.
+MAX_FLEET_EJECTION_S = 1.0
+# Outcomes of this time after the beginning of an ejection may belong to requests sent before it.
+_SETTLING_S = 0.25
+# Nodes that may probe a server, and the time for which the second waits for the first.
+_PROBING_NODES = 2
+_SECOND_PROBE_DELAY_S = 0.3
+# A request that must not be repeated is a probe only if no other came for this time.
+_REPEATABLE_WAIT_S = 1.0
+# Shortest time between two probes of a node at servers of one service, so that most requests of a
+# small fleet still go to sound servers.
+_PROBE_INTERVAL_S = 0.2
+# A node ends an ejection without a probe if nobody has reported one for this time.
+_SILENT_EJECTION_S = 2.0
+# After an ejection, the share of failures from before fades within this time, so that the nodes
+# return gradually.
+_RETURN_S = 1.0
+# A node tries at least this many servers before it takes itself for the cause of failures.
+_MIN_TRIED_SERVERS = 4
+# Shortest times between two evaluations of changed evidence, and of evidence that only ages.
+_EVALUATION_INTERVAL_S = 0.05
+_AGING_INTERVAL_S = 0.4
+# Ages in reports are in whole milliseconds.
+_CLOCK_STEP_S = 0.001
+# Largest counts that are believed of one report.
+_MAX_COUNT = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Outcomes:
+    """Numbers of answers and failures, with the number of nodes that saw the failures."""
+
+    answers: int = 0
+    failures: int = 0
+    failing_nodes: int = 0
+    # Time of the newest failure, or of the newest answer without one.
+    newest_s: float = -math.inf
+
+    def plus(self, other: "Outcomes") -> "Outcomes":
+        """Returns the sums; the newest time is that of a failure if there is one."""
+        newest_s = max(self.newest_s, other.newest_s)
+        if bool(self.failures) != bool(other.failures):
+            newest_s = self.newest_s if self.failures else other.newest_s
+        return Outcomes(
+            self.answers + other.answers,
+            self.failures + other.failures,
+            self.failing_nodes + other.failing_nodes,
+            newest_s,
+        )
+
+    @property
+    def share(self) -> float:
+        """Estimated share of requests that fail."""
+        if not self.failures:
+            return 0.0
+        return self.failures / (self.failures + self.answers + _PRIOR_ANSWERS)
+
+    def ejects(self) -> bool:
+        """Whether the outcomes of the whole fleet eject a server."""
+        return (
+            self.failing_nodes >= _MIN_FAILING_NODES
+            and self.failures >= _MIN_FAILURES
+            and self.failures >= _MIN_SHARE * (self.failures + self.answers)
+        )
+
+
+@dataclass(slots=True)
+class Ejection:
+    """An ejection by the evidence of the fleet; probes are due from `until_s` on."""
+
+    since_s: float
+    duration_s: float
+    # Share of failures that caused it.
+    share: float
+    # Place of this node among those that probe the server after `since_s`; None if it does not
+    # probe, -1 if unknown.
+    place: int | None = -1
+
+    @property
+    def until_s(self) -> float:
+        """End of the time without probes."""
+        return self.since_s + self.duration_s
+
+    def renew(self, failed_s: float) -> None:
+        """Begins the next, longer ejection after a failed probe."""
+        self.since_s = failed_s
+        self.duration_s = min(MAX_FLEET_EJECTION_S, 2.0 * self.duration_s)
+        self.place = -1
+
+
+@dataclass(slots=True)
+class ServerHealth:
+    """Evidence on one server process. Times are those of the event loop of this node."""
+
+    state: ServerState
+    # Outcomes at this node: time, and whether it is a failure.
+    own: deque[tuple[float, bool]] = field(default_factory=deque)
+    # Reports of single nodes with their zone, by name, and sums of zones, by zone and sender.
+    node_reports: dict[str, tuple[str, Outcomes]] = field(default_factory=dict)
+    zone_reports: dict[tuple[str, str], Outcomes] = field(default_factory=dict)
+    # First failure since failures are known without a gap of `WINDOW_S`; answers from before say
+    # nothing of a server that has just begun to fail.
+    onset_s: float = math.inf
+    last_failure_s: float = -math.inf
+    # Outcomes up to this time are not used any more: the server has recovered since.
+    recovered_s: float = -math.inf
+    ejection: Ejection | None = None
+    last_ejection_s: float = 0.0
+    returning_share: float = 0.0
+    returning_since_s: float = -math.inf
+
+    def note_failure(self, failed_s: float) -> None:
+        """Extends or begins the time in which failures are known."""
+        if failed_s - self.last_failure_s > WINDOW_S:
+            self.onset_s = failed_s
+        self.onset_s = min(self.onset_s, failed_s)
+        self.last_failure_s = max(self.last_failure_s, failed_s)
+
+    def is_failing(self, now_s: float) -> bool:
+        """Whether any node is known to have seen a failure within `WINDOW_S`."""
+        return max(now_s - WINDOW_S, self.recovered_s) < self.last_failure_s
+
+    def has_recovered(self, now_s: float) -> bool:
+        """Whether the server had a success after an ejection within `WINDOW_S`."""
+        return now_s - self.recovered_s < WINDOW_S
+
+    def own_outcomes(self, now_s: float) -> Outcomes:
+        """Returns the outcomes of this node that count now."""
+        while self.own and now_s - self.own[0][0] > WINDOW_S:
+            self.own.popleft()
+        answers = [
+            at_s
+            for at_s, failed in self.own
+            if not failed
+            and at_s > self.recovered_s
+            and (at_s >= self.onset_s or self.has_recovered(now_s))
+        ]
+        failures = [at_s for at_s, failed in self.own if failed and at_s > self.recovered_s]
+        newest_s = max(failures or answers, default=-math.inf)
+        return Outcomes(len(answers), len(failures), min(1, len(failures)), newest_s)
+
+    def _counts(self, outcomes: Outcomes, now_s: float) -> bool:
+        return outcomes.newest_s > max(now_s - WINDOW_S, self.recovered_s)
+
+    def sums_by_zone(self, now_s: float) -> dict[str, Outcomes]:
+        """Returns the sums of what single nodes report, by zone; drops expired reports."""
+        sums: dict[str, Outcomes] = {}
+        for name, (zone, outcomes) in list(self.node_reports.items()):
+            if self._counts(outcomes, now_s):
+                sums[zone] = sums[zone].plus(outcomes) if zone in sums else outcomes
+            else:
+                del self.node_reports[name]
+        return sums
+
+    def fleet_outcomes(self, own_zone: str, now_s: float) -> Outcomes:
+        """Returns the outcomes of the whole fleet, without those of this node.
+
+        Of the sums of another zone the second largest counts, so that a single sender of sums that
+        are false changes nothing. With one sender, the sum counts as the report of one node.
+        """
+        direct = self.sums_by_zone(now_s)
+        total = direct.pop(own_zone, Outcomes())
+        sums: dict[str, list[Outcomes]] = {zone: [] for zone in direct}
+        for (zone, sender), outcomes in list(self.zone_reports.items()):
+            if self._counts(outcomes, now_s):
+                sums.setdefault(zone, []).append(outcomes)
+            else:
+                del self.zone_reports[zone, sender]
+        for zone, known in sums.items():
+            known.sort(key=_weight, reverse=True)
+            if len(known) == 1:
+                known = [replace(known[0], failing_nodes=min(1, known[0].failing_nodes))]
+            else:
+                known = known[1:]
+            total = total.plus(max([direct.get(zone, Outcomes()), *known], key=_weight))
+        return total
+
+
+def _weight(outcomes: Outcomes) -> tuple[int, int]:
+    return outcomes.failures, outcomes.answers
+
+
+def process_hash(state: ServerState) -> int:
+    """Returns the 32-bit hash that tells the processes of a server apart in reports."""
+    return process_key(state.server_id, state.entry.started_ms) & 0xFFFF_FFFF
+
+
+class FleetHealth:
+    """Outcomes at this node and those that peers report; sets the ejections of `ServerState`.
+
+    `zone` is the availability zone of this node; the exchange with the peers sets it.
+    """
+
+    def __init__(self, node: str, directory: Directory, peer_table: PeerTable) -> None:
+        self.node = node
+        self.zone = ""
+        self.directory = directory
+        self.peer_table = peer_table
+        # Evidence by `server_key`.
+        self.servers: dict[int, ServerHealth] = {}
+        # Servers whose evidence has changed since the last evaluation.
+        self.changed: set[int] = set()
+        # Servers with outcomes that the peers should know at once, and those of other zones.
+        self.unreported: set[int] = set()
+        self.unrelayed: dict[str, set[int]] = {}
+        self.evaluated_s = -math.inf
+        self.aged_s = -math.inf
+        # Time of the last probe by service.
+        self.probed_s: dict[str, float] = {}
+        # Called when an outcome should be reported at once.
+        self.on_news: Callable[[], None] = lambda: None
+        # Called with the server, and the evidence of an ejection or its reason to end.
+        self.on_ejected: Callable[[ServerState, Outcomes, Ejection], None] = lambda *_: None
+        self.on_returned: Callable[[ServerState, str], None] = lambda *_: None
+
+    # Evidence
+
+    def _find(self, state: ServerState) -> ServerHealth:
+        key = server_key(state.server_id)
+        health = self.servers.get(key)
+        if health is None or health.state is not state:
+            health = self.servers[key] = ServerHealth(state)
+        return health
+
+    def record_answer(self, state: ServerState, sent_s: float, now_s: float) -> None:
+        """Records that a server answers a request that was sent at `sent_s`."""
+        health = self._find(state)
+        key = server_key(state.server_id)
+        ejection = health.ejection
+        if ejection is not None:
+            if sent_s < ejection.since_s:
+                return
+            self._recover(health, sent_s, "probe", now_s)
+        health.own.append((now_s, False))
+        self.changed.add(key)
+        if ejection is not None or health.is_failing(now_s):
+            self._report_soon(key)
+
+    def record_failure(self, state: ServerState, was_answered: bool, now_s: float) -> None:
+        """Records a failure; `was_answered` if the attempt was recorded as an answer before."""
+        health = self._find(state)
+        key = server_key(state.server_id)
+        if was_answered:
+            latest = next((item for item in reversed(health.own) if not item[1]), None)
+            if latest is not None:
+                health.own.remove(latest)
+        health.own.append((now_s, True))
+        health.note_failure(now_s)
+        self.changed.add(key)
+        self._report_soon(key)
+
+    def _report_soon(self, key: int) -> None:
+        self.unreported.add(key)
+        self.on_news()
+
+    def merge_report(
+        self, key: int, process: int, reporter: str, zone: str, outcomes: Outcomes, now_s: float
+    ) -> None:
+        """Records the outcomes at a server that a node reports, or the sum of another zone.
+
+        `reporter` is the name of the node, or for a sum "SENDER/", which is no name of a node.
+        Reports of unknown processes are ignored.
+        """
+        state = self.directory.by_key.get(key)
+        if state is None or process_hash(state) != process or reporter == self.node:
+            return
+        if now_s - outcomes.newest_s > WINDOW_S or outcomes.newest_s > now_s:
+            return
+        health = self._find(state)
+        known: Outcomes | None
+        if reporter.endswith("/"):
+            outcomes = _bounded(outcomes, _MAX_COUNT)
+            known = health.zone_reports.get((zone, reporter))
+            health.zone_reports[zone, reporter] = outcomes
+        else:
+            outcomes = _bounded(outcomes, 1)
+            known = health.node_reports.get(reporter, ("", None))[1]
+            health.node_reports[reporter] = (zone, outcomes)
+            if zone != self.zone and (known is None or _weight(known) != _weight(outcomes)):
+                self.unrelayed.setdefault(zone, set()).add(key)
+        self.changed.add(key)
+        if outcomes.failures and outcomes.newest_s > health.recovered_s:
+            was_failing = health.is_failing(now_s)
+            health.note_failure(outcomes.newest_s)
+            if not was_failing and health.own_outcomes(now_s).answers:
+                self._report_soon(key)
+        ejection = health.ejection
+        if (
+            ejection is not None
+            and outcomes.answers
+            and not outcomes.failures
+            and outcomes.newest_s >= ejection.since_s + _SETTLING_S
+        ):
+            self._recover(health, outcomes.newest_s - _CLOCK_STEP_S, reporter, now_s)
+
+    # Reports
+
+    def own_reports(self, now_s: float) -> Iterator[tuple[ServerState, Outcomes]]:
+        """Yields what this node reports of each server; nothing if its own network fails."""
+        if self.is_own_network_suspect(now_s):
+            return
+        for health in self.servers.values():
+            if not (health.is_failing(now_s) or health.has_recovered(now_s)):
+                continue
+            outcomes = health.own_outcomes(now_s)
+            if outcomes.failures or outcomes.answers:
+                yield health.state, outcomes
+
+    def zone_reports(self, zone: str, now_s: float) -> Iterator[tuple[ServerState, Outcomes]]:
+        """Yields the sums of what the nodes of a zone report; those of the own zone include own."""
+        own = {}
+        if zone == self.zone:
+            own = {state.server_id: outcomes for state, outcomes in self.own_reports(now_s)}
+        for health in self.servers.values():
+            total = health.sums_by_zone(now_s).get(zone, Outcomes())
+            if health.state.server_id in own:
+                total = total.plus(own[health.state.server_id])
+            if total.failures or (total.answers and health.has_recovered(now_s)):
+                yield health.state, total
+
+    def is_own_network_suspect(self, now_s: float) -> bool:
+        """Whether most servers fail for this node and peers report no failures of them."""
+        tried = failing = 0
+        for health in self.servers.values():
+            outcomes = health.own_outcomes(now_s)
+            if not health.own:
+                continue
+            tried += 1
+            if not outcomes.failures:
+                continue
+            failing += 1
+            if health.fleet_outcomes(self.zone, now_s).failures:
+                return False
+        return tried >= _MIN_TRIED_SERVERS and 2 * failing > tried
+
+    # Decisions
+
+    def evaluate(self, now_s: float) -> None:
+        """Applies changed and expired evidence to the servers, at most every few milliseconds."""
+        if not self.servers:
+            return
+        if now_s - self.aged_s >= _AGING_INTERVAL_S:
+            self.aged_s = now_s
+            self.changed.update(self.servers)
+        if not self.changed or now_s - self.evaluated_s < _EVALUATION_INTERVAL_S:
+            return
+        self.evaluated_s = now_s
+        changed, self.changed = self.changed, set()
+        services = set()
+        suspected = None
+        for key in changed:
+            health = self.servers.get(key)
+            if health is None:
+                continue
+            if health.state.removed or self.directory.by_key.get(key) is not health.state:
+                del self.servers[key]
+                continue
+            if suspected is None:
+                suspected = self.is_own_network_suspect(now_s)
+            outcomes = health.fleet_outcomes(self.zone, now_s)
+            own = health.own_outcomes(now_s)
+            if not suspected:
+                outcomes = outcomes.plus(own)
+            self._update_server(health, outcomes, own, now_s)
+            if outcomes.ejects():
+                services.add(health.state.entry.service)
+            elif not (
+                health.own
+                or health.node_reports
+                or health.zone_reports
+                or health.ejection
+                or health.state.fleet_failure_share
+            ):
+                del self.servers[key]
+        for service in sorted(services):
+            self._eject(service, now_s)
+
+    def _update_server(
+        self, health: ServerHealth, outcomes: Outcomes, own: Outcomes, now_s: float
+    ) -> None:
+        """Updates the share of failures and a present ejection."""
+        state = health.state
+        confirmed = outcomes.failing_nodes >= _MIN_FAILING_NODES
+        share = outcomes.share if confirmed else min(_MIN_SHARE, own.share)
+        fading = 1.0 - (now_s - health.returning_since_s) / _RETURN_S
+        state.fleet_failure_share = max(share, health.returning_share * max(0.0, fading))
+        ejection = health.ejection
+        if ejection is None:
+            return
+        own_failure_s = own.newest_s if own.failures else -math.inf
+        # The first of the probing nodes relies on its own probes. Otherwise a single node that
+        # reports failures all the time could keep the others from probing.
+        failed_s = own_failure_s if ejection.place == 0 else health.last_failure_s
+        if failed_s >= ejection.until_s - _SETTLING_S:
+            ejection.renew(failed_s)
+        elif now_s >= ejection.until_s + _SILENT_EJECTION_S:
+            self._recover(health, now_s, "no probe", now_s)
+
+    def _recover(self, health: ServerHealth, recovered_s: float, reason: str, now_s: float) -> None:
+        """Ends the ejection of a server, also the one by this node's own evidence."""
+        ejection = health.ejection
+        if ejection is None:
+            return
+        health.ejection = None
+        health.last_ejection_s = ejection.duration_s
+        health.recovered_s = recovered_s
+        health.onset_s = math.inf
+        health.returning_share = ejection.share
+        health.returning_since_s = now_s
+        health.state.end_ejection(recovered_s)
+        self.changed.add(server_key(health.state.server_id))
+        self.on_returned(health.state, reason)
+
+    def _eject(self, service: str, now_s: float) -> None:
+        """Ejects the servers of a service with the largest shares, up to the limit."""
+        usable = [
+            state
+            for state in self.directory.by_service.get(service, ())
+            if not (state.leaving or state.removed)
+            and state.entry.zone not in self.directory.zones_out
+        ]
+        limit = int(_MAX_EJECTED_SHARE * len(usable))
+        eligible: list[tuple[float, bool, ServerHealth, Outcomes]] = []
+        for state in usable:
+            health = self.servers.get(server_key(state.server_id))
+            if health is None or health.state is not state:
+                continue
+            if health.ejection is not None:
+                eligible.append((health.ejection.share, True, health, Outcomes()))
+                continue
+            outcomes = health.fleet_outcomes(self.zone, now_s).plus(health.own_outcomes(now_s))
+            if outcomes.ejects():
+                eligible.append((outcomes.share, False, health, outcomes))
+        eligible.sort(key=lambda item: item[:2], reverse=True)
+        for _share, is_ejected, health, _outcomes in eligible[limit:]:
+            if is_ejected:
+                health.ejection = None
+                health.state.fleet_ejected = False
+                self.on_returned(health.state, "limit")
+        for share, is_ejected, health, outcomes in eligible[:limit]:
+            if is_ejected:
+                continue
+            duration_s = FIRST_EJECTION_S
+            if now_s - health.returning_since_s < WINDOW_S:
+                duration_s = min(MAX_FLEET_EJECTION_S, 2.0 * health.last_ejection_s)
+            health.ejection = Ejection(now_s, duration_s, share)
+            health.state.fleet_ejected = True
+            self.on_ejected(health.state, outcomes, health.ejection)
+
+    # Probes
+
+    def find_probe(self, service: str, repeatable: bool, now_s: float) -> list[ServerState]:
+        """Returns the ejected servers of a service to which this node may send a request now.
+
+        `repeatable` says whether the request may be sent to another server if the probe fails.
+        """
+        if now_s - self.probed_s.get(service, -math.inf) < _PROBE_INTERVAL_S:
+            return []
+        found = []
+        for health in self.servers.values():
+            state, ejection = health.state, health.ejection
+            if ejection is None or state.entry.service != service or now_s < ejection.until_s:
+                continue
+            if state.probe_call_id is not None or state.leaving or state.removed:
+                continue
+            if state.entry.zone in self.directory.zones_out:
+                continue
+            if state.consecutive_failures >= FAILURES_TO_EJECT and now_s < state.ejected_until_s:
+                continue
+            due_s = ejection.until_s + (0.0 if repeatable else _REPEATABLE_WAIT_S)
+            if ejection.place == -1:
+                ejection.place = place_equally(
+                    state.server_id, self.node, self._live_names(now_s), _PROBING_NODES
+                )
+            place = ejection.place
+            if place is not None and now_s >= due_s + place * _SECOND_PROBE_DELAY_S:
+                found.append(state)
+        return found
+
+    def record_probe(self, state: ServerState, now_s: float) -> None:
+        """Records that a request is sent to an ejected server."""
+        self.probed_s[state.entry.service] = now_s
+
+    def _live_names(self, now_s: float) -> Iterator[str]:
+        return (peer.name for peer in self.peer_table.live_peers(now_s) if not peer.stopping)
+
+
+def _bounded(outcomes: Outcomes, max_nodes: int) -> Outcomes:
+    """Returns the outcomes with counts that are possible."""
+    failures = min(_MAX_COUNT, outcomes.failures)
+    return Outcomes(
+        min(_MAX_COUNT, outcomes.answers),
+        failures,
+        min(max_nodes, failures, outcomes.failing_nodes),
+        outcomes.newest_s,
+    )
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -1,5 +1,6 @@
 """The state of one backend server process as one node sees it."""
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -8,6 +9,8 @@
 # Weight of the newest response in the moving averages. An average follows a change within about ten
 # responses, and a single slow response has little effect.
 _NEWEST_WEIGHT = 0.1
+# Time constant with which a node's own share of failures fades after its last failure.
+_FAILURE_MEMORY_S = 4.0
 # Service time assumed before the first response: between those of the two plain services.
 _FIRST_SERVICE_TIME_S = 0.05
 # A load that a server reported in a response is used for this long: after a second, a server whose
@@ -76,6 +79,11 @@
     ejected_until_s: float = float("-inf")
     ejection_s: float = 0.0
     probe_call_id: str | None = None
+    failed_at_s: float = float("-inf")
+    # Whether the evidence of the fleet ejects the server, and the share of failures by it; both are
+    # set by `FleetHealth`.
+    fleet_ejected: bool = False
+    fleet_failure_share: float = 0.0
 
     @property
     def server_id(self) -> str:
@@ -188,10 +196,13 @@
         return now_s < self.cold_until_s
 
     def is_ejected(self, now_s: float) -> bool:
-        """Whether the server gets no new work now because of consecutive failures.
+        """Whether the server gets no new work now because of its failures.
 
-        After the ejection, this is the case while a probe is in progress.
+        After an ejection by this node's own evidence, this is the case while a probe is in
+        progress. Probes after an ejection by the evidence of the fleet are chosen separately.
         """
+        if self.fleet_ejected:
+            return True
         if self.consecutive_failures < FAILURES_TO_EJECT:
             return False
         return now_s < self.ejected_until_s or self.probe_call_id is not None
@@ -202,7 +213,8 @@
         self.prefill_tokens += prefill_tokens
         if self.resume_allowance:
             self.resumed_call_ids.add(call_id)
-        if self.consecutive_failures >= FAILURES_TO_EJECT and self.probe_call_id is None:
+        is_failing = self.fleet_ejected or self.consecutive_failures >= FAILURES_TO_EJECT
+        if is_failing and self.probe_call_id is None:
             self.probe_call_id = call_id
 
     def record_end(self, call_id: str) -> None:
@@ -225,7 +237,9 @@
 
     def record_failure(self, now_s: float) -> bool:
         """Records a failure; returns whether it ejects the server."""
+        self.failure_share = self._faded_failure_share(now_s)
         self.failure_share += _NEWEST_WEIGHT * (1.0 - self.failure_share)
+        self.failed_at_s = now_s
         self.consecutive_failures += 1
         if self.consecutive_failures < FAILURES_TO_EJECT:
             return False
@@ -233,6 +247,25 @@
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
+    def _faded_failure_share(self, now_s: float) -> float:
+        return self.failure_share * math.exp((self.failed_at_s - now_s) / _FAILURE_MEMORY_S)
+
+    def current_failure_share(self, now_s: float) -> float:
+        """Returns the share of requests that are expected to fail, from 0 to 1.
+
+        It is that of the fleet's recent outcomes or the moving average of this node, whichever is
+        higher. The average fades with time: a node may send the server no request for seconds.
+        """
+        return max(self.fleet_failure_share, self._faded_failure_share(now_s))
+
+    def end_ejection(self, recovered_s: float) -> None:
+        """Ends the ejection by the evidence of the fleet, and this node's if it is older."""
+        self.fleet_ejected = False
+        if self.failed_at_s <= recovered_s:
+            self.consecutive_failures = 0
+            self.ejection_s = 0.0
+            self.failure_share = 0.0
+
 
 def local_loads(states: Iterator[ServerState]) -> dict[str, PeerLoad]:
     """Returns this node's load at each server where it has requests in progress, by server id."""
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -488,7 +488,9 @@
         if attempt.answer_under_way:
             return
         attempt.answer_under_way = True
-        self.dispatcher.record_answer(request.dispatch_request, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self.dispatcher.record_answer(request.dispatch_request, now_s)
+        self.dispatcher.fleet_health.record_answer(attempt.state, attempt.sent_s, now_s)
 
     def _record_success(self, request: RequestState, attempt: Attempt) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -25,6 +25,7 @@
     recent_crash_reports,
 )
 from tanagerworks.edge.follower import StoreView
+from tanagerworks.edge.health_reports import HealthExchange
 from tanagerworks.edge.interfaces import PeerFinder
 from tanagerworks.edge.limit_reports import (
     all_limit_reports,
@@ -157,6 +158,8 @@
         # Event loop time of the last summary of each other zone, and the time until the next.
         self.summaries_received: dict[str, tuple[float, float]] = {}
         self.stream_origins = StreamOriginTable(dispatcher)
+        self.health = HealthExchange(node, zone, dispatcher.fleet_health, self.peer_table)
+        self.health.send = self._send
         self.fetch_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
@@ -190,6 +193,9 @@
         state = NodeState()
         try:
             state.ParseFromString(data)
+            if state.health and state.HasField("stream_origins"):
+                self.health.receive(state, asyncio.get_running_loop().time())
+                return
             if state.HasField("stream_origins"):
                 self.stream_origins.receive(state.stream_origins, addr)
                 return
@@ -220,6 +226,7 @@
         self.introduction_attempts.pop(state.address, None)
         self._record_addresses(state.known_addresses)
         self._apply_loads(state, now_s)
+        self.health.receive(state, now_s)
         self._confirm_copy(peer)
         versions = self.dispatcher.directory.versions
         merge_version_reports(state, versions, now_s, peer.copy_confirmed_s)
@@ -528,6 +535,7 @@
             if len(queue):
                 state.waiting.add(service=service, requests=len(queue))
         self._add_reports(state, now_s, regular=math.isfinite(parts_since_s))
+        self.health.add_own_reports(state, now_s, _MAX_DATAGRAM_BYTES - state.ByteSize())
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -560,6 +568,7 @@
                 )
             )
             self._add_reports(state, now_s, regular=True)
+            self.health.add_zone_reports(state, now_s, _MAX_DATAGRAM_BYTES - state.ByteSize())
             if part:
                 yield state
                 continue
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -24,6 +24,7 @@
 from tanagerworks.edge.crash_detector import CrashDetector
 from tanagerworks.edge.event_stream import EventSplitter
 from tanagerworks.edge.exchange import SERVER_ERROR, BackendExchange, log_attempt_failure
+from tanagerworks.edge.health_reports import has_hung, observe_health
 from tanagerworks.edge.http_messages import RequestHead
 from tanagerworks.edge.http_server import Responder
 from tanagerworks.edge.interfaces import (
@@ -106,6 +107,7 @@
         self.stream_origins = StreamOriginTable(dispatcher)
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
         self.crash_detector = CrashDetector(dispatcher, metrics)
+        observe_health(dispatcher.fleet_health, metrics)
         dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
         # Brings the copy of the store up to date as of an event loop time; returns whether it is.
         self.catch_up: Callable[[float], Awaitable[bool]] = _cannot_catch_up
@@ -217,6 +219,12 @@
             call.prompt,
             request_identity(head.method, call.host, head.target, customer_name, body, call.prompt),
             start_by_s,
+            repeatable=route.max_attempts > 1
+            and (
+                route.resumable
+                if route.streams
+                else route.execution is ExecutionSemantics.IDEMPOTENT
+            ),
         )
         event_splitter = EventSplitter(call.last_event_id) if route.resumable else None
         return RequestState(
@@ -406,6 +414,10 @@
                     pause_s = self.placer.retry_after_pause_s(request.service)
                     error.retry_after_s = pause_s or error.retry_after_s
                 raise
+            except asyncio.CancelledError:
+                now_s = asyncio.get_running_loop().time()
+                attempt.failed = has_hung(request, attempt, now_s)
+                raise
             finally:
                 self._end_attempt(request, attempt)
 
@@ -464,6 +476,9 @@
             request.event_splitter.discard_partial_event()
         if attempt.failed:
             now_s = asyncio.get_running_loop().time()
+            self.dispatcher.fleet_health.record_failure(
+                attempt.state, attempt.answer_under_way, now_s
+            )
             if attempt.state.record_failure(now_s):
                 _LOGGER.warning(
                     "server ejected",
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -48,6 +48,11 @@
             unit="{server}",
             description="Servers found to have ended while they ran requests of this node.",
         )
+        self.fleet_ejections = meter.create_counter(
+            "tanager.server.fleet_ejections",
+            unit="{server}",
+            description="Servers ejected by the evidence of the fleet.",
+        )
         self.store_calls = meter.create_counter(
             "tanager.store.calls", unit="{call}", description="Calls to the published store."
         )
@@ -140,6 +145,10 @@
         """Counts a server that ended while it ran requests of this node."""
         self._record_or_defer(lambda: self.server_crashes.add(1, {"service": service}))
 
+    def record_fleet_ejection(self, service: str) -> None:
+        """Counts a server that the evidence of the fleet ejects."""
+        self._record_or_defer(lambda: self.fleet_ejections.add(1, {"service": service}))
+
     def record_store_call(self, call: str) -> None:
         """Counts a call to the published store; `call` is "list" or "changes"."""
         self._record_or_defer(lambda: self.store_calls.add(1, {"call": call}))
--- a/src/tanagerworks/routing/ranking.py
+++ b/src/tanagerworks/routing/ranking.py
@@ -30,6 +30,22 @@
     return nlargest(count, names, key=lambda name: xxh3_64_intdigest(f"{name}{suffix}".encode()))
 
 
+def place_equally(key: str, name: str, others: Iterable[str], count: int) -> int | None:
+    """Returns the place of `name`, from 0, in the ranking of `rank_equally`; None from `count` on.
+
+    It stops at the first `count` names that come before, which are found soon in most rankings.
+    """
+    suffix = f"\0{key}"
+    digest = xxh3_64_intdigest(f"{name}{suffix}".encode())
+    place = 0
+    for other in others:
+        if xxh3_64_intdigest(f"{other}{suffix}".encode()) > digest:
+            place += 1
+            if place >= count:
+                return None
+    return place
+
+
 def rank_engines(chat_key: str, weights: Mapping[str, float]) -> list[str]:
     """Returns the engine ids in order, starting with the first choice of the chat.
 
