Probe servers that fail partly; test the load pattern of many nodes with few requests

Servers below the limits of an ejection got no requests while their rank was low, and failed again once their evidence had expired. One node now probes them. Ejections by the fleet last 0.75 s at most and the share of failures fades within 0.5 s, so that servers are used again about a second after they recover. A single sender of sums cannot count as two nodes.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -271,7 +271,7 @@
                 continue
             prompt = dispatch_request.prompt
             tokens = prompt.tokens if prompt is not None else 0
-            return Choice(state, "probes an ejected server", tokens)
+            return Choice(state, "probes a failing server", tokens)
         return None
 
     def check_quarantine(
@@ -304,8 +304,7 @@
         """
         assert choice.state is not None
         state = choice.state
-        if state.fleet_ejected:
-            self.fleet_health.record_probe(state, now_s)
+        self.fleet_health.record_probe(state, now_s)
         state.record_start(dispatch_request.call_id, choice.prefill_tokens)
         for limiter in self._limiters(state.server_id):
             limiter.use_token()
--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -30,14 +30,19 @@
 # Longest ejection by the evidence of the fleet. It is shorter than that by a node's own evidence
 # since the whole fleet sends one or two probes, and a server that has recovered has to be used
 # again within about a second.
-MAX_FLEET_EJECTION_S = 1.0
+MAX_FLEET_EJECTION_S = 0.75
 # Outcomes of this time after the beginning of an ejection may belong to requests sent before it.
 _SETTLING_S = 0.25
 # Nodes that may probe a server, and the time for which the second waits for the first.
 _PROBING_NODES = 2
 _SECOND_PROBE_DELAY_S = 0.3
+# A server with at least this share of failures that is not ejected is probed likewise if no outcome
+# came for this time. Its rank keeps other requests away, so there would be no evidence otherwise:
+# neither for an ejection nor of its recovery.
+_SUSPECT_SHARE = 0.3
+_SUSPECT_PROBE_S = 0.4
 # A request that must not be repeated is a probe only if no other came for this time.
-_REPEATABLE_WAIT_S = 1.0
+_REPEATABLE_WAIT_S = 0.5
 # Shortest time between two probes of a node at servers of one service, so that most requests of a
 # small fleet still go to sound servers.
 _PROBE_INTERVAL_S = 0.2
@@ -45,7 +50,7 @@
 _SILENT_EJECTION_S = 2.0
 # After an ejection, the share of failures from before fades within this time, so that the nodes
 # return gradually.
-_RETURN_S = 1.0
+_RETURN_S = 0.5
 # A node tries at least this many servers before it takes itself for the cause of failures.
 _MIN_TRIED_SERVERS = 4
 # Shortest times between two evaluations of changed evidence, and of evidence that only ages.
@@ -133,8 +138,13 @@
     # nothing of a server that has just begun to fail.
     onset_s: float = math.inf
     last_failure_s: float = -math.inf
+    last_outcome_s: float = -math.inf
     # Outcomes up to this time are not used any more: the server has recovered since.
     recovered_s: float = -math.inf
+    # Whether the evidence of the fleet lowers the rank without an ejection, and whether this node
+    # is the one that probes the server; None if unknown.
+    is_suspect: bool = False
+    probes_suspect: bool | None = None
     ejection: Ejection | None = None
     last_ejection_s: float = 0.0
     returning_share: float = 0.0
@@ -187,23 +197,27 @@
         """Returns the outcomes of the whole fleet, without those of this node.
 
         Of the sums of another zone the second largest counts, so that a single sender of sums that
-        are false changes nothing. With one sender, the sum counts as the report of one node.
+        are false changes nothing. With one sender, the sum counts as the report of one node, and
+        not as another one than the sender's own report.
         """
         direct = self.sums_by_zone(now_s)
         total = direct.pop(own_zone, Outcomes())
-        sums: dict[str, list[Outcomes]] = {zone: [] for zone in direct}
+        reporters = {name for name, (_, outcomes) in self.node_reports.items() if outcomes.failures}
+        sums: dict[str, list[tuple[Outcomes, str]]] = {zone: [] for zone in direct}
         for (zone, sender), outcomes in list(self.zone_reports.items()):
             if self._counts(outcomes, now_s):
-                sums.setdefault(zone, []).append(outcomes)
+                sums.setdefault(zone, []).append((outcomes, sender.removesuffix("/")))
             else:
                 del self.zone_reports[zone, sender]
         for zone, known in sums.items():
-            known.sort(key=_weight, reverse=True)
+            candidates = [direct.get(zone, Outcomes())]
+            candidates += sorted((item[0] for item in known), key=_weight, reverse=True)[1:]
             if len(known) == 1:
-                known = [replace(known[0], failing_nodes=min(1, known[0].failing_nodes))]
-            else:
-                known = known[1:]
-            total = total.plus(max([direct.get(zone, Outcomes()), *known], key=_weight))
+                ((outcomes, sender),) = known
+                nodes = 0 if sender in reporters else min(1, outcomes.failing_nodes)
+                reporters.add(sender)
+                candidates.append(replace(outcomes, failing_nodes=nodes))
+            total = total.plus(max(candidates, key=_weight))
         return total
 
 
@@ -263,6 +277,7 @@
                 return
             self._recover(health, sent_s, "probe", now_s)
         health.own.append((now_s, False))
+        health.last_outcome_s = now_s
         self.changed.add(key)
         if ejection is not None or health.is_failing(now_s):
             self._report_soon(key)
@@ -276,6 +291,7 @@
             if latest is not None:
                 health.own.remove(latest)
         health.own.append((now_s, True))
+        health.last_outcome_s = now_s
         health.note_failure(now_s)
         self.changed.add(key)
         self._report_soon(key)
@@ -309,6 +325,8 @@
             health.node_reports[reporter] = (zone, outcomes)
             if zone != self.zone and (known is None or _weight(known) != _weight(outcomes)):
                 self.unrelayed.setdefault(zone, set()).add(key)
+        if known is None or _weight(known) != _weight(outcomes):
+            health.last_outcome_s = max(health.last_outcome_s, outcomes.newest_s)
         self.changed.add(key)
         if outcomes.failures and outcomes.newest_s > health.recovered_s:
             was_failing = health.is_failing(now_s)
@@ -416,6 +434,10 @@
         fading = 1.0 - (now_s - health.returning_since_s) / _RETURN_S
         state.fleet_failure_share = max(share, health.returning_share * max(0.0, fading))
         ejection = health.ejection
+        suspected = ejection is None and confirmed and share >= _SUSPECT_SHARE
+        if suspected != health.is_suspect:
+            health.is_suspect = suspected
+            health.probes_suspect = None
         if ejection is None:
             return
         own_failure_s = own.newest_s if own.failures else -math.inf
@@ -481,7 +503,7 @@
     # Probes
 
     def find_probe(self, service: str, repeatable: bool, now_s: float) -> list[ServerState]:
-        """Returns the ejected servers of a service to which this node may send a request now.
+        """Returns the servers of a service to which this node should send a request as a probe now.
 
         `repeatable` says whether the request may be sent to another server if the probe fails.
         """
@@ -489,8 +511,8 @@
             return []
         found = []
         for health in self.servers.values():
-            state, ejection = health.state, health.ejection
-            if ejection is None or state.entry.service != service or now_s < ejection.until_s:
+            state = health.state
+            if state.entry.service != service or not (health.ejection or health.is_suspect):
                 continue
             if state.probe_call_id is not None or state.leaving or state.removed:
                 continue
@@ -498,19 +520,36 @@
                 continue
             if state.consecutive_failures >= FAILURES_TO_EJECT and now_s < state.ejected_until_s:
                 continue
-            due_s = ejection.until_s + (0.0 if repeatable else _REPEATABLE_WAIT_S)
-            if ejection.place == -1:
-                ejection.place = place_equally(
-                    state.server_id, self.node, self._live_names(now_s), _PROBING_NODES
-                )
-            place = ejection.place
-            if place is not None and now_s >= due_s + place * _SECOND_PROBE_DELAY_S:
+            if self._is_probe_due(health, repeatable, now_s):
                 found.append(state)
         return found
 
+    def _is_probe_due(self, health: ServerHealth, repeatable: bool, now_s: float) -> bool:
+        server_id, ejection = health.state.server_id, health.ejection
+        if ejection is None:
+            if not repeatable or health.state.running:
+                return False
+            if now_s < health.last_outcome_s + _SUSPECT_PROBE_S:
+                return False
+            if health.probes_suspect is None:
+                names = self._live_names(now_s)
+                health.probes_suspect = place_equally(server_id, self.node, names, 1) is not None
+            return health.probes_suspect
+        if now_s < ejection.until_s:
+            return False
+        if ejection.place == -1:
+            names = self._live_names(now_s)
+            ejection.place = place_equally(server_id, self.node, names, _PROBING_NODES)
+        if ejection.place is None:
+            return False
+        delay_s = ejection.place * _SECOND_PROBE_DELAY_S
+        return now_s >= ejection.until_s + delay_s + (0.0 if repeatable else _REPEATABLE_WAIT_S)
+
     def record_probe(self, state: ServerState, now_s: float) -> None:
-        """Records that a request is sent to an ejected server."""
-        self.probed_s[state.entry.service] = now_s
+        """Records that a request is sent to a server, which is a probe if the server fails."""
+        health = self.servers.get(server_key(state.server_id))
+        if health is not None and (health.ejection is not None or health.is_suspect):
+            self.probed_s[state.entry.service] = now_s
 
     def _live_names(self, now_s: float) -> Iterator[str]:
         return (peer.name for peer in self.peer_table.live_peers(now_s) if not peer.stopping)
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -10,7 +10,19 @@
 import pytest
 
 from tanagerworks.dispatch import fleet_health
-from tests.edge_builders import configuration, dispatch_request, prompt, server_entry
+from tanagerworks.dispatch.directory import server_key
+from tanagerworks.dispatch.fleet_health import Outcomes, process_hash
+from tanagerworks.dispatch.server_state import FAILURES_TO_EJECT
+from tanagerworks.edge.health_reports import _fitting_reports, has_hung
+from tanagerworks.edge.request_state import Attempt
+from tests.edge_builders import (
+    configuration,
+    dispatch_request,
+    dispatcher,
+    peer,
+    prompt,
+    server_entry,
+)
 from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
 
 BEGIN_S = 4.0
@@ -24,7 +36,9 @@
 class FailingServers:
     """Sends the requests of a fleet to servers of which some fail from `BEGIN_S` to `END_S`."""
 
-    def __init__(self, nodes, zones, servers, failing, failure_share=1.0, delay_s=0.02, sharing=True):
+    def __init__(
+        self, nodes, zones, servers, failing, failure_share=1.0, delay_s=0.02, sharing=True
+    ):
         self.fleet = VirtualFleet(nodes, zones)
         self.loop = self.fleet.loop
         self.random = random.Random(7)
@@ -34,6 +48,7 @@
         self.delay_s = delay_s
         # Time of each request, its server and whether it failed.
         self.sent = []
+        self.lost = []
         self.fleet.put_servers(entries)
         for node in self.fleet.nodes:
             node.dispatcher.apply_configuration(configuration())
@@ -66,6 +81,7 @@
             and self.random.random() < self.failure_share
         )
         self.sent.append((now_s, state.server_id, fails))
+        self.lost.append(fails and not request.repeatable)
         health = node.dispatcher.fleet_health
 
         def end_failed():
@@ -80,9 +96,7 @@
         if fails:
             self.loop.call_later(self.delay_s, end_failed)
             return
-        self.loop.call_later(
-            ANSWER_S, lambda: health.record_answer(state, now_s, self.loop.time())
-        )
+        self.loop.call_later(ANSWER_S, lambda: health.record_answer(state, now_s, self.loop.time()))
         self.loop.call_later(STREAM_S, end_answered)
 
     def failed(self, since_s=0.0):
@@ -92,3 +106,200 @@
         """Returns the share of requests sent to the failing servers within a time."""
         servers = [server for at_s, server, _fails in self.sent if since_s <= at_s < until_s]
         return sum(server in self.failing for server in servers) / len(servers)
+
+
+def run_pattern(**changes):
+    async def scenario():
+        pattern = FailingServers(
+            **({"nodes": 30, "zones": 3, "servers": 30, "failing": 8} | changes)
+        )
+        return await pattern.run()
+
+    return run_in_virtual_time(scenario())
+
+
+def test_fleet_avoids_servers_that_fail_everything():
+    """Guards against a fleet in which every node in turn meets the failures of a server.
+
+    Without the reports of others (the broken variant), requests at these servers go on failing.
+    """
+    shared = run_pattern()
+    alone = run_pattern(sharing=False)
+    assert shared.failed() < 0.3 * alone.failed()
+    # Probes go on; they are requests that are sent again.
+    assert sum(shared.lost) < 0.15 * sum(alone.lost)
+    assert shared.share_at_failing(BEGIN_S + 1.0, END_S) < 0.1
+    # Eight of 30 servers have recovered.
+    assert shared.share_at_failing(END_S + 1.0, END_S + 2.0) > 0.2
+
+
+@pytest.mark.parametrize("changes", [{"failure_share": 0.45}, {"delay_s": HANG_S}])
+def test_fleet_avoids_servers_that_fail_partly_or_hang(changes):
+    """Guards against evidence that counts only servers that fail everything at once."""
+    shared, alone = run_pattern(**changes), run_pattern(sharing=False, **changes)
+    assert shared.failed() < 0.65 * alone.failed()
+    assert sum(shared.lost) < 0.5 * sum(alone.lost)
+
+
+# Decisions of one node, without messages
+
+
+def make_node(servers=4, peers=()):
+    entries = [server_entry(f"s{number}") for number in range(servers)]
+    node = dispatcher("node-1", entries, peers)
+    node.fleet_health.zone = "zone-a"
+    return node
+
+
+def report(node, server_id, reporter, failures, answers=0, at_s=1.0, zone="zone-a", nodes=1):
+    state = node.directory.servers[server_id]
+    outcomes = Outcomes(answers, failures, nodes if failures else 0, at_s)
+    key = server_key(server_id)
+    node.fleet_health.merge_report(key, process_hash(state), reporter, zone, outcomes, at_s)
+
+
+def ejected(node, now_s=1.1):
+    node.fleet_health.evaluate(now_s)
+    return {state.server_id for state in node.directory.servers.values() if state.fleet_ejected}
+
+
+def test_evidence_of_two_nodes_ejects_and_that_of_one_changes_nothing(monkeypatch):
+    """Guards against a node, or a sender of sums, that takes servers from all others."""
+
+    node = make_node(servers=8)
+    for server in ("s0", "s1", "s2"):
+        report(node, server, "liar", 100_000, nodes=50)
+        report(node, server, "liar/", 100_000, zone="zone-b", nodes=50)
+        report(node, server, "liar/", 100_000, zone="zone-c", nodes=50)
+    report(node, "s4", "node-2", 2)
+    report(node, "s4", "node-3", 1, answers=3)
+    report(node, "s5", "node-2", 2)
+    report(node, "s5", "node-3", 1, answers=4)
+    assert ejected(node) == {"s4"}
+    assert node.directory.servers["s0"].fleet_failure_share == 0.0
+    assert 0.3 < node.directory.servers["s5"].fleet_failure_share < 0.5
+    monkeypatch.setattr(fleet_health, "_MIN_FAILING_NODES", 1)
+    broken = make_node()
+    report(broken, "s0", "liar", 100_000)
+    assert ejected(broken) == {"s0"}
+
+
+def test_false_sum_of_one_sender_does_not_count_beside_another():
+    """Guards against one node of a zone that reports false sums for all of the zone."""
+    node = make_node()
+    report(node, "s0", "liar/", 500, zone="zone-b", nodes=20)
+    report(node, "s0", "honest/", 0, answers=5, zone="zone-b")
+    assert ejected(node) == set()
+    report(node, "s0", "honest/", 4, zone="zone-b", nodes=3)
+    assert ejected(node, 1.2) == {"s0"}
+
+
+def test_at_most_half_of_the_servers_are_ejected_and_the_others_rank_last(monkeypatch):
+    """Guards against ejecting a service, and against a failing server that is the only one used.
+
+    The failing server beyond the limit holds the prompt; without the term for failures in the
+    score, it gets the request.
+    """
+    node = make_node()
+    for number, answers in enumerate((0, 1, 0)):
+        report(node, f"s{number}", "node-2", 2, answers)
+        report(node, f"s{number}", "node-3", 2)
+    assert ejected(node) == {"s0", "s2"}
+    # A node's own ejections do not count towards the limit.
+    for _failure in range(FAILURES_TO_EJECT):
+        node.directory.servers["s3"].record_failure(0.0)
+    assert ejected(node, 1.2) == {"s0", "s2"}
+    node.directory.servers["s3"].record_success(0.1)
+    request = dispatch_request(request_prompt=prompt(("shared", 5_000), ("own", 100)))
+    node.record_sent(request, "s1", 1.0)
+    assert node.choose_server(request, 1.2).state.server_id == "s3"
+    monkeypatch.setattr("tanagerworks.dispatch.choice._FAILURE_WEIGHT", 0.0)
+    assert node.choose_server(request, 1.2).state.server_id == "s1"
+
+
+def test_node_whose_own_network_fails_reports_nothing():
+    """Guards against a node that is cut off from the servers and makes others avoid them."""
+    node = make_node()
+    health = node.fleet_health
+    for state in list(node.directory.servers.values())[:3]:
+        health.record_failure(state, False, 1.0)
+    assert len(list(health.own_reports(1.1))) == 3
+    health.record_answer(node.directory.servers["s3"], 0.9, 1.0)
+    assert list(health.own_reports(1.1)) == []
+    report(node, "s0", "node-2", 1)
+    assert len(list(health.own_reports(1.1))) == 4 - 1
+
+
+def test_few_nodes_probe_and_a_success_ends_the_ejection():
+    """Guards against all nodes that probe at once, and a server that is never used again."""
+    names = [f"n{number:02}" for number in range(30)]
+    probing = []
+    for name in names:
+        peers = [peer(other, last_seen_s=1.0) for other in names if other != name]
+        node = dispatcher(name, [server_entry("s0"), server_entry("s1")], peers)
+        node.fleet_health.zone = "zone-a"
+        for reporter in ("node-2", "node-3"):
+            report(node, "s0", reporter, 2)
+        assert ejected(node) == {"s0"}
+        assert node.fleet_health.find_probe("models", True, 1.5) == []
+        if node.fleet_health.find_probe("models", True, 2.0):
+            probing.append(node)
+            assert node.fleet_health.find_probe("models", False, 2.0) == []
+    assert len(probing) == 2
+    prober = probing[0]
+    request = dispatch_request(repeatable=True)
+    choice = prober.choose_server(request, 2.0)
+    assert choice.state.server_id == "s0"
+    prober.record_start(request, choice, 2.0)
+    assert prober.fleet_health.find_probe("models", True, 2.3) == []
+    choice.state.record_end(request.call_id)
+    # The answer to a request from before the ejection shows nothing.
+    prober.fleet_health.record_answer(choice.state, 0.9, 2.1)
+    assert ejected(prober, 2.1) == {"s0"}
+    prober.fleet_health.record_answer(choice.state, 2.0, 2.2)
+    assert ejected(prober, 2.2) == set()
+    ((_state, outcomes),) = prober.fleet_health.own_reports(2.2)
+    report(probing[1], "s0", prober.name, outcomes.failures, outcomes.answers, 2.2)
+    assert ejected(probing[1], 2.2) == set()
+    # Gradual return: the share of failures fades within a second.
+    state = probing[1].directory.servers["s0"]
+    assert state.fleet_failure_share > 0.5
+    probing[1].fleet_health.evaluate(3.3)
+    assert state.fleet_failure_share == 0.0
+
+
+def test_reports_are_bounded_and_of_one_process():
+    """Guards against datagrams that grow with the failures, and new processes that inherit them."""
+    node = make_node(servers=60)
+    states = list(node.directory.servers.values())
+    found, left = _fitting_reports(
+        ((state, Outcomes(1, number, 1, 0.5)) for number, state in enumerate(states)), 1.0
+    )
+    assert sum(item.ByteSize() + 3 for item in found) <= 300
+    assert found[0].failures == 59
+    assert len(found) + len(left) == 60
+    node.directory.put(server_entry("s0", started_ms=2), 0.5)
+    old = process_hash(states[0])
+    for reporter in ("node-2", "node-3"):
+        outcomes = Outcomes(0, 9, 1, 1.0)
+        node.fleet_health.merge_report(server_key("s0"), old, reporter, "zone-a", outcomes, 1.0)
+    assert ejected(node) == set()
+
+
+def test_attempt_that_ends_at_the_deadline_counts_as_failure():
+    """Guards against a hung server of requests that may run only once, which shows no failure."""
+
+    class Request:
+        deadline_s = 10.0
+
+        class route:  # noqa: N801
+            timeout_s = 2.0
+
+    attempt = Attempt(make_node().directory.servers["s0"], 0, 8.5, None)
+    assert has_hung(Request, attempt, 10.0)
+    # The caller left, the request came late to the server, or an answer is under way.
+    assert not has_hung(Request, attempt, 9.0)
+    attempt.sent_s = 9.5
+    assert not has_hung(Request, attempt, 10.0)
+    attempt.sent_s, attempt.answer_under_way = 8.5, True
+    assert not has_hung(Request, attempt, 10.0)
