--- a/src/tanagerworks/edge/health_reports.py
+++ b/src/tanagerworks/edge/health_reports.py
@@ -205,7 +205,7 @@
     way.
     """
     if attempt.answer_under_way or now_s < request.deadline_s - RESPONSE_MARGIN_S:
-        return attempt.failed
+        return False
     return now_s - attempt.sent_s >= _HUNG_TIMEOUT_SHARE * request.route.timeout_s
 
 
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -416,7 +416,7 @@
                 raise
             except asyncio.CancelledError:
                 now_s = asyncio.get_running_loop().time()
-                attempt.failed = has_hung(request, attempt, now_s)
+                attempt.failed = attempt.failed or has_hung(request, attempt, now_s)
                 raise
             finally:
                 self._end_attempt(request, attempt)
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -289,17 +290,12 @@
 def test_attempt_that_ends_at_the_deadline_counts_as_failure():
     """Guards against a hung server of requests that may run only once, which shows no failure."""
 
-    class Request:
-        deadline_s = 10.0
-
-        class route:  # noqa: N801
-            timeout_s = 2.0
-
+    request = SimpleNamespace(deadline_s=10.0, route=SimpleNamespace(timeout_s=2.0))
     attempt = Attempt(make_node().directory.servers["s0"], 0, 8.5, None)
-    assert has_hung(Request, attempt, 10.0)
+    assert has_hung(request, attempt, 10.0)
     # The caller left, the request came late to the server, or an answer is under way.
-    assert not has_hung(Request, attempt, 9.0)
+    assert not has_hung(request, attempt, 9.0)
     attempt.sent_s = 9.5
-    assert not has_hung(Request, attempt, 10.0)
+    assert not has_hung(request, attempt, 10.0)
     attempt.sent_s, attempt.answer_under_way = 8.5, True
-    assert not has_hung(Request, attempt, 10.0)
+    assert not has_hung(request, attempt, 10.0)
