--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -25,6 +25,7 @@
     recent_crash_reports,
 )
 from tanagerworks.edge.follower import StoreView
+from tanagerworks.edge.health_reports import HealthExchange
 from tanagerworks.edge.interfaces import PeerFinder
 from tanagerworks.edge.limit_reports import (
     all_limit_reports,
@@ -173,6 +174,8 @@
         self.stream_origins = StreamOriginTable(dispatcher)
         # Times of hedged routes over the fleet; None if hedging is off.
         self.route_times: RouteTimeTable | None = None
+        self.health = HealthExchange(node, zone, dispatcher.fleet_health, self.peer_table)
+        self.health.send = self._send
         self.fetch_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
@@ -206,6 +209,9 @@
         state = NodeState()
         try:
             state.ParseFromString(data)
+            if state.health and state.HasField("stream_origins"):
+                self.health.receive(state, asyncio.get_running_loop().time())
+                return
             if state.HasField("stream_origins"):
                 self.stream_origins.receive(state.stream_origins, addr)
                 return
@@ -240,6 +246,7 @@
         self.load_reports.merge(state.server_loads, now_s, state.name, in_zone)
         if self.route_times is not None and state.route_times:
             self.route_times.merge(state, now_s)
+        self.health.receive(state, now_s)
         self._confirm_copy(peer)
         versions = self.dispatcher.directory.versions
         merge_version_reports(state, versions, now_s, peer.copy_confirmed_s)
@@ -567,6 +574,7 @@
         room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
         state.server_loads.extend(self.load_reports.own_reports(since_s, now_s, room))
         self._add_route_times(state, now_s)
+        self.health.add_own_reports(state, now_s, _MAX_DATAGRAM_BYTES - state.ByteSize())
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
 
     def _summaries(self, parts_since_s: float, now_s: float) -> Iterator[NodeState]:
@@ -602,6 +610,7 @@
             room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
             state.server_loads.extend(self.load_reports.zone_reports(part, parts, now_s, room))
             self._add_route_times(state, now_s)
+            self.health.add_zone_reports(state, now_s, _MAX_DATAGRAM_BYTES - state.ByteSize())
             if part:
                 yield state
                 continue
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -53,6 +53,11 @@
             unit="{request}",
             description="Second servers asked beside a late first one, by result and reason.",
         )
+        self.fleet_ejections = meter.create_counter(
+            "tanager.server.fleet_ejections",
+            unit="{server}",
+            description="Servers ejected by the evidence of the fleet.",
+        )
         self.store_calls = meter.create_counter(
             "tanager.store.calls", unit="{call}", description="Calls to the published store."
         )
@@ -159,6 +164,10 @@
         """Counts a request that was placed at a server out of service."""
         self._record_or_defer(lambda: self.last_resort_requests.add(1, {"service": service}))
 
+    def record_fleet_ejection(self, service: str) -> None:
+        """Counts a server that the evidence of the fleet ejects."""
+        self._record_or_defer(lambda: self.fleet_ejections.add(1, {"service": service}))
+
     def record_store_call(self, call: str) -> None:
         """Counts a call to the published store; `call` is "list" or "changes"."""
         self._record_or_defer(lambda: self.store_calls.add(1, {"call": call}))
