--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -72,18 +72,6 @@
     # Time of the newest failure, or of the newest answer without one.
     newest_s: float = -math.inf
 
-    def plus(self, other: "Outcomes") -> "Outcomes":
-        """Returns the sums; the newest time is that of a failure if there is one."""
-        newest_s = max(self.newest_s, other.newest_s)
-        if bool(self.failures) != bool(other.failures):
-            newest_s = self.newest_s if self.failures else other.newest_s
-        return Outcomes(
-            self.answers + other.answers,
-            self.failures + other.failures,
-            self.failing_nodes + other.failing_nodes,
-            newest_s,
-        )
-
     @property
     def share(self) -> float:
         """Estimated share of requests that fail."""
@@ -100,6 +88,9 @@
         )
 
 
+_NO_OUTCOMES = Outcomes()
+
+
 @dataclass(slots=True)
 class Ejection:
     """An ejection by the evidence of the fleet; probes are due from `until_s` on."""
@@ -108,8 +99,7 @@
     duration_s: float
     # Share of failures that caused it.
     share: float
-    # Place of this node among those that probe the server after `since_s`; None if it does not
-    # probe, -1 if unknown.
+    # Place of this node among those that probe the server; None if it does not, -1 if unknown.
     place: int | None = -1
 
     @property
@@ -121,7 +111,6 @@
         """Begins the next, longer ejection after a failed probe."""
         self.since_s = failed_s
         self.duration_s = min(MAX_FLEET_EJECTION_S, 2.0 * self.duration_s)
-        self.place = -1
 
 
 @dataclass(slots=True)
@@ -129,6 +118,10 @@
     """Evidence on one server process. Times are those of the event loop of this node."""
 
     state: ServerState
+    # Its `process_hash`.
+    process: int
+    # Outcomes of the whole fleet as of the last evaluation.
+    outcomes: Outcomes = _NO_OUTCOMES
     # Outcomes at this node: time, and whether it is a failure.
     own: deque[tuple[float, bool]] = field(default_factory=deque)
     # Reports of single nodes with their zone, by name, and sums of zones, by zone and sender.
@@ -169,6 +162,8 @@
         """Returns the outcomes of this node that count now."""
         while self.own and now_s - self.own[0][0] > WINDOW_S:
             self.own.popleft()
+        if not self.own:
+            return _NO_OUTCOMES
         answers = [
             at_s
             for at_s, failed in self.own
@@ -185,13 +180,19 @@
 
     def sums_by_zone(self, now_s: float) -> dict[str, Outcomes]:
         """Returns the sums of what single nodes report, by zone; drops expired reports."""
-        sums: dict[str, Outcomes] = {}
-        for name, (zone, outcomes) in list(self.node_reports.items()):
-            if self._counts(outcomes, now_s):
-                sums[zone] = sums[zone].plus(outcomes) if zone in sums else outcomes
+        if not self.node_reports:
+            return {}
+        since_s = max(now_s - WINDOW_S, self.recovered_s)
+        expired = []
+        by_zone: dict[str, list[Outcomes]] = {}
+        for name, (zone, outcomes) in self.node_reports.items():
+            if outcomes.newest_s > since_s:
+                by_zone.setdefault(zone, []).append(outcomes)
             else:
-                del self.node_reports[name]
-        return sums
+                expired.append(name)
+        for name in expired:
+            del self.node_reports[name]
+        return {zone: _sum(reports) for zone, reports in by_zone.items()}
 
     def fleet_outcomes(self, own_zone: str, now_s: float) -> Outcomes:
         """Returns the outcomes of the whole fleet, without those of this node.
@@ -201,7 +202,9 @@
         not as another one than the sender's own report.
         """
         direct = self.sums_by_zone(now_s)
-        total = direct.pop(own_zone, Outcomes())
+        totals = [direct.pop(own_zone, _NO_OUTCOMES)]
+        if not direct and not self.zone_reports:
+            return totals[0]
         reporters = {name for name, (_, outcomes) in self.node_reports.items() if outcomes.failures}
         sums: dict[str, list[tuple[Outcomes, str]]] = {zone: [] for zone in direct}
         for (zone, sender), outcomes in list(self.zone_reports.items()):
@@ -210,15 +213,31 @@
             else:
                 del self.zone_reports[zone, sender]
         for zone, known in sums.items():
-            candidates = [direct.get(zone, Outcomes())]
+            candidates = [direct.get(zone, _NO_OUTCOMES)]
             candidates += sorted((item[0] for item in known), key=_weight, reverse=True)[1:]
             if len(known) == 1:
                 ((outcomes, sender),) = known
                 nodes = 0 if sender in reporters else min(1, outcomes.failing_nodes)
                 reporters.add(sender)
                 candidates.append(replace(outcomes, failing_nodes=nodes))
-            total = total.plus(max(candidates, key=_weight))
-        return total
+            totals.append(max(candidates, key=_weight))
+        return _sum(totals)
+
+
+def _sum(reports: list[Outcomes]) -> Outcomes:
+    if len(reports) == 1:
+        return reports[0]
+    answers = failures = nodes = 0
+    newest_failure_s = newest_answer_s = -math.inf
+    for outcomes in reports:
+        answers += outcomes.answers
+        failures += outcomes.failures
+        nodes += outcomes.failing_nodes
+        if outcomes.failures:
+            newest_failure_s = max(newest_failure_s, outcomes.newest_s)
+        else:
+            newest_answer_s = max(newest_answer_s, outcomes.newest_s)
+    return Outcomes(answers, failures, nodes, newest_failure_s if failures else newest_answer_s)
 
 
 def _weight(outcomes: Outcomes) -> tuple[int, int]:
@@ -264,9 +283,17 @@
         key = server_key(state.server_id)
         health = self.servers.get(key)
         if health is None or health.state is not state:
-            health = self.servers[key] = ServerHealth(state)
+            self._forget(key)
+            health = self.servers[key] = ServerHealth(state, process_hash(state))
         return health
 
+    def _forget(self, key: int) -> None:
+        """Drops the evidence on a process that is gone; its entry may come back."""
+        health = self.servers.pop(key, None)
+        if health is not None:
+            health.state.fleet_ejected = False
+            health.state.fleet_failure_share = 0.0
+
     def record_answer(self, state: ServerState, sent_s: float, now_s: float) -> None:
         """Records that a server answers a request that was sent at `sent_s`."""
         health = self._find(state)
@@ -309,11 +336,19 @@
         Reports of unknown processes are ignored.
         """
         state = self.directory.by_key.get(key)
-        if state is None or process_hash(state) != process or reporter == self.node:
+        if state is None or reporter == self.node:
             return
         if now_s - outcomes.newest_s > WINDOW_S or outcomes.newest_s > now_s:
             return
-        health = self._find(state)
+        tracked = self.servers.get(key)
+        if tracked is None or tracked.state is not state:
+            if process_hash(state) != process:
+                return
+            self._forget(key)
+            tracked = self.servers[key] = ServerHealth(state, process)
+        health = tracked
+        if health.process != process:
+            return
         known: Outcomes | None
         if reporter.endswith("/"):
             outcomes = _bounded(outcomes, _MAX_COUNT)
@@ -349,7 +384,7 @@
         if self.is_own_network_suspect(now_s):
             return
         for health in self.servers.values():
-            if not (health.is_failing(now_s) or health.has_recovered(now_s)):
+            if not health.own or not (health.is_failing(now_s) or health.has_recovered(now_s)):
                 continue
             outcomes = health.own_outcomes(now_s)
             if outcomes.failures or outcomes.answers:
@@ -361,9 +396,9 @@
         if zone == self.zone:
             own = {state.server_id: outcomes for state, outcomes in self.own_reports(now_s)}
         for health in self.servers.values():
-            total = health.sums_by_zone(now_s).get(zone, Outcomes())
+            total = health.sums_by_zone(now_s).get(zone, _NO_OUTCOMES)
             if health.state.server_id in own:
-                total = total.plus(own[health.state.server_id])
+                total = _sum([total, own[health.state.server_id]])
             if total.failures or (total.answers and health.has_recovered(now_s)):
                 yield health.state, total
 
@@ -371,6 +406,8 @@
         """Whether most servers fail for this node and peers report no failures of them."""
         tried = failing = 0
         for health in self.servers.values():
+            if not health.own:
+                continue
             outcomes = health.own_outcomes(now_s)
             if not health.own:
                 continue
@@ -402,44 +439,46 @@
             if health is None:
                 continue
             if health.state.removed or self.directory.by_key.get(key) is not health.state:
-                del self.servers[key]
+                self._forget(key)
                 continue
             if suspected is None:
                 suspected = self.is_own_network_suspect(now_s)
-            outcomes = health.fleet_outcomes(self.zone, now_s)
             own = health.own_outcomes(now_s)
+            if health.ejection is not None:
+                self._update_ejection(health, health.ejection, own, now_s)
+                continue
+            outcomes = health.fleet_outcomes(self.zone, now_s)
             if not suspected:
-                outcomes = outcomes.plus(own)
-            self._update_server(health, outcomes, own, now_s)
+                outcomes = _sum([outcomes, own])
+            self._update_share(health, outcomes, own, now_s)
             if outcomes.ejects():
                 services.add(health.state.entry.service)
             elif not (
                 health.own
                 or health.node_reports
                 or health.zone_reports
-                or health.ejection
                 or health.state.fleet_failure_share
             ):
                 del self.servers[key]
         for service in sorted(services):
             self._eject(service, now_s)
 
-    def _update_server(
+    def _update_share(
         self, health: ServerHealth, outcomes: Outcomes, own: Outcomes, now_s: float
     ) -> None:
-        """Updates the share of failures and a present ejection."""
-        state = health.state
+        health.outcomes = outcomes
         confirmed = outcomes.failing_nodes >= _MIN_FAILING_NODES
         share = outcomes.share if confirmed else min(_MIN_SHARE, own.share)
         fading = 1.0 - (now_s - health.returning_since_s) / _RETURN_S
-        state.fleet_failure_share = max(share, health.returning_share * max(0.0, fading))
-        ejection = health.ejection
-        suspected = ejection is None and confirmed and share >= _SUSPECT_SHARE
+        health.state.fleet_failure_share = max(share, health.returning_share * max(0.0, fading))
+        suspected = confirmed and share >= _SUSPECT_SHARE
         if suspected != health.is_suspect:
             health.is_suspect = suspected
             health.probes_suspect = None
-        if ejection is None:
-            return
+
+    def _update_ejection(
+        self, health: ServerHealth, ejection: Ejection, own: Outcomes, now_s: float
+    ) -> None:
         own_failure_s = own.newest_s if own.failures else -math.inf
         # The first of the probing nodes relies on its own probes. Otherwise a single node that
         # reports failures all the time could keep the others from probing.
@@ -458,6 +497,7 @@
         health.last_ejection_s = ejection.duration_s
         health.recovered_s = recovered_s
         health.onset_s = math.inf
+        health.outcomes = _NO_OUTCOMES
         health.returning_share = ejection.share
         health.returning_since_s = now_s
         health.state.end_ejection(recovered_s)
@@ -466,31 +506,27 @@
 
     def _eject(self, service: str, now_s: float) -> None:
         """Ejects the servers of a service with the largest shares, up to the limit."""
-        usable = [
-            state
-            for state in self.directory.by_service.get(service, ())
-            if not (state.leaving or state.removed)
+        usable = sum(
+            not (state.leaving or state.removed)
             and state.entry.zone not in self.directory.zones_out
-        ]
-        limit = int(_MAX_EJECTED_SHARE * len(usable))
-        eligible: list[tuple[float, bool, ServerHealth, Outcomes]] = []
-        for state in usable:
-            health = self.servers.get(server_key(state.server_id))
-            if health is None or health.state is not state:
+            for state in self.directory.by_service.get(service, ())
+        )
+        limit = int(_MAX_EJECTED_SHARE * usable)
+        eligible: list[tuple[float, bool, ServerHealth]] = []
+        for health in self.servers.values():
+            if health.state.entry.service != service or health.state.leaving:
                 continue
             if health.ejection is not None:
-                eligible.append((health.ejection.share, True, health, Outcomes()))
-                continue
-            outcomes = health.fleet_outcomes(self.zone, now_s).plus(health.own_outcomes(now_s))
-            if outcomes.ejects():
-                eligible.append((outcomes.share, False, health, outcomes))
+                eligible.append((health.ejection.share, True, health))
+            elif health.outcomes.ejects():
+                eligible.append((health.outcomes.share, False, health))
         eligible.sort(key=lambda item: item[:2], reverse=True)
-        for _share, is_ejected, health, _outcomes in eligible[limit:]:
+        for _share, is_ejected, health in eligible[limit:]:
             if is_ejected:
                 health.ejection = None
                 health.state.fleet_ejected = False
                 self.on_returned(health.state, "limit")
-        for share, is_ejected, health, outcomes in eligible[:limit]:
+        for share, is_ejected, health in eligible[:limit]:
             if is_ejected:
                 continue
             duration_s = FIRST_EJECTION_S
@@ -498,7 +534,8 @@
                 duration_s = min(MAX_FLEET_EJECTION_S, 2.0 * health.last_ejection_s)
             health.ejection = Ejection(now_s, duration_s, share)
             health.state.fleet_ejected = True
-            self.on_ejected(health.state, outcomes, health.ejection)
+            health.is_suspect = False
+            self.on_ejected(health.state, health.outcomes, health.ejection)
 
     # Probes
 
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -269,6 +269,21 @@
     assert state.fleet_failure_share == 0.0
 
 
+def test_entry_that_comes_back_brings_no_ejection():
+    """Guards against a server that stays ejected since its entry expired in between."""
+    node = make_node()
+    for reporter in ("node-2", "node-3"):
+        report(node, "s0", reporter, 2)
+    assert ejected(node) == {"s0"}
+    state = node.directory.servers["s0"]
+    state.running = 1
+    node.directory.delete("s0", 1.2)
+    node.fleet_health.evaluate(1.6)
+    node.directory.put(server_entry("s0"), 1.7)
+    assert node.directory.servers["s0"] is state
+    assert not state.is_ejected(1.7)
+
+
 def test_reports_are_bounded_and_of_one_process():
     """Guards against datagrams that grow with the failures, and new processes that inherit them."""
     node = make_node(servers=60)
