--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -54,7 +54,7 @@
 _PARSED_PER_TURN = 4
 # Connections that are accepted in one turn of the event loop; each takes a descriptor before the
 # limit on connections can refuse it.
-_ACCEPTED_PER_TURN = 32
+_ACCEPTED_PER_TURN = 64
 # Longest time in which a whole body has to arrive, whatever the idle timeout. A body of 4 MiB takes
 # seconds on a slow link.
 DEFAULT_BODY_TIMEOUT_S = 30.0
@@ -161,6 +161,7 @@
     def release_body(self) -> None:
         """States that the handler holds the body of the request no longer."""
         self.connection.release_body()
+        self.connection.count_memory()
 
     def abort(self) -> None:
         """Resets the connection, so that a partial response cannot appear complete."""
@@ -198,6 +199,8 @@
         # What the budget counts for this connection, and parts of that.
         self.held_bytes = 0
         self.head_bytes = 0
+        # Bytes of a small body that the handler holds.
+        self.handed_bytes = 0
         self.answer_bytes = 0
         self.unsent_bytes = 0
         # Input of the request in progress since it last counted as progress.
@@ -248,7 +251,7 @@
             self.read_ahead_bytes += len(data)
             if self.read_ahead_bytes > _READ_AHEAD_BYTES and self.transport is not None:
                 self.transport.pause_reading()
-            self._account()
+            self.count_memory()
             return
         self._record_progress(len(data))
         self._process_input()
@@ -419,18 +422,17 @@
         memory.unread.discard(self)
         memory.closing.discard(self)
 
-    def _account(self) -> int:
+    def count_memory(self) -> int:
         """Tells the budget what the connection holds; returns the bytes of its input."""
         if self.transport is None or self.lingering and not self.held_bytes:
             return 0
         size = len(self.http.trailing_data[0])
-        if self.reservation is None:
+        if self.reservation is None or not self.reservation.granted:
             size += len(self.body)
         size = self.head_bytes + int(_GROWTH_FACTOR * size)
         running = _RUNNING_BYTES if self.task is not None else 0
-        self.server.memory.update(
-            self, _CONNECTION_BYTES + size + running + self.answer_bytes + self.unsent_bytes
-        )
+        output = self.handed_bytes + self.answer_bytes + self.unsent_bytes
+        self.server.memory.update(self, _CONNECTION_BYTES + size + running + output)
         return size
 
     def _account_input(self) -> None:
@@ -440,9 +442,12 @@
         """
         if self.lingering or self.transport is None:
             return
-        size = self._account()
+        size = self.count_memory()
         if self.task is not None or (self.head is None and not self.head_started):
             return
+        if self.reservation is not None and self.reservation.granted:
+            # A large body that has begun can be read to its end.
+            return
         now_s = asyncio.get_running_loop().time()
         if not self.server.memory.make_room(0, input_share(size), now_s, self):
             self._refuse_for_memory()
@@ -450,9 +455,8 @@
     def hold_answer(self, size: int) -> bool:
         """Counts `size` bytes that the handler holds of an answer; whether memory is short then."""
         self.answer_bytes = size
-        self._account()
-        memory = self.server.memory
-        return memory.taken_bytes() > input_share(size) * memory.limit_bytes
+        self.count_memory()
+        return self.server.memory.is_short()
 
     def check_unsent(self, now_s: float) -> None:
         """Counts the output that the caller has not taken; less than before is progress."""
@@ -467,7 +471,7 @@
             unread.put(self, now_s)
         if unsent != self.unsent_bytes:
             self.unsent_bytes = unsent
-            self._account()
+            self.count_memory()
 
     def _refuse_for_memory(self) -> None:
         self.server.ends.record(EndReason.NO_MEMORY)
@@ -488,6 +492,8 @@
             return
         self.lingering = True
         self._forget()
+        # The event loop closes the transport in its next turn; what needs the room is here now.
+        self.server.memory.update(self, 0)
         self.abort()
 
     # Memory for bodies
@@ -529,6 +535,7 @@
     def release_body(self) -> None:
         """Gives back the memory that is reserved for the body of the request in progress."""
         self._cancel_room_timer()
+        self.handed_bytes = 0
         if self.reservation is not None:
             self.reservation.release()
             self.reservation = None
@@ -565,6 +572,7 @@
         """Returns the body, which this connection no longer holds then."""
         body = bytes(self.body)
         self.body = bytearray()
+        self.handed_bytes = len(body) if self.reservation is None else 0
         return body
 
     def _finish_request(self) -> None:
@@ -645,7 +653,7 @@
         self._forget_input()
         if not self.unsent_bytes:
             self.server.memory.closing.put(self, asyncio.get_running_loop().time())
-        self._account()
+        self.count_memory()
         try:
             self.transport.write_eof()
         except OSError as error:
--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -111,6 +111,10 @@
         """Bytes that are held or reserved."""
         return self.held_bytes + self.bodies.reserved_bytes
 
+    def is_short(self) -> bool:
+        """Whether only small requests are still let in."""
+        return self.taken_bytes() > LARGE_INPUT_SHARE * self.limit_bytes
+
     def is_quiet(self) -> bool:
         """Whether callers have held next to nothing since the start."""
         return self.peak_bytes < QUIET_BYTES
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -51,6 +51,9 @@
 # A new node is not ready until it has recovered the index of cached parts, but for at most this
 # long: prefilling some prompts again costs less than leaving the node unused.
 _MAX_RECOVERY_WAIT_S = 1.0
+# Memory and connections of the ports for readiness and for metrics; each has a few readers.
+_OWN_PORT_BYTES = 4_000_000
+_OWN_PORT_CONNECTIONS = 64
 # Interval of the checks for answers that nobody reads, and of the measurement of the process's own
 # memory.
 _MEMORY_CHECK_INTERVAL_S = 0.5
@@ -160,8 +163,10 @@
             caller_connections(open_files_limit(settings.max_open_files)),
             settings.callers.body_timeout_s,
         )
-        self.readiness_server = HttpServer(self._respond_readiness, CallerLimits)
-        self.metrics_server = HttpServer(self._respond_metrics, CallerLimits)
+        self.readiness_server, self.metrics_server = (
+            HttpServer(handler, CallerLimits, MemoryBudget(_OWN_PORT_BYTES), _OWN_PORT_CONNECTIONS)
+            for handler in (self._respond_readiness, self._respond_metrics)
+        )
         self.stop_requested = asyncio.Event()
         # Whether the time is over in which the balancer may not know of the shutdown yet.
         self.drain_notice_over = False
