Bound memory and descriptors that callers make the edge process hold

Change: MemoryBudget accounts for what each connection holds and ends stalled input first. All connections receive into one buffer, parsing shares turns, callers get less than half of the descriptors. Settings max_open_files and callers.body_timeout_s; refusals have the code no_memory. test_body_budget.py reads the budget at its new place, port.memory.bodies.

--- a/src/tanagerworks/edge/backend_connection.py
+++ b/src/tanagerworks/edge/backend_connection.py
@@ -12,6 +12,7 @@
 import h11
 
 from tanagerworks.edge.http_messages import MAX_EVENTS_PER_TURN, HeaderList, RequestHead
+from tanagerworks.edge.receive_buffer import RECEIVE_BYTES, BoundedReader
 from tanagerworks.errors import (
     BackendConnectError,
     BackendConnectionRefusedError,
@@ -22,7 +23,9 @@
 _LOGGER = logging.getLogger(__name__)
 
 # Buffered response bytes above which reading from the server pauses until the caller catches up.
-_READ_AHEAD_BYTES = 262_144
+_READ_AHEAD_BYTES = 65_536
+# Least number of bytes that one read of a connection may return.
+_MIN_READ_BYTES = 4_096
 # Largest piece of data that is relayed in one turn of the event loop. Events of a stream may have a
 # few bytes each, and the cost of a piece grows with their number.
 _MAX_PIECE_BYTES = 16_384
@@ -43,7 +46,7 @@
 MAX_IDLE_CONNECTIONS = 2
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(BoundedReader):
     """One client connection to one server."""
 
     def __init__(self) -> None:
@@ -85,12 +88,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
 
-    def data_received(self, data: bytes) -> None:
+    def max_read_bytes(self) -> int:
+        """Returns how many bytes the next read may return."""
+        return max(_MIN_READ_BYTES, RECEIVE_BYTES - self.buffered_bytes)
+
+    def data_received(self, data: memoryview | bytes) -> None:
         """Parses response data; data that belongs to no request ends the connection."""
         if not self.awaiting_response:
             self._reject_extra_data()
             return
-        self.http.receive_data(data)
+        self.http.receive_data(data)  # type: ignore[arg-type]
         self._parse()
 
     def eof_received(self) -> bool:
--- a/src/tanagerworks/edge/body_budget.py
+++ b/src/tanagerworks/edge/body_budget.py
@@ -15,8 +15,12 @@
 class BodyBudget:
     """Room for bodies, in bytes; what does not fit waits in order of arrival."""
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self, limit_bytes: int, has_room: Callable[[int], bool] = lambda _size: True
+    ) -> None:
         self.limit_bytes = limit_bytes
+        # Whether the rest of the process leaves room for so many bytes.
+        self.has_room = has_room
         self.reserved_bytes = 0
         self.waiting: deque[BodyReservation] = deque()
 
@@ -27,14 +31,17 @@
         the whole budget is granted once no other one is held.
         """
         reservation = BodyReservation(self, size, on_granted)
-        if size <= SMALL_BODY_BYTES or (not self.waiting and self._fits(size)):
+        if size <= SMALL_BODY_BYTES or (not self.waiting and self.fits(size)):
             self._grant(reservation)
         else:
             self.waiting.append(reservation)
         return reservation
 
-    def _fits(self, size: int) -> bool:
-        return not self.reserved_bytes or self.reserved_bytes + size <= self.limit_bytes
+    def fits(self, size: int) -> bool:
+        """Whether a body of `size` bytes would be granted now if no other one waited."""
+        if not self.reserved_bytes:
+            return True
+        return self.reserved_bytes + size <= self.limit_bytes and self.has_room(size)
 
     def _grant(self, reservation: "BodyReservation") -> None:
         reservation.granted = True
@@ -42,7 +49,7 @@
 
     def grant_waiting(self) -> None:
         """Grants the reservations that fit now, the first ones first."""
-        while self.waiting and self._fits(self.waiting[0].size):
+        while self.waiting and self.fits(self.waiting[0].size):
             reservation = self.waiting.popleft()
             self._grant(reservation)
             asyncio.get_running_loop().call_soon(reservation.on_granted)
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -47,6 +47,8 @@
 # All responses except successful streams are buffered up to this size before the caller gets the
 # status, so that the request can be retried if the response is truncated.
 _MAX_BUFFERED_BYTES = 262_144
+# The same while memory is short.
+_MIN_BUFFERED_BYTES = 16_384
 # A retryable request that gets no data for this share of its route's timeout is retried at another
 # server, which then still has time to respond.
 _READ_TIMEOUT_SHARE = 0.5
@@ -308,12 +310,15 @@
     ) -> tuple[bytes, bool]:
         """Returns the body and whether it is complete; a large one is only read in part."""
         body = bytearray()
-        while len(body) <= _MAX_BUFFERED_BYTES:
+        limit = _MAX_BUFFERED_BYTES
+        while len(body) <= limit:
             event = await self._read_event(request, connection)
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body), True
             assert isinstance(event, h11.Data)
             body += event.data
+            if request.responder.hold_answer(len(body)):
+                limit = _MIN_BUFFERED_BYTES
         return bytes(body), False
 
     def _check_executed(self, attempt: Attempt, response: BackendResponse) -> None:
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -8,26 +8,63 @@
 import json
 import logging
 import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import h11
 
-from tanagerworks.edge.body_budget import SMALL_BODY_BYTES, BodyBudget, BodyReservation
+from tanagerworks.edge.body_budget import SMALL_BODY_BYTES, BodyReservation
+from tanagerworks.edge.connection_ends import ConnectionEnds
 from tanagerworks.edge.http_messages import (
     MAX_EVENTS_PER_TURN,
     HeaderList,
     RequestHead,
     find_header,
 )
-from tanagerworks.errors import BodyMemoryError, TanagerError
+from tanagerworks.edge.memory_budget import (
+    CONNECTION_SHARE,
+    PROGRESS_BYTES,
+    EndReason,
+    MemoryBudget,
+    input_share,
+)
+from tanagerworks.edge.receive_buffer import RECEIVE_BYTES, BoundedReader
+from tanagerworks.errors import BodyMemoryError, CallerMemoryError, TanagerError
 from tanagerworks.published.model import CallerLimits
 
 _LOGGER = logging.getLogger(__name__)
 
 # Pipelined request bytes that are read from a caller while a handler runs.
-_READ_AHEAD_BYTES = 65_536
+_READ_AHEAD_BYTES = 16_384
 # Unsent response bytes above which `Responder.drain` waits for a slow caller.
-_WRITE_BUFFER_BYTES = 262_144
+_WRITE_BUFFER_BYTES = 65_536
+# What a connection takes besides its input and output: transport, parser, timer, socket. Measured
+# at 6 to 8 KB with heads of an ordinary size.
+_CONNECTION_BYTES = 8_192
+# What a request in progress takes besides its body: task, state, the connection to a server and log
+# records.
+_RUNNING_BYTES = 32_768
+# What is read ahead of a server's answer while the caller reads slowly.
+_BEHIND_BYTES = 65_536
+# Memory of one header line besides its bytes: the objects of its name, its value and their pairs.
+_HEADER_OBJECT_BYTES = 256
+# Bytes that one byte of growing input takes, with the gaps that the allocator leaves.
+_GROWTH_FACTOR = 1.25
+# Connections whose waiting input is parsed in one turn of the event loop.
+_PARSED_PER_TURN = 4
+# Connections that are accepted in one turn of the event loop; each takes a descriptor before the
+# limit on connections can refuse it.
+_ACCEPTED_PER_TURN = 64
+# Longest time in which a whole body has to arrive, whatever the idle timeout. A body of 4 MiB takes
+# seconds on a slow link.
+DEFAULT_BODY_TIMEOUT_S = 30.0
+# Connections of a server that is given no limit.
+_DEFAULT_MAX_CONNECTIONS = 1_000
+# A connection that is refused as it opens; nothing has been read from it.
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.000\r\n"
+    b"connection: close\r\ncontent-length: 0\r\n\r\n"
+)
 # Bytes beyond the limit on a head that are accepted: the parser counts what follows a head as well.
 _HEAD_TOLERANCE_BYTES = 1_024
 # Bytes of a head besides the method, the target and the headers, and besides a header's name and
@@ -43,8 +80,10 @@
 # Longest time that a request waits for memory for its body; its caller then comes back, maybe to
 # another node.
 _MAX_ROOM_WAIT_S = 0.5
-# Memory for bodies of a server that is given no budget.
-_DEFAULT_BODY_BUDGET_BYTES = 64_000_000
+# Memory of a server that is given no budget.
+_DEFAULT_BUDGET_BYTES = 64_000_000
+# Timers may fire this much early.
+_TIMER_RESOLUTION_S = 0.01
 _STATUSES_WITHOUT_BODY = (204, 304)
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _CLOSE = (b"connection", b"close")
@@ -87,7 +126,18 @@
 
     async def drain(self) -> None:
         """Waits until the write buffer has room, as the caller may read slowly."""
+        if self.connection.can_write.is_set():
+            return
+        self.connection.hold_answer(_BEHIND_BYTES)
         await self.connection.can_write.wait()
+        self.connection.hold_answer(0)
+
+    def hold_answer(self, size: int) -> bool:
+        """States how many bytes of the answer the handler holds; returns whether memory is short.
+
+        The handler then holds no more than it has to.
+        """
+        return self.connection.hold_answer(size)
 
     def finish(self) -> None:
         """Completes the response."""
@@ -111,6 +161,7 @@
     def release_body(self) -> None:
         """States that the handler holds the body of the request no longer."""
         self.connection.release_body()
+        self.connection.count_memory()
 
     def abort(self) -> None:
         """Resets the connection, so that a partial response cannot appear complete."""
@@ -121,7 +172,7 @@
 Handler = Callable[[RequestHead, bytes, Responder], Awaitable[None]]
 
 
-class HttpServerConnection(asyncio.Protocol):
+class HttpServerConnection(BoundedReader):
     """One connection of a caller; handles one request at a time."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -141,8 +192,21 @@
         self.timer: asyncio.TimerHandle | None = None
         self.lingering = False
         self.read_ahead_bytes = 0
-        # The turn of the event loop in which the rest of the input is parsed, if any is left.
-        self.parsing: asyncio.Handle | None = None
+        # Whether the rest of the input is parsed in a later turn of the event loop.
+        self.parsing = False
+        # Whether the response that starts next is the last one, whatever the input.
+        self.refusing = False
+        # What the budget counts for this connection, and parts of that.
+        self.held_bytes = 0
+        self.head_bytes = 0
+        # Bytes of a small body that the handler holds.
+        self.handed_bytes = 0
+        self.answer_bytes = 0
+        self.unsent_bytes = 0
+        # Input of the request in progress since it last counted as progress.
+        self.new_bytes = 0
+        self.last_piece_s = 0.0
+        self.body_began_s = 0.0
         # Event loop time.
         self.opened_s = asyncio.get_running_loop().time()
         # Since when no request is in progress, if none is; event loop time.
@@ -159,22 +223,47 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server.connections.add(self)
+        reason = self.server.find_room_for_connection(_CONNECTION_BYTES)
+        if reason is not None:
+            self.server.ends.record(reason)
+            self.lingering = True
+            transport.write(_REFUSAL)
+            transport.close()
+            return
+        memory = self.server.memory
+        memory.update(self, _CONNECTION_BYTES)
+        memory.idle.put(self, self.opened_s)
         self._start_timer(self.limits.idle_timeout_s, self.close)
 
-    def data_received(self, data: bytes) -> None:
+    def max_read_bytes(self) -> int:
+        """Returns how many bytes the next read may return."""
+        return RECEIVE_BYTES if self.task is None else _READ_AHEAD_BYTES
+
+    def data_received(self, data: memoryview | bytes) -> None:
         """Parses input; input received while a handler runs is processed when it has ended."""
         if self.lingering:
             return
-        self.http.receive_data(data)
-        if self.parsing is not None or self._waits_for_room():
+        self.http.receive_data(data)  # type: ignore[arg-type]
+        if self.parsing or self._waits_for_room():
+            self._account_input()
             return
         if self.task is not None:
             self.read_ahead_bytes += len(data)
             if self.read_ahead_bytes > _READ_AHEAD_BYTES and self.transport is not None:
                 self.transport.pause_reading()
+            self.count_memory()
             return
+        self._record_progress(len(data))
         self._process_input()
 
+    def _record_progress(self, size: int) -> None:
+        """Records input of the request in progress, whose connection is stalled without it."""
+        self.last_piece_s = asyncio.get_running_loop().time()
+        self.new_bytes += size
+        if self.new_bytes >= PROGRESS_BYTES and (self.head is not None or self.head_started):
+            self.new_bytes = 0
+            self._await_input()
+
     def eof_received(self) -> bool:
         """Cancels the running handler, as the caller has disconnected."""
         self._cancel_handler()
@@ -183,11 +272,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the running handler and removes the connection from the server."""
         self.server.connections.discard(self)
+        self._forget()
         self.can_write.set()
         self._cancel_timer()
         self._cancel_handler()
         self.release_body()
         self.transport = None
+        self.server.memory.update(self, 0)
 
     def pause_writing(self) -> None:
         """Makes `Responder.drain` wait."""
@@ -196,15 +287,26 @@
     def resume_writing(self) -> None:
         """Lets `Responder.drain` return."""
         self.can_write.set()
+        self.check_unsent(asyncio.get_running_loop().time())
 
     # Requests
 
     def _process_input(self) -> None:
+        self.parsing = False
+        self._parse_input()
+        self._account_input()
+
+    def parse_waiting_input(self) -> None:
+        """Goes on with input that was left for a later turn of the event loop."""
+        self.last_piece_s = asyncio.get_running_loop().time()
+        self._process_input()
+
+    def _parse_input(self) -> None:
         """Parses input, as much as one turn of the event loop may take.
 
-        The rest is parsed in the next turns; until then, nothing more is read.
+        The rest is parsed in later turns, which all connections share; until then, nothing more is
+        read.
         """
-        self.parsing = None
         transport = self.transport
         try:
             for _ in range(MAX_EVENTS_PER_TURN):
@@ -218,7 +320,8 @@
                     return
             assert transport is not None
             transport.pause_reading()
-            self.parsing = asyncio.get_running_loop().call_soon(self._process_input)
+            self.parsing = True
+            self.server.parse_later(self)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             _LOGGER.info("request cannot be parsed", extra={"reason": str(error)})
@@ -233,6 +336,7 @@
             if self.head is None and not self.head_started and self.http.trailing_data[0]:
                 # One timeout for the whole head, so that single bytes cannot extend it.
                 self.head_started = True
+                self._await_input()
                 self._start_timer(self.limits.header_timeout_s, self._header_timeout)
             return False
         if event is h11.PAUSED:
@@ -244,7 +348,7 @@
             if len(self.body) > self.limits.max_body_bytes:
                 self._reject_request(413)
                 return False
-            if self.reservation is not None and len(self.body) > self.reservation.size:
+            if self.reservation is None and len(self.body) > SMALL_BODY_BYTES:
                 # Chunks do not tell the length of the body.
                 self._reserve_room(self.limits.max_body_bytes)
             return True
@@ -253,6 +357,11 @@
             if self.reservation is not None:
                 self.reservation.shrink(len(self.body))
             assert self.head is not None
+            self._forget_input()
+            now_s = asyncio.get_running_loop().time()
+            if not self.server.memory.make_room(_RUNNING_BYTES, 1.0, now_s, self):
+                self._refuse_for_memory()
+                return False
             self.task = asyncio.get_running_loop().create_task(self._run_handler(self.head))
             return False
         return False
@@ -277,11 +386,116 @@
             return False
         has_body = chunked or b"content-length" in names
         self.head = RequestHead(event.method, event.target, headers, has_body)
+        self.head_bytes = _head_bytes(event) + _HEADER_OBJECT_BYTES * len(headers)
         self.body = bytearray()
+        self.body_began_s = self.last_piece_s = asyncio.get_running_loop().time()
         self._start_timer(self.limits.idle_timeout_s, self._body_timeout)
-        self._reserve_room(SMALL_BODY_BYTES if chunked else _stated_body_bytes(headers))
+        if _stated_body_bytes(headers) > SMALL_BODY_BYTES:
+            self._reserve_room(_stated_body_bytes(headers))
+        self._await_input()
         return True
 
+    # Accounts of memory
+
+    def _await_input(self) -> None:
+        """Records that the request in progress is incomplete and has just delivered input."""
+        memory = self.server.memory
+        memory.idle.discard(self)
+        now_s = asyncio.get_running_loop().time()
+        if self.reservation is not None and self.reservation.granted:
+            memory.incomplete.discard(self)
+            memory.incomplete_large.put(self, now_s)
+        else:
+            memory.incomplete.put(self, now_s)
+
+    def _forget_input(self) -> None:
+        """Takes the connection out of those that may be ended for their input."""
+        memory = self.server.memory
+        memory.idle.discard(self)
+        memory.incomplete.discard(self)
+        memory.incomplete_large.discard(self)
+
+    def _forget(self) -> None:
+        """Takes the connection out of those that may be ended for what they hold."""
+        memory = self.server.memory
+        self._forget_input()
+        memory.unread.discard(self)
+        memory.closing.discard(self)
+
+    def count_memory(self) -> int:
+        """Tells the budget what the connection holds; returns the bytes of its input."""
+        if self.transport is None or self.lingering and not self.held_bytes:
+            return 0
+        size = len(self.http.trailing_data[0])
+        if self.reservation is None or not self.reservation.granted:
+            size += len(self.body)
+        size = self.head_bytes + int(_GROWTH_FACTOR * size)
+        running = _RUNNING_BYTES if self.task is not None else 0
+        output = self.handed_bytes + self.answer_bytes + self.unsent_bytes
+        self.server.memory.update(self, _CONNECTION_BYTES + size + running + output)
+        return size
+
+    def _account_input(self) -> None:
+        """Tells the budget what the connection holds, and refuses the request if that is too much.
+
+        The input is held already, so room is needed for nothing further.
+        """
+        if self.lingering or self.transport is None:
+            return
+        size = self.count_memory()
+        if self.task is not None or (self.head is None and not self.head_started):
+            return
+        if self.reservation is not None and self.reservation.granted:
+            # A large body that has begun can be read to its end.
+            return
+        now_s = asyncio.get_running_loop().time()
+        if not self.server.memory.make_room(0, input_share(size), now_s, self):
+            self._refuse_for_memory()
+
+    def hold_answer(self, size: int) -> bool:
+        """Counts `size` bytes that the handler holds of an answer; whether memory is short then."""
+        self.answer_bytes = size
+        self.count_memory()
+        return self.server.memory.is_short()
+
+    def check_unsent(self, now_s: float) -> None:
+        """Counts the output that the caller has not taken; less than before is progress."""
+        transport = self.transport
+        if transport is None:
+            return
+        unsent = transport.get_write_buffer_size()
+        unread = self.server.memory.unread
+        if not unsent:
+            unread.discard(self)
+        elif unsent < self.unsent_bytes or not self.unsent_bytes:
+            unread.put(self, now_s)
+        if unsent != self.unsent_bytes:
+            self.unsent_bytes = unsent
+            self.count_memory()
+
+    def _refuse_for_memory(self) -> None:
+        self.server.ends.record(EndReason.NO_MEMORY)
+        self._refuse(CallerMemoryError("what callers hold takes all memory"))
+
+    def _refuse(self, error: TanagerError) -> None:
+        """Refuses a request that the handler has not got, and closes the connection."""
+        self.refusing = True
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            Responder(self).send_error(error)
+        self._start_lingering_close()
+
+    def end(self, reason: EndReason) -> None:
+        """Ends the connection, as its memory or its descriptor is needed."""
+        self.server.ends.record(reason)
+        if reason is EndReason.STALLED_INPUT and self.task is None and not self.lingering:
+            self._refuse(CallerMemoryError("the request is incomplete and memory is short"))
+            return
+        self.lingering = True
+        self._forget()
+        # The event loop closes the transport in its next turn; what needs the room is here now.
+        self.server.memory.update(self, 0)
+        self.abort()
+
     # Memory for bodies
 
     def _reserve_room(self, size: int) -> None:
@@ -290,7 +504,10 @@
         If there is none now, the request waits for up to `_MAX_ROOM_WAIT_S`.
         """
         self.release_body()
-        self.reservation = self.server.body_budget.reserve(size, self._continue_with_room)
+        bodies = self.server.memory.bodies
+        now_s = asyncio.get_running_loop().time()
+        self.server.memory.make_room_for_body(size, now_s, self)
+        self.reservation = bodies.reserve(size, self._continue_with_room)
         if not self.reservation.granted:
             loop = asyncio.get_running_loop()
             self.room_timer = loop.call_later(_MAX_ROOM_WAIT_S, self._refuse_for_room)
@@ -299,26 +516,26 @@
         return self.reservation is not None and not self.reservation.granted
 
     def _continue_with_room(self) -> None:
-        if self.reservation is None or self.reservation.released or self.parsing is not None:
+        if self.reservation is None or self.reservation.released or self.parsing:
             return
         self._cancel_room_timer()
+        self._await_input()
         self._process_input()
 
     def _refuse_for_room(self) -> None:
-        _LOGGER.warning(
-            "no memory for the body of a request",
-            extra={
-                "reserved_bytes": self.server.body_budget.reserved_bytes,
-                "waiting": len(self.server.body_budget.waiting),
-            },
-        )
-        Responder(self).send_error(BodyMemoryError("bodies of other requests take all memory"))
-        self.release_body()
-        self._start_lingering_close()
+        assert self.reservation is not None
+        now_s = asyncio.get_running_loop().time()
+        if self.server.memory.make_room_for_body(self.reservation.size, now_s, self):
+            self.server.memory.bodies.grant_waiting()
+        if self.reservation.granted:
+            return
+        self.server.ends.record(EndReason.NO_MEMORY)
+        self._refuse(BodyMemoryError("bodies of other requests take all memory"))
 
     def release_body(self) -> None:
         """Gives back the memory that is reserved for the body of the request in progress."""
         self._cancel_room_timer()
+        self.handed_bytes = 0
         if self.reservation is not None:
             self.reservation.release()
             self.reservation = None
@@ -355,6 +572,7 @@
         """Returns the body, which this connection no longer holds then."""
         body = bytes(self.body)
         self.body = bytearray()
+        self.handed_bytes = len(body) if self.reservation is None else 0
         return body
 
     def _finish_request(self) -> None:
@@ -362,7 +580,7 @@
         self.head = None
         self.body = bytearray()
         self.release_body()
-        self.read_ahead_bytes = 0
+        self.read_ahead_bytes = self.head_bytes = self.answer_bytes = self.new_bytes = 0
         if self.transport is None:
             return
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
@@ -370,6 +588,7 @@
             return
         self.http.start_next_cycle()
         self.idle_since_s = asyncio.get_running_loop().time()
+        self.server.memory.idle.put(self, self.idle_since_s)
         self._start_timer(self.limits.idle_timeout_s, self.close)
         self.apply_limits()
         self.transport.resume_reading()
@@ -380,7 +599,7 @@
         limits = self.server.limits()
         if limits == self.limits or self.transport is None or self.lingering:
             return
-        if self.parsing is not None or self.task is not None:
+        if self.parsing or self.task is not None:
             return
         if self.head is not None or self.head_started:
             return
@@ -398,7 +617,8 @@
 
     def closes_after_response(self) -> bool:
         """Whether a response that starts now is the last one of the connection."""
-        return self.server.closing_connections or self.http.their_state is h11.SEND_BODY
+        closing = self.refusing or self.server.closing_connections
+        return closing or self.http.their_state is h11.SEND_BODY
 
     # Output and closing
 
@@ -409,6 +629,8 @@
         data = self.http.send(event)
         if data:
             self.transport.write(data)
+            if self.unsent_bytes or self.transport.get_write_buffer_size():
+                self.check_unsent(asyncio.get_running_loop().time())
 
     def _reject_request(self, status: int) -> None:
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -424,6 +646,14 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.lingering = True
+        # The old parser may hold input that nobody parses any more.
+        self.http = _new_parser(self.limits)
+        self.head = None
+        self.head_bytes = self.answer_bytes = 0
+        self._forget_input()
+        if not self.unsent_bytes:
+            self.server.memory.closing.put(self, asyncio.get_running_loop().time())
+        self.count_memory()
         try:
             self.transport.write_eof()
         except OSError as error:
@@ -438,6 +668,15 @@
         self._reject_request(408)
 
     def _body_timeout(self) -> None:
+        """Rejects a body whose next piece is late, or that takes too long as a whole."""
+        now_s = asyncio.get_running_loop().time()
+        idle_left_s = self.last_piece_s + self.limits.idle_timeout_s - now_s
+        whole_left_s = self.body_began_s + self.server.body_timeout_s - now_s
+        left_s = min(idle_left_s, whole_left_s)
+        if left_s > _TIMER_RESOLUTION_S:
+            self._start_timer(left_s, self._body_timeout)
+            return
+        self.server.ends.record(EndReason.BODY_TIMEOUT)
         self._reject_request(408)
 
     def abort(self) -> None:
@@ -501,10 +740,17 @@
         self,
         handler: Handler,
         limits: Callable[[], CallerLimits],
-        body_budget: BodyBudget | None = None,
+        memory: MemoryBudget | None = None,
+        max_connections: int = _DEFAULT_MAX_CONNECTIONS,
+        body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
     ) -> None:
         self.handler = handler
-        self.body_budget = body_budget or BodyBudget(_DEFAULT_BODY_BUDGET_BYTES)
+        self.memory = memory or MemoryBudget(_DEFAULT_BUDGET_BYTES)
+        self.max_connections = max_connections
+        self.body_timeout_s = body_timeout_s
+        self.ends = ConnectionEnds()
+        # Connections with input that is left to parse.
+        self.parse_queue: deque[HttpServerConnection] = deque()
         self.limits = limits
         self.connections: set[HttpServerConnection] = set()
         # While set, responses carry `Connection: close`, so that callers move to other nodes.
@@ -517,17 +763,58 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(
-            lambda: HttpServerConnection(self), host, port, backlog=backlog, reuse_address=True
-        )
+        await self.accept_from(socket.create_server((host, port)), backlog)
 
     async def accept_from(self, listener: socket.socket, backlog: int) -> None:
-        """Starts to accept connections on a socket that is already listening."""
+        """Starts to accept connections on a bound socket, of which `backlog` may wait."""
         loop = asyncio.get_running_loop()
+        listener.setblocking(False)
         self.listener = await loop.create_server(
-            lambda: HttpServerConnection(self), sock=listener, backlog=backlog
+            lambda: HttpServerConnection(self), sock=listener, backlog=_ACCEPTED_PER_TURN
         )
+        # The event loop uses one number for the connections that wait and those that it accepts in
+        # one turn.
+        listener.listen(backlog)
+
+    def find_room_for_connection(self, size: int) -> EndReason | None:
+        """Returns why a new connection has to be refused, or None if there is room for it.
+
+        Connections that deliver nothing are ended for it.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if len(self.connections) > self.max_connections and not self.memory.end_connection(now_s):
+            return EndReason.NO_DESCRIPTOR
+        if not self.memory.make_room(size, CONNECTION_SHARE, now_s):
+            return EndReason.NO_MEMORY
+        return None
+
+    def parse_later(self, connection: HttpServerConnection) -> None:
+        """Lets a connection go on parsing in a later turn of the event loop, after the others."""
+        if not self.parse_queue:
+            asyncio.get_running_loop().call_soon(self._parse_waiting)
+        self.parse_queue.append(connection)
+
+    def _parse_waiting(self) -> None:
+        waiting, self.parse_queue = self.parse_queue, deque()
+        for _ in range(min(_PARSED_PER_TURN, len(waiting))):
+            waiting.popleft().parse_waiting_input()
+        if waiting and not self.parse_queue:
+            asyncio.get_running_loop().call_soon(self._parse_waiting)
+        # Those that have just had a turn come after those that have not.
+        waiting.extend(self.parse_queue)
+        self.parse_queue = waiting
+
+    def check_memory(self) -> None:
+        """Ends answers that nobody reads; to be called every second or so."""
+        now_s = asyncio.get_running_loop().time()
+        for connection, since_s in list(self.memory.unread.since_s.items()):
+            assert isinstance(connection, HttpServerConnection)
+            connection.check_unsent(now_s)
+            if connection.task is None and now_s - since_s > connection.limits.idle_timeout_s:
+                # Nothing else ends a connection whose caller never takes the last response.
+                connection.end(EndReason.UNREAD_OUTPUT)
+        self.memory.end_unread(now_s)
+        self.ends.log()
 
     def apply_limits(self) -> None:
         """Puts changed limits in force on the connections that are open."""
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -12,15 +12,16 @@
 
 from tanagerworks import __version__
 from tanagerworks.dispatch.dispatcher import Dispatcher, FleetBounds
-from tanagerworks.edge.body_budget import BodyBudget
 from tanagerworks.edge.copy_check import CopyCheck
 from tanagerworks.edge.early_listen import BACKLOG
 from tanagerworks.edge.follower import StoreFollower, StoreView
 from tanagerworks.edge.http_messages import RequestHead
 from tanagerworks.edge.http_server import HttpServer, Responder
 from tanagerworks.edge.interfaces import BackendDialect, CallerDialect, PeerFinder, PublishedStore
+from tanagerworks.edge.memory_budget import MemoryBudget, caller_connections
 from tanagerworks.edge.peers import PeerExchange
 from tanagerworks.edge.pipeline import Pipeline
+from tanagerworks.edge.process_limits import open_files_limit, resident_bytes
 from tanagerworks.edge.recovery import CacheRecovery
 from tanagerworks.edge.store_role import StoreRole
 from tanagerworks.edge.telemetry import EdgeMetrics
@@ -50,9 +51,12 @@
 # A new node is not ready until it has recovered the index of cached parts, but for at most this
 # long: prefilling some prompts again costs less than leaving the node unused.
 _MAX_RECOVERY_WAIT_S = 1.0
-# Share of the memory limit that bodies of requests may take. Beside them, each body is copied once
-# while it is handed over and sent.
-_BODY_MEMORY_SHARE = 0.35
+# Memory and connections of the ports for readiness and for metrics; each has a few readers.
+_OWN_PORT_BYTES = 4_000_000
+_OWN_PORT_CONNECTIONS = 64
+# Interval of the checks for answers that nobody reads, and of the measurement of the process's own
+# memory.
+_MEMORY_CHECK_INTERVAL_S = 0.5
 # Settings that a running process cannot change.
 _FIELDS_THAT_NEED_A_RESTART = (
     "node",
@@ -61,6 +65,8 @@
     "store",
     "first_start",
     "memory_limit_mb",
+    "max_open_files",
+    "callers",
 )
 PROGRAM = "tanager-edge"
 
@@ -148,12 +154,19 @@
         )
         self.store_view.on_store_changed = self.peer_exchange.announce_in_zone
         self.peer_exchange.is_following_store = self.follower.is_reliable
-        body_budget = BodyBudget(int(_BODY_MEMORY_SHARE * settings.memory_limit_bytes))
+        self.caller_memory = MemoryBudget(0)
+        self._measure_own_memory()
         self.caller_server = HttpServer(
-            self.pipeline.handle_request, self._caller_limits, body_budget
+            self.pipeline.handle_request,
+            self._caller_limits,
+            self.caller_memory,
+            caller_connections(open_files_limit(settings.max_open_files)),
+            settings.callers.body_timeout_s,
+        )
+        self.readiness_server, self.metrics_server = (
+            HttpServer(handler, CallerLimits, MemoryBudget(_OWN_PORT_BYTES), _OWN_PORT_CONNECTIONS)
+            for handler in (self._respond_readiness, self._respond_metrics)
         )
-        self.readiness_server = HttpServer(self._respond_readiness, CallerLimits)
-        self.metrics_server = HttpServer(self._respond_metrics, CallerLimits)
         self.stop_requested = asyncio.Event()
         # Whether the time is over in which the balancer may not know of the shutdown yet.
         self.drain_notice_over = False
@@ -202,6 +215,7 @@
             self._clean_up_connections,
             self.cache_recovery.run,
             self._watch_settings,
+            self._watch_memory,
         ):
             self.tasks.append(loop.create_task(_run_with_restarts(task_function)))
         _LOGGER.info(
@@ -264,6 +278,18 @@
     async def _clean_up_connections(self) -> None:
         await self.pipeline.backend_exchange.run_connection_cleanup(_CONNECTION_CLEANUP_INTERVAL_S)
 
+    async def _watch_memory(self) -> None:
+        """Bounds what callers hold, by what the process itself takes before they hold much."""
+        while True:
+            self._measure_own_memory()
+            self.caller_server.check_memory()
+            await asyncio.sleep(_MEMORY_CHECK_INTERVAL_S)
+
+    def _measure_own_memory(self) -> None:
+        # Once callers have held much, gaps that they left cannot be told from other memory.
+        if self.caller_memory.is_quiet():
+            self.caller_memory.set_limit(self.settings.memory_limit_bytes, resident_bytes())
+
     def _install_metrics(self) -> None:
         """Imports the metrics SDK, at the first call, and creates the instruments."""
         if self.metrics.meter is not None:
@@ -290,6 +316,13 @@
             self._quarantined_parts,
         )
         add_gauge("tanager.logs.dropped", "{record}", "Log records dropped.", self._dropped_logs)
+        add_gauge(
+            "tanager.connections.ended",
+            "{connection}",
+            "Callers' connections ended or refused, by reason.",
+            lambda: dict(self.caller_server.ends.total),
+        )
+        add_gauge("tanager.callers.memory", "By", "Memory for callers.", self._caller_memory)
 
     def _active_requests(self) -> dict[str, float]:
         return {"node": self.pipeline.active_requests}
@@ -340,6 +373,10 @@
     def _quarantined_parts(self) -> dict[str, float]:
         return {"node": len(self.dispatcher.crash_evidence.quarantines)}
 
+    def _caller_memory(self) -> dict[str, float]:
+        memory = self.caller_memory
+        return {"held": memory.taken_bytes(), "limit": memory.limit_bytes}
+
     def _dropped_logs(self) -> dict[str, float]:
         handlers = logging.getLogger().handlers
         return {
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -343,6 +343,12 @@
     code = "no_body_memory"
 
 
+class CallerMemoryError(CapacityError):
+    """What callers' connections hold takes the memory that the request would need."""
+
+    code = "no_memory"
+
+
 class StoppingError(NotReadyError):
     """The process is shutting down and refuses a request that might not end in time."""
 
--- a/src/tanagerworks/published/model.py
+++ b/src/tanagerworks/published/model.py
@@ -78,7 +78,8 @@
     """Limits on the size and the duration of what a caller sends.
 
     `header_timeout_s` is the time from the first byte of a request to the end of its headers.
-    `idle_timeout_s` is the time for its body, and the time between two requests of a connection.
+    `idle_timeout_s` is the time between two pieces of its body, and between two requests of a
+    connection.
     """
 
     max_header_bytes: int = 16_384
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -53,6 +53,14 @@
     timeout_s: float = Field(default=1.0, gt=0)
 
 
+class CallerSettings(SettingsModel):
+    """Limits on callers beside those of the configuration in force."""
+
+    # A body has to arrive within this time as a whole; between two pieces, the idle timeout of the
+    # configuration holds. Bodies of the largest size take seconds on slow links.
+    body_timeout_s: float = Field(default=30.0, gt=0)
+
+
 class EdgeSettings(SettingsModel):
     """Settings of one edge process."""
 
@@ -68,6 +76,9 @@
     first_start: bool | None = None
     # Memory that the process may take, in millions of bytes; a default if not stated.
     memory_limit_mb: float | None = Field(default=None, gt=0)
+    # Descriptors that the process may open; that of the operating system if not stated or lower.
+    max_open_files: int | None = Field(default=None, gt=0)
+    callers: CallerSettings = CallerSettings()
     log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
 
     @property
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -107,7 +107,7 @@
     """Runs `scenario(port, release)` while a large body takes all memory, until `release()`."""
 
     async def run(port, pipeline, servers):
-        port.body_budget = BodyBudget(LIMIT)
+        port.memory.bodies = BodyBudget(LIMIT)
         release = asyncio.Event()
 
         async def hold_first(server, headers, reader, writer):
@@ -122,7 +122,7 @@
             result = await scenario(port, release.set)
             release.set()
         assert first.result().status == 200
-        assert not port.body_budget.reserved_bytes
+        assert not port.memory.bodies.reserved_bytes
         return result
 
     config = configuration(routes=[non_idempotent_route(timeout_s=10.0)])
@@ -155,7 +155,7 @@
             asyncio.create_task(send_request(port, large_upload(2, chunked)))
             for chunked in (False, True)
         ]
-        await wait_until(lambda: len(port.body_budget.waiting) == 2)
+        await wait_until(lambda: len(port.memory.bodies.waiting) == 2)
         release()
         return [(await task).status for task in waiting]
 
@@ -168,9 +168,9 @@
     async def scenario(port, release):
         _reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
         writer.write(large_upload(2)[:1000])
-        await wait_until(lambda: port.body_budget.waiting)
+        await wait_until(lambda: port.memory.bodies.waiting)
         writer.transport.abort()
-        await wait_until(lambda: not port.body_budget.waiting)
+        await wait_until(lambda: not port.memory.bodies.waiting)
         return True
 
     assert run_beside_a_held_body(scenario)
