Do less accounting for requests that arrive in one read

Cause: a request that is complete in its first read entered and left the list of incomplete ones.

Change: a request enters it at the end of the turn in which it is still incomplete.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -203,6 +203,8 @@
         self.handed_bytes = 0
         self.answer_bytes = 0
         self.unsent_bytes = 0
+        # Whether the budget knows that the request in progress is incomplete.
+        self.awaited = False
         # Input of the request in progress since it last counted as progress.
         self.new_bytes = 0
         self.last_piece_s = 0.0
@@ -336,7 +338,6 @@
             if self.head is None and not self.head_started and self.http.trailing_data[0]:
                 # One timeout for the whole head, so that single bytes cannot extend it.
                 self.head_started = True
-                self._await_input()
                 self._start_timer(self.limits.header_timeout_s, self._header_timeout)
             return False
         if event is h11.PAUSED:
@@ -358,8 +359,7 @@
                 self.reservation.shrink(len(self.body))
             assert self.head is not None
             self._forget_input()
-            now_s = asyncio.get_running_loop().time()
-            if not self.server.memory.make_room(_RUNNING_BYTES, 1.0, now_s, self):
+            if not self.server.memory.make_room(_RUNNING_BYTES, 1.0, self.last_piece_s, self):
                 self._refuse_for_memory()
                 return False
             self.task = asyncio.get_running_loop().create_task(self._run_handler(self.head))
@@ -392,7 +392,6 @@
         self._start_timer(self.limits.idle_timeout_s, self._body_timeout)
         if _stated_body_bytes(headers) > SMALL_BODY_BYTES:
             self._reserve_room(_stated_body_bytes(headers))
-        self._await_input()
         return True
 
     # Accounts of memory
@@ -400,6 +399,7 @@
     def _await_input(self) -> None:
         """Records that the request in progress is incomplete and has just delivered input."""
         memory = self.server.memory
+        self.awaited = True
         memory.idle.discard(self)
         now_s = asyncio.get_running_loop().time()
         if self.reservation is not None and self.reservation.granted:
@@ -412,8 +412,10 @@
         """Takes the connection out of those that may be ended for their input."""
         memory = self.server.memory
         memory.idle.discard(self)
-        memory.incomplete.discard(self)
-        memory.incomplete_large.discard(self)
+        if self.awaited:
+            self.awaited = False
+            memory.incomplete.discard(self)
+            memory.incomplete_large.discard(self)
 
     def _forget(self) -> None:
         """Takes the connection out of those that may be ended for what they hold."""
@@ -445,6 +447,8 @@
         size = self.count_memory()
         if self.task is not None or (self.head is None and not self.head_started):
             return
+        if not self.awaited:
+            self._await_input()
         if self.reservation is not None and self.reservation.granted:
             # A large body that has begun can be read to its end.
             return
--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -116,14 +116,15 @@
         return self.taken_bytes() > LARGE_INPUT_SHARE * self.limit_bytes
 
     def is_quiet(self) -> bool:
-        """Whether callers have held next to nothing since the start."""
-        return self.peak_bytes < QUIET_BYTES
+        """Whether callers hold no large body and have held next to nothing since the start."""
+        return self.peak_bytes < QUIET_BYTES and not self.bodies.reserved_bytes
 
     def update(self, holder: Holder, size: int) -> None:
         """Records that a holder now holds `size` bytes."""
         self.held_bytes += size - holder.held_bytes
         holder.held_bytes = size
-        self.peak_bytes = max(self.peak_bytes, self.taken_bytes())
+        if self.held_bytes > self.peak_bytes:
+            self.peak_bytes = self.held_bytes
 
     def make_room(self, size: int, share: float, now_s: float, keep: Holder | None = None) -> bool:
         """Whether `size` further bytes fit in `share` of the budget; ends connections if necessary.
@@ -132,6 +133,8 @@
         `keep` is not ended.
         """
         allowed = share * self.limit_bytes
+        if self.taken_bytes() + size <= allowed:
+            return True
         for _ in range(_MAX_ENDED_AT_ONCE):
             if self.taken_bytes() + size <= allowed:
                 return True
