--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -101,7 +101,7 @@
                 if choice is not None:
                     return choice
         finally:
-            del waiters[dispatch_request.call_id]
+            waiters.pop(dispatch_request.call_id, None)
 
     def _no_server_error(self, dispatch_request: DispatchRequest) -> NoServerError:
         now_s = asyncio.get_running_loop().time()
@@ -186,7 +186,8 @@
                     )
                 await event.wait()
         finally:
-            del self.waiters[dispatch_request.call_id]
+            # Another request may have had the same id.
+            self.waiters.pop(dispatch_request.call_id, None)
             if placed:
                 queue.remove_served(dispatch_request.call_id, dispatch_request.priority)
             else:
