Let two nodes probe a suspect server in turn

One node alone probed a server that fails partly, and failures that one node reports do not count, so the server got its rank back after 2 s although its probes failed.

--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -41,6 +41,9 @@
 # neither for an ejection nor of its recovery.
 _SUSPECT_SHARE = 0.3
 _SUSPECT_PROBE_S = 0.4
+# The node that saw the last outcome waits longer, so that the probing nodes take turns: failures
+# that one node alone reports do not count.
+_SUSPECT_TURN_S = 0.3
 # A request that must not be repeated is a probe only if no other came for this time.
 _REPEATABLE_WAIT_S = 0.5
 # Shortest time between two probes of a node at servers of one service, so that most requests of a
@@ -135,7 +138,7 @@
     # Outcomes up to this time are not used any more: the server has recovered since.
     recovered_s: float = -math.inf
     # Whether the evidence of the fleet lowers the rank without an ejection, and whether this node
-    # is the one that probes the server; None if unknown.
+    # is one of those that probe the server; None if unknown.
     is_suspect: bool = False
     probes_suspect: bool | None = None
     ejection: Ejection | None = None
@@ -566,11 +569,15 @@
         if ejection is None:
             if not repeatable or health.state.running:
                 return False
-            if now_s < health.last_outcome_s + _SUSPECT_PROBE_S:
+            due_s = health.last_outcome_s + _SUSPECT_PROBE_S
+            if health.own and health.own[-1][0] >= health.last_outcome_s:
+                due_s += _SUSPECT_TURN_S
+            if now_s < due_s:
                 return False
             if health.probes_suspect is None:
                 names = self._live_names(now_s)
-                health.probes_suspect = place_equally(server_id, self.node, names, 1) is not None
+                place = place_equally(server_id, self.node, names, _PROBING_NODES)
+                health.probes_suspect = place is not None
             return health.probes_suspect
         if now_s < ejection.until_s:
             return False
