--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -6,6 +6,7 @@
 import asyncio
 import socket
 import struct
+from dataclasses import replace
 
 import pytest
 
@@ -717,3 +718,33 @@
     results, sent = run_scenario([[respond_with()], [respond_with()]], scenario)
     assert [response.status for response in results] == [200] * 4
     assert sent == 0
+
+
+def test_queued_requests_with_the_same_id_are_refused_or_served():
+    """Guards against an internal error at a caller whose attempt id another request has."""
+    release = asyncio.Event()
+
+    async def answer_late(server, headers, reader, writer):
+        await release.wait()
+        await respond_with()(server, headers, reader, writer)
+
+    async def scenario(port, pipeline, servers):
+        state = pipeline.dispatcher.directory.servers["server-0"]
+        state.entry = replace(state.entry, slots=1)
+        calls = [request_bytes("/chat/x", call_id, "POST") for call_id in ("c0", "c1", "c1")]
+        sent = []
+        for count, call in enumerate(calls):
+            sent.append(asyncio.create_task(send_request(port, call)))
+            await wait_until(lambda count=count: pipeline.active_requests == count + 1)
+        await wait_until(lambda: pipeline.placer.waiters)
+        release.set()
+        return [(await task).status for task in sent]
+
+    statuses = run_scenario(
+        [[answer_late, respond_with()]],
+        scenario,
+        configuration(routes=[stream_route(timeout_s=4.0)]),
+        MODEL_SERVICE,
+    )
+    assert statuses[0] == 200
+    assert set(statuses) <= {200, 503}
