Account for all attempts of a hedged request that is cancelled

If a request ended while a crash check was awaited, nobody ended the attempt that had decided it, and it counted at its server for good. If it ended at its deadline, neither attempt counted as a failure, so that servers that hang were not noticed. The race now ends every attempt that the pipeline does not, and checks whether it has hung.

--- a/src/tanagerworks/edge/hedging.py
+++ b/src/tanagerworks/edge/hedging.py
@@ -18,6 +18,7 @@
     hedge_delay_s,
 )
 from tanagerworks.edge.exchange import BackendExchange
+from tanagerworks.edge.health_reports import has_hung
 from tanagerworks.edge.pause_timeout import PAUSE_S
 from tanagerworks.edge.request_state import RESPONSE_MARGIN_S, Attempt, RequestState, RetryDenial
 from tanagerworks.edge.route_times import RouteTimeTable
@@ -68,6 +69,8 @@
         # The attempt that answers the caller, once one of several does.
         self.winner: Attempt | None = None
         self.crash_checks: set[asyncio.Task[None]] = set()
+        # The attempt that decides the request, which the pipeline accounts for.
+        self.decided: Attempt | None = None
 
     def start(self, attempt: Attempt) -> asyncio.Task[str]:
         """Starts an attempt; from the second on, each has to claim the answer."""
@@ -153,7 +156,10 @@
                 other.claim_answer = None
 
     async def close(self) -> None:
-        """Cancels the attempts that are still in progress and ends their accounting."""
+        """Cancels the attempts in progress and accounts for all attempts but the decided one.
+
+        If the request ends before any attempt has decided it, an attempt may have hung.
+        """
         tasks = list(self.running)
         for task in tasks:
             task.cancel()
@@ -161,12 +167,18 @@
             if tasks:
                 await asyncio.wait(tasks)
         finally:
+            now_s = asyncio.get_running_loop().time()
             for task, attempt in self.running.items():
                 if task.done() and not task.cancelled() and task.exception() is not None:
                     _LOGGER.info(
                         "attempt failed while it was withdrawn",
                         extra={"server": attempt.state.server_id, "reason": str(task.exception())},
                     )
+            for attempt in self.attempts:
+                if attempt is self.decided:
+                    continue
+                if self.winner is None:
+                    attempt.failed = attempt.failed or has_hung(self.request, attempt, now_s)
                 self.accounts.end_attempt(self.request, attempt)
 
 
@@ -204,6 +216,7 @@
             if delay_s is not None and not request.responder.started:
                 self._start_second(race, first, delay_s)
             attempt, ended = await race.finish()
+            race.decided = attempt
         finally:
             await race.close()
         request.server_id = attempt.state.server_id
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -405,3 +405,51 @@
         "import tanagerworks.edge.hedging; assert 'hdrh' in sys.modules"
     )
     subprocess.run([sys.executable, "-c", code], check=True)
+
+
+def test_servers_that_stay_silent_until_the_deadline_have_failed():
+    """Guards against hung servers that nobody notices, since both attempts end together."""
+
+    async def scenario(port, pipeline, arrivals):
+        arrivals.actions = [stay_silent]
+        response = await send_request(port, request_bytes("/desk-read/x", "c1"))
+        await wait_until(lambda: not pipeline.active_requests)
+        failures = [state.consecutive_failures for state in states_of(pipeline, arrivals)]
+        return response.status, failures
+
+    routes = [route(max_attempts=2, timeout_s=0.5)]
+    assert run_hedged(scenario, routes=routes) == (504, [1, 1])
+
+
+def test_attempts_are_ended_if_the_caller_leaves_during_a_crash_check():
+    """Guards against a request that counts at its server for good after both attempts failed."""
+
+    async def scenario(port, pipeline, arrivals):
+        checking = asyncio.Event()
+
+        async def check():
+            checking.set()
+            await asyncio.sleep(60.0)
+
+        tasks = []
+
+        def record_disconnect(*_):
+            tasks.append(asyncio.ensure_future(check()))
+            return tasks[-1]
+
+        pipeline.crash_detector.record_disconnect = record_disconnect
+        arrivals.actions = [
+            arrivals.after_second(reset_connection()),
+            arrivals.after_second(reset_connection(), 0.1),
+        ]
+        _reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(request_bytes("/desk-read/x", "c1"))
+        await checking.wait()
+        # The second attempt, which decides the request, fails as well.
+        await asyncio.sleep(0.3)
+        writer.transport.abort()
+        await wait_until(lambda: not pipeline.active_requests)
+        for task in tasks:
+            task.cancel()
+
+    run_hedged(scenario)
