Keep connections with unsent answers out of the idle ones

Cause: a connection counted as idle as soon as its handler had ended. A caller that read a large answer slowly but steadily got it truncated when another connection or memory was needed. Change: a connection is idle only when nothing is unsent; check_unsent puts it there once the rest has been taken and no request is in progress.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -471,6 +471,8 @@
         unread = self.server.memory.unread
         if not unsent:
             unread.discard(self)
+            if self.unsent_bytes and self._waits_for_request():
+                self.server.memory.idle.put(self, now_s)
         elif unsent < self.unsent_bytes or not self.unsent_bytes:
             unread.put(self, now_s)
         if unsent != self.unsent_bytes:
@@ -592,7 +594,9 @@
             return
         self.http.start_next_cycle()
         self.idle_since_s = asyncio.get_running_loop().time()
-        self.server.memory.idle.put(self, self.idle_since_s)
+        if not self.transport.get_write_buffer_size():
+            # A caller that still reads its answer is not idle; `check_unsent` tells when it is.
+            self.server.memory.idle.put(self, self.idle_since_s)
         self._start_timer(self.limits.idle_timeout_s, self.close)
         self.apply_limits()
         self.transport.resume_reading()
@@ -698,7 +702,7 @@
 
         The first request of a new connection counts as in progress for a short time.
         """
-        if self.task is not None or self.head is not None or self.head_started:
+        if not self._waits_for_request():
             return False
         age_s = asyncio.get_running_loop().time() - self.opened_s
         if not self.had_request and age_s < _FIRST_REQUEST_GRACE_S:
@@ -706,6 +710,9 @@
         self.close()
         return True
 
+    def _waits_for_request(self) -> bool:
+        return self.task is None and self.head is None and not self.head_started
+
     def _cancel_handler(self) -> None:
         if self.task is not None:
             self.task.cancel()
--- /dev/null
+++ b/tests/test_http_border.py
@@ -0,0 +1,102 @@
+"""Connections of callers when memory or descriptors are short. No network: transports are fakes.
+
+The load is a few callers that read slowly, send large bodies or open connections one after another.
+"""
+
+import asyncio
+
+from tanagerworks.edge.http_server import HttpServer, HttpServerConnection
+from tanagerworks.edge.memory_budget import MemoryBudget
+from tanagerworks.published.model import CallerLimits
+
+GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
+BUDGET_BYTES = 1_000_000
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what is written; `unsent` bytes of it have not been taken by the caller."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = b""
+        self.unsent = 0
+        self.aborted = False
+
+    def get_extra_info(self, name, default=None):
+        return self
+
+    def setsockopt(self, *args):
+        """Stands in for the option of the socket."""
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        """Has no limit."""
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
+    def write(self, data):
+        self.written += data
+
+    def write_eof(self):
+        """Sends nothing."""
+
+    def is_closing(self):
+        return self.aborted
+
+    def pause_reading(self):
+        """Input comes from the test."""
+
+    resume_reading = pause_reading
+
+    def abort(self):
+        self.aborted = True
+
+    close = abort
+
+
+async def answer(head, body, responder):
+    """Answers with the length of the body."""
+    responder.send_response(200, [], b"%d" % len(body))
+
+
+def connect(server, data=b""):
+    """Returns a connection that has received `data`, and its transport."""
+    connection, transport = HttpServerConnection(server), FakeTransport()
+    connection.connection_made(transport)
+    if data:
+        connection.data_received(data)
+    return connection, transport
+
+
+def run(scenario, budget_bytes=BUDGET_BYTES, limits=CallerLimits, **options):
+    """Runs `scenario` with a server."""
+
+    async def main():
+        await scenario(HttpServer(answer, limits, MemoryBudget(budget_bytes), **options))
+
+    asyncio.run(main())
+
+
+async def turns():
+    """Lets handlers and callbacks run."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def test_answer_that_is_still_read_is_not_ended_as_idle():
+    """Guards against slow but steady readers that get a truncated answer."""
+
+    async def scenario(server):
+        reader, transport = connect(server)
+        transport.unsent = 50_000
+        reader.data_received(GET)
+        await turns()
+        now_s = asyncio.get_running_loop().time()
+        assert not server.memory.end_connection(now_s + 60.0)
+        assert not server.memory.end_one(now_s + 60.0)
+        transport.unsent = 0
+        reader.check_unsent(now_s)
+        assert server.memory.end_connection(now_s + 60.0)
+        assert transport.aborted
+
+    run(scenario)
