Let refused connections linger before they are ended for room

Cause: connections that wait for their caller to close were ended first and at once. The reset destroyed a 503 that had just been written, and with it the promise that the request has not run. Change: they are ended only after the linger time, for a descriptor after the idle ones. A stalled connection that is ended for its descriptor keeps it while it lingers, so no more than 64 may linger then; otherwise the newcomer is refused. The test of the order for descriptors states the new order.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -23,6 +23,7 @@
 )
 from tanagerworks.edge.memory_budget import (
     CONNECTION_SHARE,
+    LINGER_S,
     PROGRESS_BYTES,
     EndReason,
     MemoryBudget,
@@ -71,9 +72,6 @@
 # value, at least.
 _REQUEST_LINE_BYTES = 12
 _HEADER_LINE_BYTES = 3
-# Time for which input is discarded after a response that closes the connection. Closing a socket
-# with unread input resets the connection, and the caller could lose the response.
-_LINGER_S = 1.0
 # Time for which a connection without any request yet does not count as idle: its caller has opened
 # it to send one.
 _FIRST_REQUEST_GRACE_S = 0.5
@@ -648,7 +646,7 @@
         self._start_lingering_close()
 
     def _start_lingering_close(self) -> None:
-        """Closes the output now and the connection after `_LINGER_S`; input is discarded."""
+        """Closes the output now and the connection after `LINGER_S`; input is discarded."""
         self.body = bytearray()
         self.release_body()
         if self.transport is None or self.transport.is_closing():
@@ -670,7 +668,7 @@
             self.abort()
             return
         self.transport.resume_reading()
-        self._start_timer(_LINGER_S, self.close)
+        self._start_timer(LINGER_S, self.close)
 
     def _header_timeout(self) -> None:
         self._reject_request(408)
--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -19,6 +19,12 @@
 PROGRESS_BYTES = 4_096
 # A running answer is ended to make room if its caller has read nothing for this long.
 UNREAD_S = 2.0
+# Time for which input is discarded after a response that closes the connection. Closing a socket
+# with unread input resets the connection, and the caller could lose the response.
+LINGER_S = 1.0
+# Refused connections that linger at most when a stalled one is ended for its descriptor, which it
+# keeps until it has lingered. So callers exceed their limit by no more than this.
+MAX_LINGERING = 64
 # Requests up to `SMALL_INPUT_BYTES` may take the whole budget, other input `LARGE_INPUT_SHARE` of
 # it, so that ordinary requests are served beside a crowd of larger ones.
 SMALL_INPUT_BYTES = 8_192
@@ -129,7 +135,7 @@
     def make_room(self, size: int, share: float, now_s: float, keep: Holder | None = None) -> bool:
         """Whether `size` further bytes fit in `share` of the budget; ends connections if necessary.
 
-        The order: those that only wait to be closed, stalled input, connections without a request.
+        The order: those that have lingered and are not closed yet, stalled input, connections without a request.
         `keep` is not ended.
         """
         allowed = share * self.limit_bytes
@@ -157,7 +163,7 @@
     def end_one(self, now_s: float, keep: Holder | None = None) -> bool:
         """Ends the connection that is missed least; returns whether there was one."""
         order = (
-            (self.closing, 0.0, EndReason.CLOSING),
+            (self.closing, LINGER_S, EndReason.CLOSING),
             (self.incomplete_large, STALLED_S, _STALLED),
             (self.incomplete, STALLED_S, _STALLED),
             (self.idle, STALLED_S, EndReason.IDLE),
@@ -167,12 +173,18 @@
     def end_connection(self, now_s: float) -> bool:
         """Ends a connection for its descriptor; returns whether there was one to end."""
         order = (
-            (self.closing, 0.0, EndReason.CLOSING),
             (self.idle, 0.0, EndReason.IDLE),
+            (self.closing, LINGER_S, EndReason.CLOSING),
+        )
+        if self._end_first(order, now_s, None):
+            return True
+        if len(self.closing.since_s) >= MAX_LINGERING:
+            return False
+        stalled = (
             (self.incomplete, STALLED_S, _STALLED),
             (self.incomplete_large, STALLED_S, _STALLED),
         )
-        return self._end_first(order, now_s, None)
+        return self._end_first(stalled, now_s, None)
 
     def _end_first(
         self, order: tuple[tuple[Waiters, float, EndReason], ...], now_s: float, keep: Holder | None
