Do not end connections that are about to send their first request

Cause: a new connection counts as idle, and an idle one of any age was reset when the next connection needed a descriptor. Change: only connections that have been idle for 0.5 s are ended for a descriptor; a newcomer beyond that gets the 503.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -23,6 +23,7 @@
 )
 from tanagerworks.edge.memory_budget import (
     CONNECTION_SHARE,
+    FIRST_REQUEST_GRACE_S,
     LINGER_S,
     PROGRESS_BYTES,
     EndReason,
@@ -72,9 +73,6 @@
 # value, at least.
 _REQUEST_LINE_BYTES = 12
 _HEADER_LINE_BYTES = 3
-# Time for which a connection without any request yet does not count as idle: its caller has opened
-# it to send one.
-_FIRST_REQUEST_GRACE_S = 0.5
 # Longest time that a request waits for memory for its body; its caller then comes back, maybe to
 # another node.
 _MAX_ROOM_WAIT_S = 0.5
@@ -703,7 +701,7 @@
         if not self._waits_for_request():
             return False
         age_s = asyncio.get_running_loop().time() - self.opened_s
-        if not self.had_request and age_s < _FIRST_REQUEST_GRACE_S:
+        if not self.had_request and age_s < FIRST_REQUEST_GRACE_S:
             return False
         self.close()
         return True
--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -22,6 +22,9 @@
 # Time for which input is discarded after a response that closes the connection. Closing a socket
 # with unread input resets the connection, and the caller could lose the response.
 LINGER_S = 1.0
+# Time for which a connection without any request yet does not count as idle: its caller has opened
+# it to send one.
+FIRST_REQUEST_GRACE_S = 0.5
 # Refused connections that linger at most when a stalled one is ended for its descriptor, which it
 # keeps until it has lingered. So callers exceed their limit by no more than this.
 MAX_LINGERING = 64
@@ -173,7 +176,7 @@
     def end_connection(self, now_s: float) -> bool:
         """Ends a connection for its descriptor; returns whether there was one to end."""
         order = (
-            (self.idle, 0.0, EndReason.IDLE),
+            (self.idle, FIRST_REQUEST_GRACE_S, EndReason.IDLE),
             (self.closing, LINGER_S, EndReason.CLOSING),
         )
         if self._end_first(order, now_s, None):
--- a/tests/test_http_border.py
+++ b/tests/test_http_border.py
@@ -100,3 +100,18 @@
         assert transport.aborted
 
     run(scenario)
+
+
+def test_new_connection_does_not_end_the_one_before():
+    """Guards against a reset of a connection that is about to send its first request."""
+
+    async def scenario(server):
+        connections = [connect(server) for _ in range(3)]
+        assert not connections[0][1].aborted
+        assert connections[1][1].written.startswith(b"HTTP/1.1 503")
+        server.memory.idle.since_s[connections[0][0]] -= 1.0
+        _newcomer, transport = connect(server)
+        assert connections[0][1].aborted
+        assert not transport.written
+
+    run(scenario, max_connections=1)
