Enforce a body timeout that is shorter than the idle timeout

Cause: the first timer of a body was the idle timeout, so a shorter callers.body_timeout_s was looked at only after it. Change: the first timer is the smaller of both. Result: the new test fails without the change and passes with it.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -385,7 +385,8 @@
         self.head_bytes = _head_bytes(event) + _HEADER_OBJECT_BYTES * len(headers)
         self.body = bytearray()
         self.body_began_s = self.last_piece_s = asyncio.get_running_loop().time()
-        self._start_timer(self.limits.idle_timeout_s, self._body_timeout)
+        first_s = min(self.limits.idle_timeout_s, self.server.body_timeout_s)
+        self._start_timer(first_s, self._body_timeout)
         if _stated_body_bytes(headers) > SMALL_BODY_BYTES:
             self._reserve_room(_stated_body_bytes(headers))
         return True
--- a/tests/test_http_border.py
+++ b/tests/test_http_border.py
@@ -9,6 +9,7 @@
 from tanagerworks.edge.memory_budget import MemoryBudget
 from tanagerworks.published.model import CallerLimits
 
+POST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
 GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 BUDGET_BYTES = 1_000_000
 
@@ -115,3 +116,14 @@
         assert not transport.written
 
     run(scenario, max_connections=1)
+
+
+def test_whole_body_has_its_own_shorter_timeout():
+    """Guards against a body timeout that is enforced only after the longer idle timeout."""
+
+    async def scenario(server):
+        _connection, transport = connect(server, POST % 10 + b"b")
+        await asyncio.sleep(0.2)
+        assert transport.written.startswith(b"HTTP/1.1 408")
+
+    run(scenario, body_timeout_s=0.05)
