Serve a single body that is larger than the memory budget

Cause: a body that is alone is granted room even if it is larger than the budget. Once it had been read, the check for room to run the request counted its own reservation, so it was always refused. Change: that check does not count the request's own reservation. Result: the new test fails without the change and passes with it.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -351,11 +351,15 @@
             return True
         if isinstance(event, h11.EndOfMessage):
             self._cancel_timer()
+            own_bytes = 0
             if self.reservation is not None:
                 self.reservation.shrink(len(self.body))
+                # A body that is alone may be larger than the budget; it has been let in.
+                own_bytes = self.reservation.size
             assert self.head is not None
             self._forget_input()
-            if not self.server.memory.make_room(_RUNNING_BYTES, 1.0, self.last_piece_s, self):
+            memory, now_s = self.server.memory, self.last_piece_s
+            if not memory.make_room(_RUNNING_BYTES, 1.0, now_s, self, own_bytes):
                 self._refuse_for_memory()
                 return False
             self.task = asyncio.get_running_loop().create_task(self._run_handler(self.head))
--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -135,13 +135,20 @@
         if self.held_bytes > self.peak_bytes:
             self.peak_bytes = self.held_bytes
 
-    def make_room(self, size: int, share: float, now_s: float, keep: Holder | None = None) -> bool:
+    def make_room(
+        self,
+        size: int,
+        share: float,
+        now_s: float,
+        keep: Holder | None = None,
+        own_bytes: int = 0,
+    ) -> bool:
         """Whether `size` further bytes fit in `share` of the budget; ends connections if necessary.
 
         The order: those that have lingered and are not closed yet, stalled input, connections without a request.
-        `keep` is not ended.
+        `keep` is not ended; `own_bytes` of what is taken are its own and do not count.
         """
-        allowed = share * self.limit_bytes
+        allowed = share * self.limit_bytes + own_bytes
         if self.taken_bytes() + size <= allowed:
             return True
         for _ in range(_MAX_ENDED_AT_ONCE):
--- a/tests/test_http_border.py
+++ b/tests/test_http_border.py
@@ -127,3 +127,19 @@
         assert transport.written.startswith(b"HTTP/1.1 408")
 
     run(scenario, body_timeout_s=0.05)
+
+
+def test_single_body_larger_than_the_budget_is_served():
+    """Guards against a legal body that is read to its end and then always refused."""
+
+    async def scenario(server):
+        size = 2 * BUDGET_BYTES
+        connection, transport = connect(server, POST % size)
+        for _ in range(20):
+            connection.data_received(b"b" * (size // 20))
+            await turns()
+        assert transport.written.startswith(b"HTTP/1.1 200")
+        assert transport.written.endswith(b"%d" % size)
+        assert server.memory.bodies.reserved_bytes == 0
+
+    run(scenario)
