Go on parsing for other connections if one fails unexpectedly

Cause: an exception while input of one connection was parsed in a later turn lost the queue of the other connections that waited for their turn. Change: the exception is logged, its connection is reset, the others go on. Result: the new test fails without the change and passes with it.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -809,7 +809,13 @@
     def _parse_waiting(self) -> None:
         waiting, self.parse_queue = self.parse_queue, deque()
         for _ in range(min(_PARSED_PER_TURN, len(waiting))):
-            waiting.popleft().parse_waiting_input()
+            connection = waiting.popleft()
+            try:
+                connection.parse_waiting_input()
+            except Exception:
+                # The other connections go on; nothing would parse their input any more.
+                _LOGGER.exception("input of a caller cannot be processed")
+                connection.abort()
         if waiting and not self.parse_queue:
             asyncio.get_running_loop().call_soon(self._parse_waiting)
         # Those that have just had a turn come after those that have not.
--- a/tests/test_http_border.py
+++ b/tests/test_http_border.py
@@ -143,3 +143,20 @@
         assert server.memory.bodies.reserved_bytes == 0
 
     run(scenario)
+
+
+def test_connections_go_on_parsing_if_one_fails(caplog):
+    """Guards against an unexpected error that leaves other callers without an answer."""
+
+    async def scenario(server):
+        failing, other = connect(server), connect(server)
+        failing[0].http = None
+        server.parse_later(failing[0])
+        other[0].http.receive_data(GET)
+        server.parse_later(other[0])
+        await turns()
+        assert failing[1].aborted
+        assert other[1].written.startswith(b"HTTP/1.1 200")
+
+    run(scenario)
+    assert "cannot be processed" in caplog.text
