Let only a granted reservation end the wait for room

Cause: the call for a former reservation could come when the present one still waited. It cancelled the timer that ends the wait. Change: the call is ignored unless the present reservation is granted. Result: the new test fails without the change and passes with it.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -523,7 +523,8 @@
         return self.reservation is not None and not self.reservation.granted
 
     def _continue_with_room(self) -> None:
-        if self.reservation is None or self.reservation.released or self.parsing:
+        if self.reservation is None or not self.reservation.granted or self.parsing:
+            # The call may have been for a former reservation.
             return
         self._cancel_room_timer()
         self._await_input()
--- a/tests/test_http_border.py
+++ b/tests/test_http_border.py
@@ -160,3 +160,16 @@
 
     run(scenario)
     assert "cannot be processed" in caplog.text
+
+
+def test_grant_of_a_former_reservation_does_not_end_the_wait():
+    """Guards against a request that waits for room with no time limit."""
+
+    async def scenario(server):
+        server.memory.bodies.reserve(server.memory.bodies.limit_bytes, lambda: None)
+        connection, _transport = connect(server, POST % 100_000)
+        assert connection.room_timer is not None
+        connection._continue_with_room()
+        assert connection.room_timer is not None
+
+    run(scenario)
