End the next connection if the first one is to be kept

Cause: a whole category was passed over if its first connection was the one that needs room, so the request could be refused while other stalled ones kept their memory. Change: the connection that needs room is passed over, the next one is looked at. The mutation of Waiters.first in the tests takes the new argument.

--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -86,9 +86,14 @@
         """Removes a holder if it is present."""
         self.since_s.pop(holder, None)
 
-    def first(self, now_s: float, min_age_s: float) -> Holder | None:
-        """Returns the holder without progress for longest, if that is at least `min_age_s`."""
+    def first(self, now_s: float, min_age_s: float, keep: Holder | None = None) -> Holder | None:
+        """Returns the holder without progress for longest, if that is at least `min_age_s`.
+
+        `keep` is passed over.
+        """
         for holder, since_s in self.since_s.items():
+            if holder is keep:
+                continue
             return holder if now_s - since_s >= min_age_s else None
         return None
 
@@ -200,8 +205,8 @@
         self, order: tuple[tuple[Waiters, float, EndReason], ...], now_s: float, keep: Holder | None
     ) -> bool:
         for waiters, min_age_s, reason in order:
-            holder = waiters.first(now_s, min_age_s)
-            if holder is None or holder is keep:
+            holder = waiters.first(now_s, min_age_s, keep)
+            if holder is None:
                 continue
             waiters.discard(holder)
             holder.end(reason)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -66,7 +66,7 @@
 def test_order_matters(monkeypatch):
     """The check above fails if the request that has come last is ended first."""
 
-    def last(self, now_s, min_age_s):
+    def last(self, now_s, min_age_s, keep=None):
         return next(reversed(self.since_s), None)
 
     monkeypatch.setattr(Waiters, "first", last)
@@ -158,6 +158,16 @@
     assert not young.reasons
 
 
+def test_request_that_needs_room_does_not_protect_others():
+    """Guards against a refusal although another stalled request could be ended."""
+    budget = MemoryBudget(LIMIT)
+    oldest = hold(budget, budget.incomplete, 9.0)
+    other = hold(budget, budget.incomplete, STALLED_S)
+    assert budget.end_one(NOW_S, oldest)
+    assert (oldest.reasons, other.reasons) == ([], [EndReason.STALLED_INPUT])
+    assert not budget.end_one(NOW_S, oldest)
+
+
 def test_refusal_arrives_before_its_connection_ends():
     """Guards against a reset that destroys a 503, and with it the promise of not run."""
     budget = MemoryBudget(LIMIT)
