--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -150,8 +150,9 @@
     ) -> bool:
         """Whether `size` further bytes fit in `share` of the budget; ends connections if necessary.
 
-        The order: those that have lingered and are not closed yet, stalled input, connections without a request.
-        `keep` is not ended; `own_bytes` of what is taken are its own and do not count.
+        The order: those that have lingered and are not closed yet, stalled input, connections
+        without a request. `keep` is not ended; `own_bytes` of what is taken are its own and do not
+        count.
         """
         allowed = share * self.limit_bytes + own_bytes
         if self.taken_bytes() + size <= allowed:
