--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -23,6 +23,8 @@
 )
 from tanagerworks.edge.memory_budget import (
     CONNECTION_SHARE,
+    FIRST_REQUEST_GRACE_S,
+    LINGER_S,
     PROGRESS_BYTES,
     EndReason,
     MemoryBudget,
@@ -71,12 +73,6 @@
 # value, at least.
 _REQUEST_LINE_BYTES = 12
 _HEADER_LINE_BYTES = 3
-# Time for which input is discarded after a response that closes the connection. Closing a socket
-# with unread input resets the connection, and the caller could lose the response.
-_LINGER_S = 1.0
-# Time for which a connection without any request yet does not count as idle: its caller has opened
-# it to send one.
-_FIRST_REQUEST_GRACE_S = 0.5
 # Longest time that a request waits for memory for its body; its caller then comes back, maybe to
 # another node.
 _MAX_ROOM_WAIT_S = 0.5
@@ -355,11 +351,15 @@
             return True
         if isinstance(event, h11.EndOfMessage):
             self._cancel_timer()
+            own_bytes = 0
             if self.reservation is not None:
                 self.reservation.shrink(len(self.body))
+                # A body that is alone may be larger than the budget; it has been let in.
+                own_bytes = self.reservation.size
             assert self.head is not None
             self._forget_input()
-            if not self.server.memory.make_room(_RUNNING_BYTES, 1.0, self.last_piece_s, self):
+            memory, now_s = self.server.memory, self.last_piece_s
+            if not memory.make_room(_RUNNING_BYTES, 1.0, now_s, self, own_bytes):
                 self._refuse_for_memory()
                 return False
             self.task = asyncio.get_running_loop().create_task(self._run_handler(self.head))
@@ -389,7 +389,8 @@
         self.head_bytes = _head_bytes(event) + _HEADER_OBJECT_BYTES * len(headers)
         self.body = bytearray()
         self.body_began_s = self.last_piece_s = asyncio.get_running_loop().time()
-        self._start_timer(self.limits.idle_timeout_s, self._body_timeout)
+        first_s = min(self.limits.idle_timeout_s, self.server.body_timeout_s)
+        self._start_timer(first_s, self._body_timeout)
         if _stated_body_bytes(headers) > SMALL_BODY_BYTES:
             self._reserve_room(_stated_body_bytes(headers))
         return True
@@ -471,6 +472,8 @@
         unread = self.server.memory.unread
         if not unsent:
             unread.discard(self)
+            if self.unsent_bytes and self._waits_for_request():
+                self.server.memory.idle.put(self, now_s)
         elif unsent < self.unsent_bytes or not self.unsent_bytes:
             unread.put(self, now_s)
         if unsent != self.unsent_bytes:
@@ -520,7 +523,8 @@
         return self.reservation is not None and not self.reservation.granted
 
     def _continue_with_room(self) -> None:
-        if self.reservation is None or self.reservation.released or self.parsing:
+        if self.reservation is None or not self.reservation.granted or self.parsing:
+            # The call may have been for a former reservation.
             return
         self._cancel_room_timer()
         self._await_input()
@@ -592,7 +596,9 @@
             return
         self.http.start_next_cycle()
         self.idle_since_s = asyncio.get_running_loop().time()
-        self.server.memory.idle.put(self, self.idle_since_s)
+        if not self.transport.get_write_buffer_size():
+            # A caller that still reads its answer is not idle; `check_unsent` tells when it is.
+            self.server.memory.idle.put(self, self.idle_since_s)
         self._start_timer(self.limits.idle_timeout_s, self.close)
         self.apply_limits()
         self.transport.resume_reading()
@@ -644,7 +650,7 @@
         self._start_lingering_close()
 
     def _start_lingering_close(self) -> None:
-        """Closes the output now and the connection after `_LINGER_S`; input is discarded."""
+        """Closes the output now and the connection after `LINGER_S`; input is discarded."""
         self.body = bytearray()
         self.release_body()
         if self.transport is None or self.transport.is_closing():
@@ -666,7 +672,7 @@
             self.abort()
             return
         self.transport.resume_reading()
-        self._start_timer(_LINGER_S, self.close)
+        self._start_timer(LINGER_S, self.close)
 
     def _header_timeout(self) -> None:
         self._reject_request(408)
@@ -698,14 +704,17 @@
 
         The first request of a new connection counts as in progress for a short time.
         """
-        if self.task is not None or self.head is not None or self.head_started:
+        if not self._waits_for_request():
             return False
         age_s = asyncio.get_running_loop().time() - self.opened_s
-        if not self.had_request and age_s < _FIRST_REQUEST_GRACE_S:
+        if not self.had_request and age_s < FIRST_REQUEST_GRACE_S:
             return False
         self.close()
         return True
 
+    def _waits_for_request(self) -> bool:
+        return self.task is None and self.head is None and not self.head_started
+
     def _cancel_handler(self) -> None:
         if self.task is not None:
             self.task.cancel()
@@ -801,7 +810,13 @@
     def _parse_waiting(self) -> None:
         waiting, self.parse_queue = self.parse_queue, deque()
         for _ in range(min(_PARSED_PER_TURN, len(waiting))):
-            waiting.popleft().parse_waiting_input()
+            connection = waiting.popleft()
+            try:
+                connection.parse_waiting_input()
+            except Exception:
+                # The other connections go on; nothing would parse their input any more.
+                _LOGGER.exception("input of a caller cannot be processed")
+                connection.abort()
         if waiting and not self.parse_queue:
             asyncio.get_running_loop().call_soon(self._parse_waiting)
         # Those that have just had a turn come after those that have not.
