Do not take a running request for an incomplete one

Cause: if the rest of a body came between the grant of its room and the call that tells of it, that call listed the connection with incomplete input while its handler ran. It could then be reset as stalled. Change: the call does nothing while a request runs. Result: the new test fails without the change and passes with it.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -526,6 +526,9 @@
         if self.reservation is None or not self.reservation.granted or self.parsing:
             # The call may have been for a former reservation.
             return
+        if self.task is not None:
+            # The rest of the body came between the grant and this call.
+            return
         self._cancel_room_timer()
         self._await_input()
         self._process_input()
--- a/tests/test_http_border.py
+++ b/tests/test_http_border.py
@@ -173,3 +173,21 @@
         assert connection.room_timer is not None
 
     run(scenario)
+
+
+def test_running_request_is_not_taken_for_incomplete():
+    """Guards against the end of a running request whose body came just after its grant."""
+
+    async def scenario(server):
+        server.handler = lambda *args: asyncio.sleep(60.0)
+        blocker = server.memory.bodies.reserve(server.memory.bodies.limit_bytes, lambda: None)
+        connection, _transport = connect(server, POST % 100_000)
+        blocker.release()
+        connection.data_received(b"b" * 100_000)
+        await turns()
+        assert connection.task is not None
+        now_s = asyncio.get_running_loop().time()
+        assert not server.memory.end_one(now_s + 60.0)
+        connection.task.cancel()
+
+    run(scenario)
