Serve small requests beside refused connections that linger

If nothing else can be ended, a small request takes their place. The test of a connection beyond the limit now waits until the other one counts as idle; younger ones are about to send a request.

--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -151,8 +151,9 @@
         """Whether `size` further bytes fit in `share` of the budget; ends connections if necessary.
 
         The order: those that have lingered and are not closed yet, stalled input, connections
-        without a request. `keep` is not ended; `own_bytes` of what is taken are its own and do not
-        count.
+        without a request, and, if the whole budget may be filled, refused ones that still linger:
+        a small request is served rather than that a refusal surely arrives. `keep` is not ended;
+        `own_bytes` of what is taken are its own and do not count.
         """
         allowed = share * self.limit_bytes + own_bytes
         if self.taken_bytes() + size <= allowed:
@@ -160,7 +161,8 @@
         for _ in range(_MAX_ENDED_AT_ONCE):
             if self.taken_bytes() + size <= allowed:
                 return True
-            if not self.end_one(now_s, keep):
+            lingering = ((self.closing, 0.0, EndReason.CLOSING),) if share >= 1.0 else ()
+            if not (self.end_one(now_s, keep) or self._end_first(lingering, now_s, keep)):
                 return False
         return self.taken_bytes() + size <= allowed
 
@@ -177,7 +179,7 @@
         return self.taken_bytes() + size <= LARGE_INPUT_SHARE * self.limit_bytes
 
     def end_one(self, now_s: float, keep: Holder | None = None) -> bool:
-        """Ends the connection that is missed least; returns whether there was one."""
+        """Ends the connection whose end costs its caller least; returns whether there was one."""
         order = (
             (self.closing, LINGER_S, EndReason.CLOSING),
             (self.incomplete_large, STALLED_S, _STALLED),
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerworks.edge.memory_budget import FIRST_REQUEST_GRACE_S
 from tanagerworks.edge.process_limits import open_files_limit
 from tanagerworks.published.model import CallerLimits
 from tests.edge_builders import configuration, non_idempotent_route
@@ -108,6 +109,8 @@
     async def scenario(port, pipeline, servers):
         port.max_connections = 2
         idle_reader, _idle_writer = await connect(port)
+        # A younger connection is about to send its first request, and is not ended.
+        await asyncio.sleep(FIRST_REQUEST_GRACE_S)
         running = [await connect(port)]
         for number in (1, 2):
             running[-1][1].write(request_bytes("/desk-book/x", f"c{number}", "POST"))
