Do not renew ejections from the reports of one node

Cause: nodes other than the first probing one renewed an ejection from the newest failure that any single peer reported, so one node's false reports kept a server ejected for good.

Change: failures of others renew it only if two nodes report some since it began; each node renews it from its own failures. A single sender's sum counts as one node. The second probing node now probes also after a failed probe of the first, 1 s later, so that the others get the evidence of two nodes before they end the ejection after 2 s without a probe.

--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -44,6 +44,9 @@
 # Nodes that may probe a server, and the time for which the second waits for the first.
 _PROBING_NODES = 2
 _SECOND_PROBE_DELAY_S = 0.3
+# The same if peers report that a probe failed since. The second node then confirms this for the
+# other nodes, in time before `_SILENT_EJECTION_S`, as the reports of one node are not relied on.
+_CONFIRMING_PROBE_DELAY_S = 1.0
 # A server with at least this share of failures that is not ejected is probed likewise if no outcome
 # came for this time. Its rank keeps other requests away, so there would be no evidence otherwise:
 # neither for an ejection nor of its recovery.
@@ -234,6 +237,35 @@
             totals.append(max(candidates, key=_weight))
         return _sum(totals)
 
+    def failure_times(self, own_zone: str, since_s: float) -> list[float]:
+        """Returns times of failures after `since_s` at other nodes, newest first.
+
+        Each node adds one time at most. A sum of another zone has only the time of its newest
+        failure; as in `fleet_outcomes`, one sender's sum counts as the report of one node.
+        """
+        direct: dict[str, list[float]] = {own_zone: []}
+        reporters = set()
+        for name, (zone, outcomes) in self.node_reports.items():
+            if outcomes.failures and outcomes.newest_s > since_s:
+                direct.setdefault(zone, []).append(outcomes.newest_s)
+                reporters.add(name)
+        sums: dict[str, list[tuple[float, int, str]]] = {}
+        for (zone, sender), outcomes in self.zone_reports.items():
+            if outcomes.failures and outcomes.newest_s > since_s:
+                item = (outcomes.newest_s, outcomes.failing_nodes, sender.removesuffix("/"))
+                sums.setdefault(zone, []).append(item)
+        for zone, known in sums.items():
+            summed = []
+            if len(known) > 1:
+                newest_s = sorted(item[0] for item in known)[-2]
+                nodes = sorted(item[1] for item in known)[-2]
+                summed = [newest_s] * min(_MIN_FAILING_NODES, nodes)
+            elif known[0][2] not in reporters:
+                summed = [known[0][0]]
+                reporters.add(known[0][2])
+            direct[zone] = max(direct.get(zone, []), summed, key=len)
+        return sorted((at_s for times in direct.values() for at_s in times), reverse=True)
+
 
 def _sum(reports: list[Outcomes]) -> Outcomes:
     if len(reports) == 1:
@@ -534,9 +566,15 @@
         self, health: ServerHealth, ejection: Ejection, own: Outcomes, now_s: float
     ) -> None:
         own_failure_s = own.newest_s if own.failures else -math.inf
-        # The first of the probing nodes relies on its own probes. Otherwise a single node that
-        # reports failures all the time could keep the others from probing.
-        failed_s = own_failure_s if ejection.place == 0 else health.last_failure_s
+        times = health.failure_times(self.zone, ejection.since_s)
+        times = sorted([*times, own_failure_s], reverse=True)
+        # Failures of this node renew the ejection here. Those of others count from the time that
+        # enough nodes confirm: otherwise a single node that reports failures all the time could
+        # keep the others from probing, and the server ejected for good.
+        confirmed_s = (
+            times[_MIN_FAILING_NODES - 1] if len(times) >= _MIN_FAILING_NODES else -math.inf
+        )
+        failed_s = max(own_failure_s, confirmed_s)
         if failed_s >= ejection.until_s - _SETTLING_S:
             ejection.renew(failed_s)
         elif now_s >= ejection.until_s + _SILENT_EJECTION_S:
@@ -633,6 +671,8 @@
         if ejection.place is None:
             return False
         delay_s = ejection.place * _SECOND_PROBE_DELAY_S
+        if ejection.place and health.last_failure_s >= ejection.until_s - _SETTLING_S:
+            delay_s = _CONFIRMING_PROBE_DELAY_S
         return now_s >= ejection.until_s + delay_s + (0.0 if repeatable else _REPEATABLE_WAIT_S)
 
     def record_probe(self, state: ServerState, now_s: float) -> None:
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -273,6 +273,34 @@
     assert state.fleet_failure_share == 0.0
 
 
+def is_ejected_after_reports_of_one_node(reporters, zone):
+    """Returns whether s0 is still ejected 4 s after an ejection, with reports of one node since."""
+    node = make_node()
+    for reporter in ("node-2", "node-3"):
+        report(node, "s0", reporter, 2)
+    assert ejected(node) == {"s0"}
+    for step in range(40):
+        now_s = 1.2 + 0.1 * step
+        for reporter in reporters:
+            report(node, "s0", reporter, 500, at_s=now_s, zone=zone, nodes=20)
+        node.fleet_health.evaluate(now_s)
+    return ejected(node, now_s + 0.1) == {"s0"}
+
+
+def test_reports_of_one_node_do_not_renew_an_ejection(monkeypatch):
+    """Guards against one node that keeps a server ejected at all others by reporting failures."""
+    assert not is_ejected_after_reports_of_one_node(["liar"], "zone-a")
+    assert not is_ejected_after_reports_of_one_node(["liar", "liar/"], "zone-b")
+    assert is_ejected_after_reports_of_one_node(["node-2", "node-4"], "zone-a")
+    assert is_ejected_after_reports_of_one_node(["node-4/", "node-5/"], "zone-b")
+    # In the broken variant, a node counts for two.
+    failure_times = fleet_health.ServerHealth.failure_times
+    monkeypatch.setattr(
+        fleet_health.ServerHealth, "failure_times", lambda *args: 2 * failure_times(*args)
+    )
+    assert is_ejected_after_reports_of_one_node(["liar"], "zone-a")
+
+
 def test_entry_that_comes_back_brings_no_ejection():
     """Guards against a server that stays ejected since its entry expired in between."""
     node = make_node()
