Bound the failures of one node beside those of others

Cause: an ejection needs two failing nodes, but one node's count supplied the failures and the share, so a huge false number beside one genuine failure ejected a sound server. A single sender could also add sums of several zones.

Change: one node's failures count up to those of all others plus one. The sum of a zone from a single sender that reports failures itself adds none. Two failures of one node and one of another still eject, so one false report and one genuine failure count as three failures.

--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -23,6 +23,10 @@
 _MIN_FAILURES = 3
 _MIN_FAILING_NODES = 2
 _MIN_SHARE = 0.5
+# Failures of one node that count beyond those of all others, so that a large false number beside
+# one genuine failure does not outweigh the answers. Two failures of one node and one of another
+# still suffice.
+_MAX_EXCESS_FAILURES = 1
 # Share of the usable servers of a service that the evidence of the fleet ejects at most.
 _MAX_EJECTED_SHARE = 0.5
 # If more than this share of the usable servers of a service fail requests, and together they answer
@@ -231,8 +235,10 @@
             candidates += sorted((item[0] for item in known), key=_weight, reverse=True)[1:]
             if len(known) == 1:
                 ((outcomes, sender),) = known
-                nodes = 0 if sender in reporters else min(1, outcomes.failing_nodes)
+                if sender in reporters:
+                    outcomes = replace(outcomes, failures=0, failing_nodes=0)
                 reporters.add(sender)
+                nodes = min(1, outcomes.failing_nodes)
                 candidates.append(replace(outcomes, failing_nodes=nodes))
             totals.append(max(candidates, key=_weight))
         return _sum(totals)
@@ -268,9 +274,11 @@
 
 
 def _sum(reports: list[Outcomes]) -> Outcomes:
+    """Returns the sum of reports, with a bound on the failures of one node beside others."""
     if len(reports) == 1:
         return reports[0]
     answers = failures = nodes = 0
+    largest = max(reports, key=_weight)
     newest_failure_s = newest_answer_s = -math.inf
     for outcomes in reports:
         answers += outcomes.answers
@@ -280,6 +288,9 @@
             newest_failure_s = max(newest_failure_s, outcomes.newest_s)
         else:
             newest_answer_s = max(newest_answer_s, outcomes.newest_s)
+    others = failures - largest.failures
+    if others and largest.failing_nodes <= 1:
+        failures = min(failures, 2 * others + _MAX_EXCESS_FAILURES)
     return Outcomes(answers, failures, nodes, newest_failure_s if failures else newest_answer_s)
 
 
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -189,6 +189,24 @@
     assert ejected(broken) == {"s0"}
 
 
+def is_ejected_by_false_count():
+    """Returns whether a huge count of one node and one genuine failure of another eject s0."""
+    node = make_node()
+    report(node, "s0", "liar", 10_000)
+    report(node, "s0", "liar/", 10_000, zone="zone-b", nodes=20)
+    report(node, "s0", "liar/", 10_000, zone="zone-c", nodes=20)
+    report(node, "s0", "node-2", 1, answers=1)
+    report(node, "s0", "node-3", 0, answers=3)
+    return ejected(node) == {"s0"}
+
+
+def test_count_of_one_node_does_not_outweigh_the_answers_of_others(monkeypatch):
+    """Guards against one false number that ejects a sound server after a genuine failure."""
+    assert not is_ejected_by_false_count()
+    monkeypatch.setattr(fleet_health, "_MAX_EXCESS_FAILURES", 10_000)
+    assert is_ejected_by_false_count()
+
+
 def test_false_sum_of_one_sender_does_not_count_beside_another():
     """Guards against one node of a zone that reports false sums for all of the zone."""
     node = make_node()
