Accept health reports from live peers in their zone only

Cause: messages out of turn were accepted under any name, so one sender could be two nodes. Reports were not pruned while a server was ejected, so such names took memory.

Change: reports count only if the sender is a live peer of the stated zone; sums also if it is one of the own zone, since relays state the zone whose sums they pass on. Expired reports are removed during an ejection too.

Result: both new tests fail without the change; all 16 tests of tests/test_health_patterns.py pass.

--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -243,6 +243,15 @@
             totals.append(max(candidates, key=_weight))
         return _sum(totals)
 
+    def remove_expired_reports(self, now_s: float) -> None:
+        """Drops the reports that count no more, also those under names that never report again."""
+        for name, (_zone, outcomes) in list(self.node_reports.items()):
+            if not self._counts(outcomes, now_s):
+                del self.node_reports[name]
+        for key, outcomes in list(self.zone_reports.items()):
+            if not self._counts(outcomes, now_s):
+                del self.zone_reports[key]
+
     def failure_times(self, own_zone: str, since_s: float) -> list[float]:
         """Returns times of failures after `since_s` at other nodes, newest first.
 
@@ -576,6 +585,7 @@
     def _update_ejection(
         self, health: ServerHealth, ejection: Ejection, own: Outcomes, now_s: float
     ) -> None:
+        health.remove_expired_reports(now_s)
         own_failure_s = own.newest_s if own.failures else -math.inf
         times = health.failure_times(self.zone, ejection.since_s)
         times = sorted([*times, own_failure_s], reverse=True)
--- a/src/tanagerworks/edge/health_reports.py
+++ b/src/tanagerworks/edge/health_reports.py
@@ -70,13 +70,17 @@
     def receive(self, state: NodeState, now_s: float) -> None:
         """Applies the reports of a message; `now_s` is event loop time.
 
-        Reports of unknown servers are ignored.
+        Reports of unknown servers are ignored, and those that no live peer may send: otherwise one
+        sender could report under many names.
         """
         if state.name == self.node:
             return
         is_sum = state.HasField("summary")
         if is_sum and state.zone == self.zone:
             return
+        if not self._is_from_live_peer(state, is_sum, now_s):
+            _LOGGER.debug("health reports ignored", extra={"peer": state.name, "zone": state.zone})
+            return
         reporter = f"{state.name}/" if is_sum else state.name
         for report in state.health:
             outcomes = Outcomes(
@@ -89,6 +93,16 @@
             delay_s = max(0.0, self.relay_sent_s + _SEND_INTERVAL_S - now_s)
             self.relay_timer = asyncio.get_running_loop().call_later(delay_s, self._relay)
 
+    def _is_from_live_peer(self, state: NodeState, is_sum: bool, now_s: float) -> bool:
+        """Whether the sender is a live peer of the stated zone, or a relay in this node's zone.
+
+        A summary states the zone of its sender; a relay states the zone whose sums it passes on.
+        """
+        peer = self.peer_table.peers.get(state.name)
+        if peer is None or not peer.is_live(now_s):
+            return False
+        return peer.zone == state.zone or (is_sum and peer.zone == self.zone)
+
     # Messages out of turn
 
     def _schedule_own(self) -> None:
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -14,8 +14,9 @@
 from tanagerworks.dispatch.directory import server_key
 from tanagerworks.dispatch.fleet_health import Outcomes, process_hash
 from tanagerworks.dispatch.server_state import FAILURES_TO_EJECT
-from tanagerworks.edge.health_reports import _fitting_reports, has_hung
+from tanagerworks.edge.health_reports import HealthExchange, _fitting_reports, has_hung
 from tanagerworks.edge.request_state import Attempt
+from tanagerworks.rpc.edge_pb2 import NodeState, ZoneSummary
 from tests.edge_builders import (
     configuration,
     dispatch_request,
@@ -319,6 +320,65 @@
     assert is_ejected_after_reports_of_one_node(["liar"], "zone-a")
 
 
+def test_reports_count_only_under_the_name_of_a_live_peer_in_its_zone(monkeypatch):
+    """Guards against one sender that reports under many names or for other zones."""
+    node = make_node(
+        peers=[
+            peer("node-2", last_seen_s=1.0, zone="zone-a"),
+            peer("node-3", last_seen_s=1.0, zone="zone-b"),
+            peer("lost", last_seen_s=-9.0, zone="zone-a"),
+        ]
+    )
+    exchange = HealthExchange("node-1", "zone-a", node.fleet_health, node.peer_table)
+    state = node.directory.servers["s0"]
+    reports, _left = _fitting_reports([(state, Outcomes(0, 2, 1, 1.0))], 1.0)
+
+    def accepted(name, zone, is_sum=False):
+        message = NodeState(name=name, zone=zone, health=reports)
+        if is_sum:
+            message.summary.CopyFrom(ZoneSummary())
+        node.fleet_health.servers.clear()
+        exchange.relay_timer = True
+        exchange.receive(message, 1.0)
+        return bool(node.fleet_health.servers)
+
+    assert accepted("node-2", "zone-a")
+    assert accepted("node-3", "zone-b")
+    # Sums of a sender's own zone, and those that a relay in this zone passes on.
+    assert accepted("node-3", "zone-b", is_sum=True)
+    assert accepted("node-2", "zone-b", is_sum=True)
+    false_senders = [
+        ("made-up", "zone-a", False),
+        ("made-up", "zone-b", True),
+        ("lost", "zone-a", False),
+        ("node-2", "zone-b", False),
+        ("node-3", "zone-c", True),
+    ]
+    assert not any(accepted(*sender) for sender in false_senders)
+    monkeypatch.setattr(HealthExchange, "_is_from_live_peer", lambda *_: True)
+    assert all(accepted(*sender) for sender in false_senders)
+
+
+def test_expired_reports_are_removed_during_an_ejection(monkeypatch):
+    """Guards against memory that grows with the names that report on an ejected server."""
+
+    def known_reports():
+        node = make_node()
+        for reporter in ("node-2", "node-3"):
+            report(node, "s0", reporter, 2)
+        assert ejected(node) == {"s0"}
+        for number in range(50):
+            report(node, "s0", f"name-{number}", 1, at_s=1.2)
+            report(node, "s0", f"name-{number}/", 1, at_s=1.2, zone="zone-b")
+        assert ejected(node, 3.3) == {"s0"}
+        health = node.fleet_health.servers[server_key("s0")]
+        return len(health.node_reports) + len(health.zone_reports)
+
+    assert known_reports() == 0
+    monkeypatch.setattr(fleet_health.ServerHealth, "remove_expired_reports", lambda *_: None)
+    assert known_reports() > 100
+
+
 def test_entry_that_comes_back_brings_no_ejection():
     """Guards against a server that stays ejected since its entry expired in between."""
     node = make_node()
