--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -329,13 +329,13 @@
         self.changed: set[int] = set()
         # Servers with outcomes that the peers should know at once, and those of other zones.
         self.unreported: set[int] = set()
-        self.unrelayed: dict[str, set[int]] = {}
+        self.keys_to_relay: dict[str, set[int]] = {}
         self.evaluated_s = -math.inf
         self.aged_s = -math.inf
         # Time of the last probe by service.
         self.probed_s: dict[str, float] = {}
         # Called when an outcome should be reported at once.
-        self.on_news: Callable[[], None] = lambda: None
+        self.on_report_due: Callable[[], None] = lambda: None
         # Called with the server, and the evidence of an ejection or its reason to end.
         self.on_ejected: Callable[[ServerState, Outcomes, Ejection], None] = lambda *_: None
         self.on_returned: Callable[[ServerState, str], None] = lambda *_: None
@@ -388,7 +388,7 @@
 
     def _report_soon(self, key: int) -> None:
         self.unreported.add(key)
-        self.on_news()
+        self.on_report_due()
 
     def merge_report(
         self, key: int, process: int, reporter: str, zone: str, outcomes: Outcomes, now_s: float
@@ -422,7 +422,7 @@
             known = health.node_reports.get(reporter, ("", None))[1]
             health.node_reports[reporter] = (zone, outcomes)
             if zone != self.zone and (known is None or _weight(known) != _weight(outcomes)):
-                self.unrelayed.setdefault(zone, set()).add(key)
+                self.keys_to_relay.setdefault(zone, set()).add(key)
         if known is None or _weight(known) != _weight(outcomes):
             health.last_outcome_s = max(health.last_outcome_s, outcomes.newest_s)
         self.changed.add(key)
--- a/src/tanagerworks/edge/health_reports.py
+++ b/src/tanagerworks/edge/health_reports.py
@@ -42,7 +42,7 @@
         self.health = health
         self.peer_table = peer_table
         health.zone = zone
-        health.on_news = self._schedule_own
+        health.on_report_due = self._schedule_own
         # Sends messages to addresses.
         self.send: Callable[[list[str], Iterable[NodeState]], None] = lambda *_: None
         # Event loop times of the last messages out of turn.
@@ -89,7 +89,7 @@
             self.health.merge_report(
                 report.server_key, report.process, reporter, state.zone, outcomes, now_s
             )
-        if self.health.unrelayed and self.relay_timer is None:
+        if self.health.keys_to_relay and self.relay_timer is None:
             delay_s = max(0.0, self.relay_sent_s + _SEND_INTERVAL_S - now_s)
             self.relay_timer = asyncio.get_running_loop().call_later(delay_s, self._relay)
 
@@ -141,9 +141,9 @@
         self.relay_timer = None
         now_s = asyncio.get_running_loop().time()
         self.relay_sent_s = now_s
-        unrelayed, self.health.unrelayed = self.health.unrelayed, {}
+        keys_to_relay, self.health.keys_to_relay = self.health.keys_to_relay, {}
         targets = self._zone_targets(now_s)
-        for zone, keys in unrelayed.items():
+        for zone, keys in keys_to_relay.items():
             reports, left = _fitting_reports(
                 (
                     (server, outcomes)
@@ -153,13 +153,13 @@
                 now_s,
             )
             if left:
-                self.health.unrelayed[zone] = left
+                self.health.keys_to_relay[zone] = left
             if not reports:
                 continue
             message = self._message(zone, reports)
             message.summary.CopyFrom(ZoneSummary())
             self.send(targets, [message])
-        if self.health.unrelayed:
+        if self.health.keys_to_relay:
             self.relay_timer = asyncio.get_running_loop().call_later(_SEND_INTERVAL_S, self._relay)
 
     def _message(self, zone: str, reports: list[HealthReport]) -> NodeState:
