--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -23,6 +23,10 @@
 _MIN_FAILURES = 3
 _MIN_FAILING_NODES = 2
 _MIN_SHARE = 0.5
+# Failures of one node that count beyond those of all others, so that a large false number beside
+# one genuine failure does not outweigh the answers. Two failures of one node and one of another
+# still suffice.
+_MAX_EXCESS_FAILURES = 1
 # Share of the usable servers of a service that the evidence of the fleet ejects at most.
 _MAX_EJECTED_SHARE = 0.5
 # If more than this share of the usable servers of a service fail requests, and together they answer
@@ -44,6 +48,9 @@
 # Nodes that may probe a server, and the time for which the second waits for the first.
 _PROBING_NODES = 2
 _SECOND_PROBE_DELAY_S = 0.3
+# The same if peers report that a probe failed since. The second node then confirms this for the
+# other nodes, in time before `_SILENT_EJECTION_S`, as the reports of one node are not relied on.
+_CONFIRMING_PROBE_DELAY_S = 1.0
 # A server with at least this share of failures that is not ejected is probed likewise if no outcome
 # came for this time. Its rank keeps other requests away, so there would be no evidence otherwise:
 # neither for an ejection nor of its recovery.
@@ -228,17 +235,59 @@
             candidates += sorted((item[0] for item in known), key=_weight, reverse=True)[1:]
             if len(known) == 1:
                 ((outcomes, sender),) = known
-                nodes = 0 if sender in reporters else min(1, outcomes.failing_nodes)
+                if sender in reporters:
+                    outcomes = replace(outcomes, failures=0, failing_nodes=0)
                 reporters.add(sender)
+                nodes = min(1, outcomes.failing_nodes)
                 candidates.append(replace(outcomes, failing_nodes=nodes))
             totals.append(max(candidates, key=_weight))
         return _sum(totals)
 
+    def remove_expired_reports(self, now_s: float) -> None:
+        """Drops the reports that count no more, also those under names that never report again."""
+        for name, (_zone, outcomes) in list(self.node_reports.items()):
+            if not self._counts(outcomes, now_s):
+                del self.node_reports[name]
+        for key, outcomes in list(self.zone_reports.items()):
+            if not self._counts(outcomes, now_s):
+                del self.zone_reports[key]
+
+    def failure_times(self, own_zone: str, since_s: float) -> list[float]:
+        """Returns times of failures after `since_s` at other nodes, newest first.
+
+        Each node adds one time at most. A sum of another zone has only the time of its newest
+        failure; as in `fleet_outcomes`, one sender's sum counts as the report of one node.
+        """
+        direct: dict[str, list[float]] = {own_zone: []}
+        reporters = set()
+        for name, (zone, outcomes) in self.node_reports.items():
+            if outcomes.failures and outcomes.newest_s > since_s:
+                direct.setdefault(zone, []).append(outcomes.newest_s)
+                reporters.add(name)
+        sums: dict[str, list[tuple[float, int, str]]] = {}
+        for (zone, sender), outcomes in self.zone_reports.items():
+            if outcomes.failures and outcomes.newest_s > since_s:
+                item = (outcomes.newest_s, outcomes.failing_nodes, sender.removesuffix("/"))
+                sums.setdefault(zone, []).append(item)
+        for zone, known in sums.items():
+            summed = []
+            if len(known) > 1:
+                newest_s = sorted(item[0] for item in known)[-2]
+                nodes = sorted(item[1] for item in known)[-2]
+                summed = [newest_s] * min(_MIN_FAILING_NODES, nodes)
+            elif known[0][2] not in reporters:
+                summed = [known[0][0]]
+                reporters.add(known[0][2])
+            direct[zone] = max(direct.get(zone, []), summed, key=len)
+        return sorted((at_s for times in direct.values() for at_s in times), reverse=True)
+
 
 def _sum(reports: list[Outcomes]) -> Outcomes:
+    """Returns the sum of reports, with a bound on the failures of one node beside others."""
     if len(reports) == 1:
         return reports[0]
     answers = failures = nodes = 0
+    largest = max(reports, key=_weight)
     newest_failure_s = newest_answer_s = -math.inf
     for outcomes in reports:
         answers += outcomes.answers
@@ -248,6 +297,9 @@
             newest_failure_s = max(newest_failure_s, outcomes.newest_s)
         else:
             newest_answer_s = max(newest_answer_s, outcomes.newest_s)
+    others = failures - largest.failures
+    if others and largest.failing_nodes <= 1:
+        failures = min(failures, 2 * others + _MAX_EXCESS_FAILURES)
     return Outcomes(answers, failures, nodes, newest_failure_s if failures else newest_answer_s)
 
 
@@ -277,13 +329,13 @@
         self.changed: set[int] = set()
         # Servers with outcomes that the peers should know at once, and those of other zones.
         self.unreported: set[int] = set()
-        self.unrelayed: dict[str, set[int]] = {}
+        self.keys_to_relay: dict[str, set[int]] = {}
         self.evaluated_s = -math.inf
         self.aged_s = -math.inf
         # Time of the last probe by service.
         self.probed_s: dict[str, float] = {}
         # Called when an outcome should be reported at once.
-        self.on_news: Callable[[], None] = lambda: None
+        self.on_report_due: Callable[[], None] = lambda: None
         # Called with the server, and the evidence of an ejection or its reason to end.
         self.on_ejected: Callable[[ServerState, Outcomes, Ejection], None] = lambda *_: None
         self.on_returned: Callable[[ServerState, str], None] = lambda *_: None
@@ -336,7 +388,7 @@
 
     def _report_soon(self, key: int) -> None:
         self.unreported.add(key)
-        self.on_news()
+        self.on_report_due()
 
     def merge_report(
         self, key: int, process: int, reporter: str, zone: str, outcomes: Outcomes, now_s: float
@@ -370,7 +422,7 @@
             known = health.node_reports.get(reporter, ("", None))[1]
             health.node_reports[reporter] = (zone, outcomes)
             if zone != self.zone and (known is None or _weight(known) != _weight(outcomes)):
-                self.unrelayed.setdefault(zone, set()).add(key)
+                self.keys_to_relay.setdefault(zone, set()).add(key)
         if known is None or _weight(known) != _weight(outcomes):
             health.last_outcome_s = max(health.last_outcome_s, outcomes.newest_s)
         self.changed.add(key)
@@ -533,10 +585,17 @@
     def _update_ejection(
         self, health: ServerHealth, ejection: Ejection, own: Outcomes, now_s: float
     ) -> None:
+        health.remove_expired_reports(now_s)
         own_failure_s = own.newest_s if own.failures else -math.inf
-        # The first of the probing nodes relies on its own probes. Otherwise a single node that
-        # reports failures all the time could keep the others from probing.
-        failed_s = own_failure_s if ejection.place == 0 else health.last_failure_s
+        times = health.failure_times(self.zone, ejection.since_s)
+        times = sorted([*times, own_failure_s], reverse=True)
+        # Failures of this node renew the ejection here. Those of others count from the time that
+        # enough nodes confirm: otherwise a single node that reports failures all the time could
+        # keep the others from probing, and the server ejected for good.
+        confirmed_s = (
+            times[_MIN_FAILING_NODES - 1] if len(times) >= _MIN_FAILING_NODES else -math.inf
+        )
+        failed_s = max(own_failure_s, confirmed_s)
         if failed_s >= ejection.until_s - _SETTLING_S:
             ejection.renew(failed_s)
         elif now_s >= ejection.until_s + _SILENT_EJECTION_S:
@@ -633,6 +692,8 @@
         if ejection.place is None:
             return False
         delay_s = ejection.place * _SECOND_PROBE_DELAY_S
+        if ejection.place and health.last_failure_s >= ejection.until_s - _SETTLING_S:
+            delay_s = _CONFIRMING_PROBE_DELAY_S
         return now_s >= ejection.until_s + delay_s + (0.0 if repeatable else _REPEATABLE_WAIT_S)
 
     def record_probe(self, state: ServerState, now_s: float) -> None:
--- a/tests/test_health_patterns.py
+++ b/tests/test_health_patterns.py
@@ -14,8 +14,9 @@
 from tanagerworks.dispatch.directory import server_key
 from tanagerworks.dispatch.fleet_health import Outcomes, process_hash
 from tanagerworks.dispatch.server_state import FAILURES_TO_EJECT
-from tanagerworks.edge.health_reports import _fitting_reports, has_hung
+from tanagerworks.edge.health_reports import HealthExchange, _fitting_reports, has_hung
 from tanagerworks.edge.request_state import Attempt
+from tanagerworks.rpc.edge_pb2 import NodeState, ZoneSummary
 from tests.edge_builders import (
     configuration,
     dispatch_request,
@@ -189,6 +190,24 @@
     assert ejected(broken) == {"s0"}
 
 
+def is_ejected_by_false_count():
+    """Returns whether a huge count of one node and one genuine failure of another eject s0."""
+    node = make_node()
+    report(node, "s0", "liar", 10_000)
+    report(node, "s0", "liar/", 10_000, zone="zone-b", nodes=20)
+    report(node, "s0", "liar/", 10_000, zone="zone-c", nodes=20)
+    report(node, "s0", "node-2", 1, answers=1)
+    report(node, "s0", "node-3", 0, answers=3)
+    return ejected(node) == {"s0"}
+
+
+def test_count_of_one_node_does_not_outweigh_the_answers_of_others(monkeypatch):
+    """Guards against one false number that ejects a sound server after a genuine failure."""
+    assert not is_ejected_by_false_count()
+    monkeypatch.setattr(fleet_health, "_MAX_EXCESS_FAILURES", 10_000)
+    assert is_ejected_by_false_count()
+
+
 def test_false_sum_of_one_sender_does_not_count_beside_another():
     """Guards against one node of a zone that reports false sums for all of the zone."""
     node = make_node()
@@ -273,6 +292,93 @@
     assert state.fleet_failure_share == 0.0
 
 
+def is_ejected_after_reports_of_one_node(reporters, zone):
+    """Returns whether s0 is still ejected 4 s after an ejection, with reports of one node since."""
+    node = make_node()
+    for reporter in ("node-2", "node-3"):
+        report(node, "s0", reporter, 2)
+    assert ejected(node) == {"s0"}
+    for step in range(40):
+        now_s = 1.2 + 0.1 * step
+        for reporter in reporters:
+            report(node, "s0", reporter, 500, at_s=now_s, zone=zone, nodes=20)
+        node.fleet_health.evaluate(now_s)
+    return ejected(node, now_s + 0.1) == {"s0"}
+
+
+def test_reports_of_one_node_do_not_renew_an_ejection(monkeypatch):
+    """Guards against one node that keeps a server ejected at all others by reporting failures."""
+    assert not is_ejected_after_reports_of_one_node(["liar"], "zone-a")
+    assert not is_ejected_after_reports_of_one_node(["liar", "liar/"], "zone-b")
+    assert is_ejected_after_reports_of_one_node(["node-2", "node-4"], "zone-a")
+    assert is_ejected_after_reports_of_one_node(["node-4/", "node-5/"], "zone-b")
+    # In the broken variant, a node counts for two.
+    failure_times = fleet_health.ServerHealth.failure_times
+    monkeypatch.setattr(
+        fleet_health.ServerHealth, "failure_times", lambda *args: 2 * failure_times(*args)
+    )
+    assert is_ejected_after_reports_of_one_node(["liar"], "zone-a")
+
+
+def test_reports_count_only_under_the_name_of_a_live_peer_in_its_zone(monkeypatch):
+    """Guards against one sender that reports under many names or for other zones."""
+    node = make_node(
+        peers=[
+            peer("node-2", last_seen_s=1.0, zone="zone-a"),
+            peer("node-3", last_seen_s=1.0, zone="zone-b"),
+            peer("lost", last_seen_s=-9.0, zone="zone-a"),
+        ]
+    )
+    exchange = HealthExchange("node-1", "zone-a", node.fleet_health, node.peer_table)
+    state = node.directory.servers["s0"]
+    reports, _left = _fitting_reports([(state, Outcomes(0, 2, 1, 1.0))], 1.0)
+
+    def accepted(name, zone, is_sum=False):
+        message = NodeState(name=name, zone=zone, health=reports)
+        if is_sum:
+            message.summary.CopyFrom(ZoneSummary())
+        node.fleet_health.servers.clear()
+        exchange.relay_timer = True
+        exchange.receive(message, 1.0)
+        return bool(node.fleet_health.servers)
+
+    assert accepted("node-2", "zone-a")
+    assert accepted("node-3", "zone-b")
+    # Sums of a sender's own zone, and those that a relay in this zone passes on.
+    assert accepted("node-3", "zone-b", is_sum=True)
+    assert accepted("node-2", "zone-b", is_sum=True)
+    false_senders = [
+        ("made-up", "zone-a", False),
+        ("made-up", "zone-b", True),
+        ("lost", "zone-a", False),
+        ("node-2", "zone-b", False),
+        ("node-3", "zone-c", True),
+    ]
+    assert not any(accepted(*sender) for sender in false_senders)
+    monkeypatch.setattr(HealthExchange, "_is_from_live_peer", lambda *_: True)
+    assert all(accepted(*sender) for sender in false_senders)
+
+
+def test_expired_reports_are_removed_during_an_ejection(monkeypatch):
+    """Guards against memory that grows with the names that report on an ejected server."""
+
+    def known_reports():
+        node = make_node()
+        for reporter in ("node-2", "node-3"):
+            report(node, "s0", reporter, 2)
+        assert ejected(node) == {"s0"}
+        for number in range(50):
+            report(node, "s0", f"name-{number}", 1, at_s=1.2)
+            report(node, "s0", f"name-{number}/", 1, at_s=1.2, zone="zone-b")
+        assert ejected(node, 3.3) == {"s0"}
+        health = node.fleet_health.servers[server_key("s0")]
+        return len(health.node_reports) + len(health.zone_reports)
+
+    assert known_reports() == 0
+    monkeypatch.setattr(fleet_health.ServerHealth, "remove_expired_reports", lambda *_: None)
+    assert known_reports() > 100
+
+
 def test_entry_that_comes_back_brings_no_ejection():
     """Guards against a server that stays ejected since its entry expired in between."""
     node = make_node()
