Report loads only where peers can use them

A load holds for 0.5 s, while messages of a zone of more than 20 nodes and most summaries come at longer intervals. Reports of slow servers are sent as before. 60 nodes in four zones with 60 servers and 4 requests a second each, 8 s of virtual time, one run each: 10.6 s of processor time before, 9.95 now, 7.8 on the code without reports of loads and failures.

--- a/src/tanagerworks/dispatch/server_load.py
+++ b/src/tanagerworks/dispatch/server_load.py
@@ -160,9 +160,12 @@
         limit = int(_MAX_LOAD_PER_SLOT * slots) + _MAX_EXTRA_LOAD
         return min(report.running + report.waiting, limit) + later
 
-    def is_news(self, report: ReportedLoad, now_s: float) -> bool:
-        """Whether a report has something for peers: a load that they may use, or a slow server."""
-        if now_s - report.reported_at_s <= REPORT_MAX_AGE_S:
+    def is_worth_reporting(self, report: ReportedLoad, now_s: float, shares_loads: bool) -> bool:
+        """Whether a report has something for peers: a load that they may use, or a slow server.
+
+        `shares_loads` is whether messages reach peers while a load may be used.
+        """
+        if shares_loads and now_s - report.reported_at_s <= REPORT_MAX_AGE_S:
             return True
         return self.is_notable(now_s)
 
--- a/src/tanagerworks/edge/load_reports.py
+++ b/src/tanagerworks/edge/load_reports.py
@@ -5,7 +5,7 @@
 
 from tanagerworks.dispatch.crash_evidence import process_key
 from tanagerworks.dispatch.directory import Directory, server_key
-from tanagerworks.dispatch.server_load import ReportedLoad, ReportSource
+from tanagerworks.dispatch.server_load import REPORT_MAX_AGE_S, ReportedLoad, ReportSource
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.interfaces import ServerStatement
 from tanagerworks.rpc.edge_pb2 import LoadReport
@@ -35,23 +35,30 @@
         self.unusable = 0
         self.logged_at_s = float("-inf")
 
-    def own_reports(self, since_s: float, now_s: float, max_bytes: int) -> list[LoadReport]:
-        """Returns reports of answers that this node got after `since_s`, as far as they fit."""
+    def own_reports(
+        self, since_s: float, now_s: float, max_bytes: int, interval_s: float
+    ) -> list[LoadReport]:
+        """Returns reports of answers that this node got after `since_s`, as far as they fit.
+
+        `interval_s` is the time between two messages to the receiver.
+        """
         found = []
         for state in self.directory.servers.values():
             report = state.reports.own
             if report is not None and report.reported_at_s > since_s:
                 found.append((state, report))
-        return _fitting_reports(found, now_s, max_bytes)
+        return _fitting_reports(found, now_s, max_bytes, interval_s)
 
-    def zone_reports(self, part: int, parts: int, now_s: float, max_bytes: int) -> list[LoadReport]:
+    def zone_reports(
+        self, part: int, parts: int, now_s: float, max_bytes: int, interval_s: float
+    ) -> list[LoadReport]:
         """Returns the youngest reports of this zone for the servers of one part of a summary."""
         found = []
         for key, state in self.directory.by_key.items():
             report = state.reports.of_zone
             if report is not None and key % parts == part:
                 found.append((state, report))
-        return _fitting_reports(found, now_s, max_bytes)
+        return _fitting_reports(found, now_s, max_bytes, interval_s)
 
     def merge(self, reports: Iterable[LoadReport], now_s: float, peer: str, in_zone: bool) -> None:
         """Records a peer's reports; ignores those of unknown processes and impossible ones.
@@ -109,13 +116,18 @@
 
 
 def _fitting_reports(
-    found: list[tuple[ServerState, ReportedLoad]], now_s: float, max_bytes: int
+    found: list[tuple[ServerState, ReportedLoad]], now_s: float, max_bytes: int, interval_s: float
 ) -> list[LoadReport]:
-    """Returns the reports that say something new, the youngest of slow servers first."""
+    """Returns the reports that say something new, the youngest of slow servers first.
+
+    Loads hold for `REPORT_MAX_AGE_S`. Where messages are rarer, most would arrive too late to be
+    used, so only the reports of slow servers are sent.
+    """
+    shares_loads = interval_s <= REPORT_MAX_AGE_S
     news = [
         (not state.reports.is_notable(now_s), -report.reported_at_s, index)
         for index, (state, report) in enumerate(found)
-        if state.reports.is_news(report, now_s)
+        if state.reports.is_worth_reporting(report, now_s, shares_loads)
     ]
     reports = []
     size = 0
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -572,7 +572,9 @@
         self._add_reports(state, now_s, regular=math.isfinite(parts_since_s))
         since_s = now_s - _LOAD_REPORT_INTERVALS * self.zone_period_s
         room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
-        state.server_loads.extend(self.load_reports.own_reports(since_s, now_s, room))
+        state.server_loads.extend(
+            self.load_reports.own_reports(since_s, now_s, room, self.zone_period_s)
+        )
         self._add_route_times(state, now_s)
         self.health.add_own_reports(state, now_s, _MAX_DATAGRAM_BYTES - state.ByteSize())
         return self._with_placements(state, self.own_parts.placements_since(parts_since_s))
@@ -608,7 +610,9 @@
             )
             self._add_reports(state, now_s, regular=True)
             room = min(_MAX_LOAD_REPORT_BYTES, _MAX_DATAGRAM_BYTES - state.ByteSize())
-            state.server_loads.extend(self.load_reports.zone_reports(part, parts, now_s, room))
+            state.server_loads.extend(
+                self.load_reports.zone_reports(part, parts, now_s, room, self.summary_period_s)
+            )
             self._add_route_times(state, now_s)
             self.health.add_zone_reports(state, now_s, _MAX_DATAGRAM_BYTES - state.ByteSize())
             if part:
--- a/tests/test_server_load_patterns.py
+++ b/tests/test_server_load_patterns.py
@@ -306,7 +306,7 @@
     for number, state in enumerate(directory.servers.values()):
         report(state, SLOW_FACTOR if number == 50 else 1.0, 0.004 * number, load=number)
     reports = LoadReports(directory)
-    sent = reports.own_reports(0.0, 0.4, 200)
+    sent = reports.own_reports(0.0, 0.4, 200, 0.2)
     assert sum(sent_report.ByteSize() + 3 for sent_report in sent) <= 200
     loads = [sent_report.running for sent_report in sent]
     assert loads == [50, *range(99, 100 - len(loads), -1)], "slow server, then the youngest"
