--- a/src/tanagerworks/edge/route_explanation.py
+++ b/src/tanagerworks/edge/route_explanation.py
@@ -87,7 +87,7 @@
             choice, name, outcome = Choice(None, ""), "quarantined", "is refused: in quarantine"
             kind = "the request" if refusal.is_request else "a part of the prompt"
             reason = f"{kind} has crashed {refusal.crashes} servers"
-        elif placement is Placement.WAIT and choice.state is not None:
+        elif placement is not Placement.SEND and choice.state is not None:
             reason = "requests that are at least as urgent wait already"
         candidates = self._list_candidates(choice, now_s)
         left_out = self._list_left_out(bound, choice, now_s)
--- a/tests/test_route_explanation.py
+++ b/tests/test_route_explanation.py
@@ -190,6 +190,7 @@
     pipeline.dispatcher.queue("models").push("waiting", 1, "customer-1", 9.0, 8)
     answer = explainer.explain(question(), 1.0)
     assert (answer.placement, answer.queue.ahead) == ("wait", 1)
+    assert answer.reason == "requests that are at least as urgent wait already"
     resumed = explainer.explain(question("/plan/x", last_event_id="3", resumes="c1"), 1.0)
     assert (resumed.placement, resumed.server) == ("unknown", None)
     for asked in (question(), question(customer=None, api_key=API_KEY)):
