--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -47,7 +47,7 @@
 # records.
 _RUNNING_BYTES = 32_768
 # What is read ahead of a server's answer while the caller reads slowly.
-_BEHIND_BYTES = 65_536
+_READ_AHEAD_OF_CALLER_BYTES = 65_536
 # Memory of one header line besides its bytes: the objects of its name, its value and their pairs.
 _HEADER_OBJECT_BYTES = 256
 # Bytes that one byte of growing input takes, with the gaps that the allocator leaves.
@@ -124,7 +124,7 @@
         """Waits until the write buffer has room, as the caller may read slowly."""
         if self.connection.can_write.is_set():
             return
-        self.connection.hold_answer(_BEHIND_BYTES)
+        self.connection.hold_answer(_READ_AHEAD_OF_CALLER_BYTES)
         await self.connection.can_write.wait()
         self.connection.hold_answer(0)
 
--- a/src/tanagerworks/edge/memory_budget.py
+++ b/src/tanagerworks/edge/memory_budget.py
@@ -43,6 +43,10 @@
 MIN_BUDGET_SHARE = 0.1
 # What callers hold on a quiet day; the process's own memory can be measured only below it.
 QUIET_BYTES = 4_000_000
+# Descriptors of the process that are no connections, and those of its machine's other needs.
+DESCRIPTORS_KEPT_FOR_FILES = 200
+_CALLERS_SHARE = 0.45
+_MIN_CONNECTIONS = 16
 # Connections that are considered at most when room is made for one request.
 _MAX_ENDED_AT_ONCE = 64
 
@@ -237,12 +241,6 @@
     )
 
 
-# Descriptors of the process that are no connections, and those of its machine's other needs.
-DESCRIPTORS_KEPT_FOR_FILES = 200
-_CALLERS_SHARE = 0.45
-_MIN_CONNECTIONS = 16
-
-
 def input_share(size: int) -> float:
     """Returns the share of the budget that a request with `size` bytes of input may fill."""
     return 1.0 if size <= SMALL_INPUT_BYTES else LARGE_INPUT_SHARE
