--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -485,7 +485,10 @@
     # Decisions
 
     def evaluate(self, now_s: float) -> None:
-        """Applies changed and expired evidence to the servers, at most every few milliseconds."""
+        """Applies changed and expired evidence, at most each `_EVALUATION_INTERVAL_S`.
+
+        `now_s` is event loop time in seconds.
+        """
         if not self.servers:
             return
         if now_s - self.aged_s >= _AGING_INTERVAL_S:
