--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -216,7 +216,11 @@
         elif isinstance(value, ZoneOut):
             self.zones_by_key[change.key] = value.zone
             directory.put_zone_out(value.zone)
-            _LOGGER.info("zone out of service", extra=extra | {"zone": value.zone})
+            since_s = directory.zone_out_since_s.get(value.zone, -math.inf)
+            _LOGGER.info(
+                "zone out of service",
+                extra=extra | {"zone": value.zone, "counted_for_s": _rounded(now_s - since_s)},
+            )
         elif isinstance(value, UnusableValue):
             _LOGGER.warning("published value unusable", extra=extra | {"reason": value.reason})
             self._remove_value(change, now_s, extra)
