Show that the bound of a zone out of service is counted from too late a time

What callers see: requests run in a zone after the time that operators allow. Cause: the arrival of an answer or of a message counts as the time of what it says. The tests delay answers of the store, messages and copies of peers, or let waiting reads of the store end without a change.

--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -152,6 +152,9 @@
         self.loop = asyncio.get_running_loop()
         self.random = random.Random(seed)
         self.loss = 0.0
+        self.delay_s = DELAY_S
+        # Time that a copy of the store takes from one node to another.
+        self.copy_delay_s = 0.0
         # Pairs of sending and receiving zones between which datagrams are lost.
         self.cut_zones = set()
         seeds = [f"10.0.0.{number}:7340" for number in range(3)]
@@ -173,7 +176,7 @@
             return
         if self.loss and self.random.random() < self.loss:
             return
-        self.loop.call_later(DELAY_S, receiver.receive, data, sender)
+        self.loop.call_later(self.delay_s, receiver.receive, data, sender)
 
     def restart(self, node):
         """Replaces a stopped node by a new process under its name."""
--- a/tests/virtual_store.py
+++ b/tests/virtual_store.py
@@ -8,7 +8,7 @@
 from tanagerworks.edge.interfaces import ChangeSet, StorePage
 from tanagerworks.edge.store_role import StoreRole
 from tanagerworks.edge.telemetry import EdgeMetrics
-from tanagerworks.errors import PublishedStoreError
+from tanagerworks.errors import HistoryLostError, PublishedStoreError
 from tanagerworks.published.replica import Change
 
 # Time for which the store may hold a read, and the rest of its timeout.
@@ -24,11 +24,18 @@
         self.revision = 0
         self.history = []
         self.unreachable_from = set()
+        # Time that an answer takes once it is given.
+        self.answer_delay_s = 0.0
+        # Until when waiting reads hear nothing; what was changed meanwhile they never hear.
+        self.deaf_until_s = 0.0
+        self.lost_revision = 0
         self.reads = 0
 
     def put(self, key, value):
         self.revision += 1
         self.history.append(Change(key, self.revision, value))
+        if asyncio.get_running_loop().time() < self.deaf_until_s:
+            self.lost_revision = self.revision
 
     def delete(self, key):
         self.put(key, None)
@@ -45,17 +52,30 @@
     async def list_page(self, after_key, timeout_s):
         await self._answer_after(0.004, timeout_s)
         latest = {change.key: change for change in self.store.history}
+        revision = self.store.revision
+        await asyncio.sleep(self.store.answer_delay_s)
         items = [change for change in latest.values() if change.value is not None]
-        return StorePage(tuple(items), self.store.revision, True)
+        return StorePage(tuple(items), revision, True)
 
     async def wait_for_changes(self, revision, wait_s, timeout_s):
         loop = asyncio.get_running_loop()
         until_s, timeout_at_s = loop.time() + wait_s, loop.time() + timeout_s
-        while self.store.revision <= revision and loop.time() < until_s:
+        while self._hears_nothing(revision) and loop.time() < until_s:
             await asyncio.sleep(_POLL_S)
+        deaf = loop.time() < self.store.deaf_until_s
         await self._answer_after(0.004, timeout_at_s - loop.time())
-        changes = [change for change in self.store.history if change.revision > revision]
-        return ChangeSet(tuple(changes), self.store.revision)
+        if deaf:
+            return ChangeSet((), revision)
+        if revision < self.store.lost_revision:
+            raise HistoryLostError("the history is lost")
+        changes = tuple(change for change in self.store.history if change.revision > revision)
+        change_set = ChangeSet(changes, self.store.revision)
+        await asyncio.sleep(self.store.answer_delay_s)
+        return change_set
+
+    def _hears_nothing(self, revision):
+        deaf = asyncio.get_running_loop().time() < self.store.deaf_until_s
+        return deaf or self.store.revision <= revision
 
     def disconnect(self):
         pass
@@ -85,4 +105,6 @@
 async def fetch_virtual_copy(fleet, address, request):
     """Stands in for `fetch_store_copy` between the nodes of a fleet."""
     await asyncio.sleep(0.004)
-    return fleet.by_address[address].exchange._build_copy(request)
+    copy = fleet.by_address[address].exchange._build_copy(request)
+    await asyncio.sleep(fleet.copy_delay_s)
+    return copy
