Count the bounds of servers out of service from a time that is certain

What callers see: requests run in a zone, or at a leaving server, after the time that operators allow (EVAC, DRAIN). Cause: a node counted the bound from the time up to which it took its copy of the store for complete. That was the arrival of an answer of the store, or of a message of a peer less the age that it states. Whatever delays them, a busy process, a slow link or a read that ends without a change, made it too late; with several sources, the most delayed one decided. Change: a change of the store carries a time before which it cannot have been acknowledged: that at which an earlier read began, or the end of its wait. In a copy from a peer the age counts from the request. Changes that a listing shows have no known time. The estimate of the age of a copy stays as it was. Ruled out: a larger margin, as delays have no bound; times in datagrams, which state no time before which they were sent.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -39,15 +39,15 @@
 
     def __init__(self) -> None:
         self.servers: dict[str, ServerState] = {}
-        # Time up to which the published entries have been applied.
+        # Time up to which all published changes are certain to have been applied, and the same by
+        # what has arrived from the store and from peers, which may have been delayed.
         self.confirmed_s = float("-inf")
+        self.estimated_s = float("-inf")
         self.by_service: dict[str, list[ServerState]] = {}
         self.zones_out: set[str] = set()
         # Earliest time at which the store can have acknowledged that a zone is out of service;
         # -infinity if unknown.
         self.zone_out_since_s: dict[str, float] = {}
-        # Whether the changes that are being applied may be older than `confirmed_s`.
-        self.change_times_unknown = False
         # States by `server_key`.
         self.by_key: dict[int, ServerState] = {}
         # Names under which the loads of other zones are recorded.
@@ -70,11 +70,22 @@
         """Delays deletions for `REREGISTRATION_S` from now, the end of an outage of the store."""
         self.hold_deletions_until_s = now_s + REREGISTRATION_S
 
-    def put_zone_out(self, zone: str) -> None:
-        """Takes a zone out of service."""
+    @property
+    def copy_as_of_s(self) -> float:
+        """Time up to which published changes have been applied, as far as this node can tell."""
+        return max(self.confirmed_s, self.estimated_s)
+
+    def put_zone_out(self, zone: str, acknowledged_after_s: float | None = None) -> None:
+        """Takes a zone out of service.
+
+        The store cannot have acknowledged that before `acknowledged_after_s`, by default the time
+        up to which all changes have been applied.
+        """
         self.held_zone_returns.pop(zone, None)
+        if acknowledged_after_s is None:
+            acknowledged_after_s = self._change_since_s()
         if zone not in self.zones_out:
-            self.zone_out_since_s[zone] = self._change_since_s()
+            self.zone_out_since_s[zone] = acknowledged_after_s
         self.zones_out.add(zone)
 
     def return_zone(self, zone: str) -> None:
@@ -95,11 +106,13 @@
         return due
 
     def _change_since_s(self) -> float:
-        """Returns the earliest time at which the store can have taken the change being applied."""
-        return float("-inf") if self.change_times_unknown else self.confirmed_s
+        """Returns the earliest time at which the store can have taken a change not yet applied."""
+        return self.confirmed_s
 
-    def put(self, entry: ServerEntry, now_s: float) -> str:
-        """Applies a published entry.
+    def put(
+        self, entry: ServerEntry, now_s: float, acknowledged_after_s: float | None = None
+    ) -> str:
+        """Applies a published entry; `acknowledged_after_s` is that of `put_zone_out`.
 
         Returns what changed as one word for the log: "new" for an unknown server, even if it is
         already leaving, "updated" also for one that was removed in the meantime but still runs
@@ -108,6 +121,8 @@
         """
         self.held_deletions.pop(entry.server_id, None)
         self._restore(entry, now_s)
+        if acknowledged_after_s is None:
+            acknowledged_after_s = self._change_since_s()
         known = self.servers.get(entry.server_id)
         if known is not None and known.entry.started_ms == entry.started_ms:
             moved = (known.entry.service, known.entry.version) != (entry.service, entry.version)
@@ -115,7 +130,7 @@
             if entry.cold_s > 0.0 and entry.cold_s != known.entry.cold_s:
                 known.cold_until_s = now_s + entry.cold_s
             if entry.leaving and known.entry_leaving_since_s is None:
-                known.entry_leaving_since_s = self._change_since_s()
+                known.entry_leaving_since_s = acknowledged_after_s
             known.entry = entry
             known.removed = False
             if moved:
@@ -125,7 +140,7 @@
         if entry.leaving:
             # The entry of a process that this node does not know may have expired and come back.
             state.entry_leaving_since_s = float("-inf")
-        self._restore_statements(state)
+        self._restore_statements(state, acknowledged_after_s)
         if known is not None:
             for peer, load in known.peer_loads.items():
                 state.set_peer_load(peer, load)
@@ -187,7 +202,7 @@
         if len(self.removed_processes) > _MAX_REMOVED_PROCESSES:
             del self.removed_processes[next(iter(self.removed_processes))]
 
-    def _restore_statements(self, state: ServerState) -> None:
+    def _restore_statements(self, state: ServerState, acknowledged_after_s: float) -> None:
         """Applies what a process said before its entry was removed."""
         if state.entry.started_ms is None:
             return
@@ -197,7 +212,7 @@
         state.leaving_said_at_s = removed.leaving_said_at_s
         state.entry_leaving_since_s = removed.entry_leaving_since_s
         if state.entry.leaving and state.entry_leaving_since_s is None:
-            state.entry_leaving_since_s = self._change_since_s()
+            state.entry_leaving_since_s = acknowledged_after_s
         if removed.resume_allowance:
             state.record_pause(removed.paused_until_s, removed.pause_said_at_s)
 
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -8,6 +8,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 from tanagerworks.dispatch.dispatcher import Dispatcher
@@ -89,17 +90,31 @@
         return self.dispatcher.configuration is not None and bool(self.dispatcher.directory.servers)
 
     def confirm(self, as_of_s: float) -> None:
-        """Records that the copy has all changes of the store up to an event loop time."""
+        """Records that the copy has all changes of the store up to an event loop time.
+
+        Nothing that arrives late may make that time too late: it has to be one at which a read
+        began, or follow from it. Use `estimate` otherwise.
+        """
         directory = self.dispatcher.directory
         directory.confirmed_s = max(directory.confirmed_s, as_of_s)
 
+    def estimate(self, as_of_s: float) -> None:
+        """Records the time of `confirm` as what has just arrived says, if it was not delayed."""
+        directory = self.dispatcher.directory
+        directory.estimated_s = max(directory.estimated_s, as_of_s)
+
     def age_s(self, now_s: float) -> float:
-        """Returns for how many seconds changes of the store may be missing; infinite if unknown."""
-        return now_s - self.dispatcher.directory.confirmed_s
+        """Returns an estimate for how many seconds changes may be missing; infinite if unknown."""
+        return now_s - self.dispatcher.directory.copy_as_of_s
 
     def apply(self, changes: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
         """Applies changes up to `revision`; `source` is where they come from, for the log."""
-        self._apply_changes(self.replica.apply_changes(changes, revision, era), source)
+        confirmed_s = self.dispatcher.directory.confirmed_s
+        dated = [
+            replace(change, acknowledged_after_s=max(confirmed_s, change.acknowledged_after_s))
+            for change in changes
+        ]
+        self._apply_changes(self.replica.apply_changes(dated, revision, era), source)
 
     def replace(self, items: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
         """Replaces the view by a full listing as of `revision`, unless that is older.
@@ -108,7 +123,8 @@
         this node has seen since that copy stays in force until it is written again: the newer
         configuration for good, servers and zones out of service that the listing lacks for a time.
 
-        A listing does not show what has come and gone since the former view, unlike changes.
+        A listing does not show what has come and gone since the former view, unlike changes, nor
+        when it came: what reads that waited for changes did not hear may be in it.
         """
         if self.replica.revision:
             now_s = asyncio.get_running_loop().time()
@@ -148,12 +164,7 @@
                 continue
             directory.hold_zone_return(zone, now_s)
             ignored.add(key)
-        # What a restored copy holds may have been acknowledged long before.
-        directory.change_times_unknown = True
-        try:
-            self._apply_changes([change for change in changes if change.key not in ignored], source)
-        finally:
-            directory.change_times_unknown = False
+        self._apply_changes([change for change in changes if change.key not in ignored], source)
         if source == STORE_SOURCE:
             self.on_store_changed()
 
@@ -205,7 +216,7 @@
             )
         elif isinstance(value, ServerEntry):
             self.server_ids_by_key[change.key] = value.server_id
-            event = directory.put(value, now_s)
+            event = directory.put(value, now_s, change.acknowledged_after_s)
             if event == "restarted":
                 self.dispatcher.cached_parts.drop_server(value.server_id)
             if event != "updated":
@@ -215,7 +226,7 @@
                 )
         elif isinstance(value, ZoneOut):
             self.zones_by_key[change.key] = value.zone
-            directory.put_zone_out(value.zone)
+            directory.put_zone_out(value.zone, change.acknowledged_after_s)
             since_s = directory.zone_out_since_s.get(value.zone, -math.inf)
             _LOGGER.info(
                 "zone out of service",
@@ -348,6 +359,7 @@
             # only after a recent response.
             is_long = not self.checking and self._has_recent_response()
             wait_s = min(self.wait_s, self.role.read_wait_s) if is_long else _CHECK_WAIT_S
+            began_s = asyncio.get_running_loop().time()
             change_set = await self.store.wait_for_changes(
                 revision, wait_s, wait_s + self.timeout_s
             )
@@ -358,7 +370,10 @@
             # A copy of a later era may have arrived from a peer while the read waited.
             self.store_view.apply(change_set.changes, change_set.revision, STORE_SOURCE, era)
             if era == self.store_view.replica.era:
-                self.store_view.confirm(self.last_response_s)
+                waited = self.last_response_s - began_s >= wait_s and not change_set.changes
+                # Without a change, the store answers at the end of the wait and not before.
+                self.store_view.confirm(began_s + wait_s if waited else began_s)
+                self.store_view.estimate(self.last_response_s)
 
     def _has_recent_response(self) -> bool:
         """Whether the last read succeeded, within the longest time that a read takes."""
@@ -368,16 +383,14 @@
     async def _list(self) -> None:
         items: list[Change] = []
         first_revision = era = 0
-        # When the first page arrived; later changes may be missing from it.
-        first_page_s = -math.inf
+        # Changes after this time may be missing from the first page.
+        began_s = asyncio.get_running_loop().time()
         after_key = ""
         while True:
             self.metrics.record_store_call("list")
             page = await self.store.list_page(after_key, self.timeout_s)
             # Later pages may be newer than the first. Changes after the first page's revision are
             # therefore read again.
-            if not first_revision:
-                first_page_s = asyncio.get_running_loop().time()
             first_revision = first_revision or page.revision
             era = era or page.era
             if page.era != era:
@@ -402,7 +415,7 @@
         self.store_view.replace(items, first_revision, STORE_SOURCE, era)
         self.listed, self.must_list = True, False
         if not older:
-            self.store_view.confirm(first_page_s)
+            self.store_view.confirm(began_s)
 
     def _record_response(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -102,6 +102,8 @@
 _MAX_STORE_LAG_S = 0.3
 # Ages of a copy from which messages state none.
 _MAX_COPY_AGE_S = 3_600.0
+# Items whose age is at least this need no time: the operators' bounds are far shorter.
+_MAX_DATED_AGE_S = 60.0
 # A larger datagram could be fragmented by IP, and the loss of any fragment would lose all of it.
 _MAX_DATAGRAM_BYTES = 1_400
 # Bytes of a datagram that reports of crashed servers and of limits may take.
@@ -713,12 +715,13 @@
         )
 
     def _confirm_copy(self, peer: Peer) -> None:
-        """Confirms this node's copy of the store up to the time of a peer's copy, unless older."""
+        """Takes the time of a peer's copy of the store for that of this node's, unless older."""
         if not self.store_view.replica.is_older_than(peer.era, peer.revision):
-            self.store_view.confirm(peer.copy_confirmed_s)
+            self.store_view.estimate(peer.copy_confirmed_s)
 
     async def _fetch(self, peer: Peer) -> None:
         replica = self.store_view.replica
+        requested_s = asyncio.get_running_loop().time()
         request = StoreCopyRequest(
             after=replica.revision,
             era=replica.era,
@@ -737,12 +740,13 @@
             _LOGGER.exception("copy of the store not received", extra={"peer": peer.name})
             return
         source = f"peer {peer.name}"
+        items = [_to_change(item, requested_s) for item in copy.items]
         if copy.changes_only:
-            self.store_view.apply(map(_to_change, copy.items), copy.revision, source, copy.era)
+            self.store_view.apply(items, copy.revision, source, copy.era)
         else:
-            self.store_view.replace(map(_to_change, copy.items), copy.revision, source, copy.era)
+            self.store_view.replace(items, copy.revision, source, copy.era)
         if copy.HasField("configuration"):
-            self.store_view.adopt_configuration(_to_change(copy.configuration), source)
+            self.store_view.adopt_configuration(_to_change(copy.configuration, requested_s), source)
         self.fetched_version = max(self.fetched_version, peer.configuration_version)
         self._confirm_copy(peer)
 
@@ -758,14 +762,15 @@
         copy = StoreCopy(
             revision=replica.revision, era=replica.era, changes_only=changes is not None
         )
-        copy.items.extend(map(_to_item, replica.items.values() if changes is None else changes))
+        now_s = asyncio.get_running_loop().time()
+        copied = replica.items.values() if changes is None else changes
+        copy.items.extend(_to_item(change, now_s) for change in copied)
         newest = self.store_view.configuration_item
         if newest is not None and self._lacks_configuration(request, newest):
-            copy.configuration.CopyFrom(_to_item(newest))
+            copy.configuration.CopyFrom(_to_item(newest, now_s))
         if request.with_placements:
             for server_id, parts in self.dispatcher.cached_parts.keys_by_server().items():
                 copy.placements.add(server_id=server_id, parts=parts)
-            now_s = asyncio.get_running_loop().time()
             copy.crashes.extend(all_crash_reports(self.dispatcher.crash_evidence, now_s))
         return copy
 
@@ -781,14 +786,23 @@
     return {waiting.service: waiting.requests for waiting in state.waiting}
 
 
-def _to_item(change: Change) -> StoreItem:
+def _to_item(change: Change, now_s: float) -> StoreItem:
+    age_s = now_s - change.acknowledged_after_s
     return StoreItem(
         key=change.key,
         revision=change.revision,
         value=change.value or b"",
         deleted=change.value is None,
+        acknowledged_age_ms=math.ceil(age_s * 1000) if age_s < _MAX_DATED_AGE_S else None,
     )
 
 
-def _to_change(item: StoreItem) -> Change:
-    return Change(item.key, item.revision, None if item.deleted else item.value)
+def _to_change(item: StoreItem, requested_s: float) -> Change:
+    """Returns an item of a copy that was requested at an event loop time.
+
+    The age of the item counts from then, as the copy may have been delayed.
+    """
+    after_s = -math.inf
+    if item.HasField("acknowledged_age_ms"):
+        after_s = requested_s - item.acknowledged_age_ms / 1000
+    return Change(item.key, item.revision, None if item.deleted else item.value, after_s)
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -574,7 +574,7 @@
                 "peers_running": state.total_running - state.running,
                 "reported_age_s": round(min(now_s - state.reports.reported_at_s, 999.0), 2),
                 "waited_ms": round((now_s - request.arrived_s) * 1000, 1),
-                "copy_age_s": round(min(now_s - self.dispatcher.directory.confirmed_s, 999.0), 2),
+                "copy_age_s": round(min(now_s - self.dispatcher.directory.copy_as_of_s, 999.0), 2),
             },
         )
 
--- a/src/tanagerworks/edge/route_explanation.py
+++ b/src/tanagerworks/edge/route_explanation.py
@@ -273,7 +273,7 @@
     def _ages(self, now_s: float) -> KnowledgeAges:
         peers = [now_s - peer.last_seen_s for peer in self.dispatcher.peer_table.live_peers(now_s)]
         return KnowledgeAges(
-            store_copy_s=_age_s(self.dispatcher.directory.confirmed_s, now_s),
+            store_copy_s=_age_s(self.dispatcher.directory.copy_as_of_s, now_s),
             live_peers=len(peers),
             oldest_peer_s=max(peers, default=None),
         )
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -187,7 +187,7 @@
         A peer that cannot catch up with the store concludes nothing.
         """
         directory = self.dispatcher.directory
-        if now_s - directory.confirmed_s > _MAX_COPY_AGE_S:
+        if now_s - directory.copy_as_of_s > _MAX_COPY_AGE_S:
             return True
         return directory.versions.sole_version(service, now_s) is None
 
--- a/src/tanagerworks/published/replica.py
+++ b/src/tanagerworks/published/replica.py
@@ -7,9 +7,10 @@
 replica's own era: stores and peers of earlier versions do not state one.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Changes kept for peers that are a few revisions behind; peers further behind fetch all items.
 _MAX_RECENT_CHANGES = 256
@@ -21,11 +22,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """The write or the deletion of one key at a revision; `value` is None for a deletion."""
+    """The write or the deletion of one key at a revision; `value` is None for a deletion.
+
+    `acknowledged_after_s` is an event loop time before which the store cannot have acknowledged it;
+    -infinity if unknown.
+    """
 
     key: str
     revision: int
     value: bytes | None
+    acknowledged_after_s: float = field(default=-math.inf, compare=False)
 
 
 class Replica:
