Let the bounds of servers out of service go on while a machine is suspended

What callers see: requests run in a zone, or at a leaving server, after the time that operators allow, on a machine that was suspended for seconds. Cause: the event loop's clock stands still while a VM is suspended, so times recorded before are too late afterwards, and so are the ages that the node states to its peers. Change: the node compares the clock with that of the time since boot before it uses such times, and moves them back. Measured: the test fails with the comparison left out (bound 5 s late) and passes with it. No run on a machine that is suspended was made.

--- a/src/tanagerworks/dispatch/directory.py
+++ b/src/tanagerworks/dispatch/directory.py
@@ -75,6 +75,15 @@
         """Time up to which published changes have been applied, as far as this node can tell."""
         return max(self.confirmed_s, self.estimated_s)
 
+    def record_suspension(self, suspended_s: float) -> None:
+        """Moves recorded times back after a time that the clock of this node has left out."""
+        self.confirmed_s -= suspended_s
+        self.estimated_s -= suspended_s
+        for zone in self.zone_out_since_s:
+            self.zone_out_since_s[zone] -= suspended_s
+        for state in (*self.servers.values(), *self.removed_processes.values()):
+            state.record_suspension(suspended_s)
+
     def put_zone_out(self, zone: str, acknowledged_after_s: float | None = None) -> None:
         """Takes a zone out of service.
 
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -179,6 +179,13 @@
         self.leaving_said_at_s = said_at_s
         return True
 
+    def record_suspension(self, suspended_s: float) -> None:
+        """Moves the times since which the process is leaving back; see `Directory`."""
+        if self.entry_leaving_since_s is not None:
+            self.entry_leaving_since_s -= suspended_s
+        if self.leaving_said_at_s is not None:
+            self.leaving_said_at_s -= suspended_s
+
     def record_pause(self, until_s: float, said_at_s: float) -> None:
         """Records an answer that asks for no requests until a time; a longer pause is kept.
 
--- a/src/tanagerworks/edge/copy_check.py
+++ b/src/tanagerworks/edge/copy_check.py
@@ -9,7 +9,7 @@
 import logging
 import math
 
-from tanagerworks.edge.follower import STORE_SOURCE, StoreView
+from tanagerworks.edge.follower import STORE_SOURCE, ReadStart, StoreView
 from tanagerworks.edge.interfaces import PublishedStore
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import PublishedStoreError
@@ -54,7 +54,7 @@
     async def _read(self) -> None:
         """Reads the changes since the copy; records when the read began, or that it failed."""
         loop = asyncio.get_running_loop()
-        began_s = loop.time()
+        start = ReadStart(self.store_view)
         replica = self.store_view.replica
         revision, era = replica.revision, replica.era
         self.metrics.record_store_call("check")
@@ -72,8 +72,8 @@
             self.failed_at_s = loop.time()
             _LOGGER.exception("copy of the store not confirmed")
         else:
-            self.confirmed_s = began_s
-            self.store_view.confirm(began_s)
+            self.confirmed_s = start.began_s
+            self.store_view.confirm(start.time_s())
         finally:
             # A connection that is not used may be lost without notice.
             self.store.disconnect()
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -72,6 +72,8 @@
         )
         self.stall_limits = StallLimits()
         self.random = random.Random()
+        # Called before a time of the past is compared with the clock; see `StoreView`.
+        self.account_for_suspension: Callable[[], None] = lambda: None
         # Called with a server that wants no requests until `paused_until_s`.
         self.on_pause: Callable[[ServerState], None] = lambda _state: None
         # Called with the attempt, the service and the server's software version when the first
@@ -138,6 +140,7 @@
         """Raises BackendConnectError if the server must not get new work."""
         state, now_s = attempt.state, asyncio.get_running_loop().time()
         if attempt.last_resort:
+            self.account_for_suspension()
             out_of_service = now_s >= self.dispatcher.last_resort_end_s(state)
         else:
             out_of_service = self.dispatcher.directory.is_out_of_service(state)
--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from typing import Protocol
 
+from tanagerworks.clock import SuspensionMeter
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.edge.interfaces import PublishedStore
 from tanagerworks.edge.telemetry import EdgeMetrics
@@ -73,6 +74,9 @@
         self.dispatcher = dispatcher
         self.replica = Replica()
         self.seen_writes = SeenWrites(store.decode_item)
+        self.suspension_meter = SuspensionMeter()
+        # For how long the VM has been suspended since the start of the process.
+        self.suspended_s = 0.0
         # The item with the configuration in force; None before the first.
         self.configuration_item: Change | None = None
         # The server and the zone that each key of the store published, to remove them when the key
@@ -89,6 +93,19 @@
         """Whether a configuration and at least one server are known."""
         return self.dispatcher.configuration is not None and bool(self.dispatcher.directory.servers)
 
+    def account_for_suspension(self) -> None:
+        """Moves recorded times back if the VM was suspended; the event loop's clock stood still.
+
+        To be called before times are compared with the clock, or their ages stated.
+        """
+        suspended_s = self.suspension_meter.take_suspended_s()
+        if not suspended_s:
+            return
+        self.suspended_s += suspended_s
+        self.dispatcher.directory.record_suspension(suspended_s)
+        self.replica.record_suspension(suspended_s)
+        _LOGGER.warning("machine was suspended", extra={"suspended_s": round(suspended_s, 2)})
+
     def confirm(self, as_of_s: float) -> None:
         """Records that the copy has all changes of the store up to an event loop time.
 
@@ -105,10 +122,12 @@
 
     def age_s(self, now_s: float) -> float:
         """Returns an estimate for how many seconds changes may be missing; infinite if unknown."""
+        self.account_for_suspension()
         return now_s - self.dispatcher.directory.copy_as_of_s
 
     def apply(self, changes: Iterable[Change], revision: int, source: str, era: int = 0) -> None:
         """Applies changes up to `revision`; `source` is where they come from, for the log."""
+        self.account_for_suspension()
         confirmed_s = self.dispatcher.directory.confirmed_s
         dated = [
             replace(change, acknowledged_after_s=max(confirmed_s, change.acknowledged_after_s))
@@ -247,6 +266,21 @@
             _LOGGER.info("zone back in service", extra=extra | {"zone": zone})
 
 
+class ReadStart:
+    """When a read began, in event loop time that includes suspensions of the VM since then."""
+
+    def __init__(self, store_view: StoreView) -> None:
+        self.store_view = store_view
+        store_view.account_for_suspension()
+        self.began_s = asyncio.get_running_loop().time()
+        self.suspended_before_s = store_view.suspended_s
+
+    def time_s(self) -> float:
+        """Returns when the read began."""
+        self.store_view.account_for_suspension()
+        return self.began_s - (self.store_view.suspended_s - self.suspended_before_s)
+
+
 class StoreFollower:
     """Follows the store: lists all items unless a peer has sent them, then reads changes.
 
@@ -359,7 +393,7 @@
             # only after a recent response.
             is_long = not self.checking and self._has_recent_response()
             wait_s = min(self.wait_s, self.role.read_wait_s) if is_long else _CHECK_WAIT_S
-            began_s = asyncio.get_running_loop().time()
+            start = ReadStart(self.store_view)
             change_set = await self.store.wait_for_changes(
                 revision, wait_s, wait_s + self.timeout_s
             )
@@ -370,9 +404,9 @@
             # A copy of a later era may have arrived from a peer while the read waited.
             self.store_view.apply(change_set.changes, change_set.revision, STORE_SOURCE, era)
             if era == self.store_view.replica.era:
-                waited = self.last_response_s - began_s >= wait_s and not change_set.changes
+                waited = self.last_response_s - start.began_s >= wait_s and not change_set.changes
                 # Without a change, the store answers at the end of the wait and not before.
-                self.store_view.confirm(began_s + wait_s if waited else began_s)
+                self.store_view.confirm(start.time_s() + (wait_s if waited else 0.0))
                 self.store_view.estimate(self.last_response_s)
 
     def _has_recent_response(self) -> bool:
@@ -384,7 +418,7 @@
         items: list[Change] = []
         first_revision = era = 0
         # Changes after this time may be missing from the first page.
-        began_s = asyncio.get_running_loop().time()
+        start = ReadStart(self.store_view)
         after_key = ""
         while True:
             self.metrics.record_store_call("list")
@@ -415,7 +449,7 @@
         self.store_view.replace(items, first_revision, STORE_SOURCE, era)
         self.listed, self.must_list = True, False
         if not older:
-            self.store_view.confirm(began_s)
+            self.store_view.confirm(start.time_s())
 
     def _record_response(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -24,7 +24,7 @@
     quarantine_reports,
     recent_crash_reports,
 )
-from tanagerworks.edge.follower import StoreView
+from tanagerworks.edge.follower import ReadStart, StoreView
 from tanagerworks.edge.health_reports import HealthExchange
 from tanagerworks.edge.interfaces import PeerFinder
 from tanagerworks.edge.limit_reports import (
@@ -721,7 +721,7 @@
 
     async def _fetch(self, peer: Peer) -> None:
         replica = self.store_view.replica
-        requested_s = asyncio.get_running_loop().time()
+        start = ReadStart(self.store_view)
         request = StoreCopyRequest(
             after=replica.revision,
             era=replica.era,
@@ -740,6 +740,7 @@
             _LOGGER.exception("copy of the store not received", extra={"peer": peer.name})
             return
         source = f"peer {peer.name}"
+        requested_s = start.time_s()
         items = [_to_change(item, requested_s) for item in copy.items]
         if copy.changes_only:
             self.store_view.apply(items, copy.revision, source, copy.era)
@@ -762,6 +763,7 @@
         copy = StoreCopy(
             revision=replica.revision, era=replica.era, changes_only=changes is not None
         )
+        self.store_view.account_for_suspension()
         now_s = asyncio.get_running_loop().time()
         copied = replica.items.values() if changes is None else changes
         copy.items.extend(_to_item(change, now_s) for change in copied)
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -129,6 +129,9 @@
             settings.zone,
             self.metrics,
         )
+        self.pipeline.backend_exchange.account_for_suspension = (
+            self.store_view.account_for_suspension
+        )
         self.copy_check = CopyCheck(
             adapter.store.with_own_connection(), self.store_view, self.metrics
         )
--- a/src/tanagerworks/published/replica.py
+++ b/src/tanagerworks/published/replica.py
@@ -10,7 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 # Changes kept for peers that are a few revisions behind; peers further behind fetch all items.
 _MAX_RECENT_CHANGES = 256
@@ -51,6 +51,17 @@
         """Returns whether a replica at `era` and `revision` is newer than this one."""
         return (self.era, self.revision) < (era or self.era, revision)
 
+    def record_suspension(self, suspended_s: float) -> None:
+        """Moves the times of all changes back after a time that the node's clock has left out."""
+        moved = {
+            id(change): replace(
+                change, acknowledged_after_s=change.acknowledged_after_s - suspended_s
+            )
+            for change in (*self.items.values(), *self.recent_changes)
+        }
+        self.items = {key: moved[id(change)] for key, change in self.items.items()}
+        self.recent_changes = deque(moved[id(change)] for change in self.recent_changes)
+
     def changes_after(self, revision: int, era: int = 0) -> list[Change] | None:
         """Returns the changes after a revision of an era, or None if not all of them are kept."""
         if era not in (0, self.era) or revision < self.recent_after_revision:
--- a/tests/test_fault_evacuated_zone.py
+++ b/tests/test_fault_evacuated_zone.py
@@ -8,8 +8,13 @@
 import math
 
 import pytest
+from adapter.store import MetadataStore
 
+from tanagerworks.dispatch.last_resort import NoticeBounds, last_resort_end_s
 from tanagerworks.edge import peers as peers_module
+from tanagerworks.edge.follower import ReadStart, StoreView
+from tanagerworks.published.replica import Change
+from tests.edge_builders import dispatcher, server_entry
 from tests.virtual_fleet import VirtualFleet, run_in_virtual_time
 from tests.virtual_store import VirtualStore, attach_store, fetch_virtual_copy
 
@@ -75,3 +80,42 @@
     """Guards against requests to an evacuated zone whose acknowledgement may be long past."""
     for step in range(5):
         assert set(counted_from(monkeypatch, 0.2 * step, deafen_reads)) == {-math.inf}
+
+
+class JumpingMeter:
+    """Stands in for `SuspensionMeter`."""
+
+    def __init__(self):
+        self.suspended_s = 0.0
+
+    def take_suspended_s(self):
+        suspended_s, self.suspended_s = self.suspended_s, 0.0
+        return suspended_s
+
+
+def test_bound_goes_on_while_the_machine_is_suspended():
+    """Guards against requests to an evacuated zone after the clock of the node stood still.
+
+    The machine is suspended for 3 s while a read is in progress, and for 2 s after the change.
+    """
+
+    async def scenario():
+        node = dispatcher(servers=[server_entry("a")])
+        view = StoreView(MetadataStore("127.0.0.1:1"), node)
+        meter = view.suspension_meter = JumpingMeter()
+        loop = asyncio.get_running_loop()
+        start = ReadStart(view)
+        began_s = loop.time()
+        meter.suspended_s = 3.0
+        view.confirm(start.time_s())
+        view.apply([Change("op/evacuate/zone-a", 2, b"{}")], 2, "store")
+        meter.suspended_s = 2.0
+        view.account_for_suspension()
+        state = node.directory.servers["a"]
+        end_s = last_resort_end_s(state, node.directory, NoticeBounds(2.0, 9.0))
+        (item,) = view.replica.changes_after(1)
+        return end_s - began_s, item.acknowledged_after_s - began_s
+
+    end_s, acknowledged_after_s = asyncio.run(scenario())
+    assert end_s <= 9.0 - 3.0 - 2.0
+    assert acknowledged_after_s == pytest.approx(-5.0, abs=0.1)
