List no caches of servers that are out of service

What callers see: nothing by itself; a server that is to be emptied, or that leaves, is slowed down by requests for the listing of its cache. Cause: a node that starts lists the caches of all warm model servers, also of those in zones out of service. Found while looking for other ways by which nodes reach such zones. Measured: the test fails before (one listing at each such server), passes now.

--- a/src/tanagerworks/edge/recovery.py
+++ b/src/tanagerworks/edge/recovery.py
@@ -161,7 +161,10 @@
         return False
 
     def _assigned_servers(self) -> list[ServerState]:
-        """Returns the warm model servers for which this node ranks first among the live nodes."""
+        """Returns the warm model servers for which this node ranks first among the live nodes.
+
+        Those that are leaving or in a zone out of service get no new prompts, and are left alone.
+        """
         now_s = asyncio.get_running_loop().time()
         names = [peer.name for peer in self.dispatcher.peer_table.live_peers(now_s)]
         assigned = []
@@ -169,6 +172,8 @@
             service = self.dispatcher.find_service(state.entry.service)
             if service is None or not service.runs_models or state.is_cold(now_s):
                 continue
+            if self.dispatcher.directory.is_out_of_service(state):
+                continue
             if rank_equally(state.server_id, [*names, self.node], 1) == [self.node]:
                 assigned.append(state)
         return assigned
--- a/tests/test_edge_recovery.py
+++ b/tests/test_edge_recovery.py
@@ -112,6 +112,29 @@
     asyncio.run(scenario())
 
 
+def test_restarted_node_lists_no_server_that_is_out_of_service():
+    """Guards against requests to a zone that operators empty, from nodes that start meanwhile."""
+
+    async def scenario():
+        listings = {name: ListingServer(["part"]) for name in ("used", "leaves", "emptied")}
+        servers = [
+            server_entry(
+                name,
+                port=await listing.start(),
+                leaving=name == "leaves",
+                zone="zone-b" if name == "emptied" else "zone-a",
+            )
+            for name, listing in listings.items()
+        ]
+        nodes, recoveries = await start_together(1, servers)
+        nodes[0].dispatcher.directory.put_zone_out("zone-b")
+        await recoveries[0].run()
+        nodes[0].stop()
+        return {name: listing.requests for name, listing in listings.items()}
+
+    assert asyncio.run(scenario()) == {"used": 1, "leaves": 0, "emptied": 0}
+
+
 def test_late_node_of_a_restarted_fleet_leaves_the_listings_to_the_first_ones():
     """Guards against listings by every node of a fleet that lost power, which slow the servers."""
 
