Take failures of a node that is cut off from all servers as its own

What callers see: while most nodes are cut off from the servers, callers of the others are refused or wait, too. Cause: a node takes itself for the cause of failures only while no peer reports failures of the same servers, so two nodes that are cut off confirm each other, and their reports outvote the answers that others get. Change: when connections to two servers have failed and none was opened since, a node opens connections to six servers of all services. If none accepts, it is cut off until two accept again: it reports no failures, takes back those of this time, takes no server for crashed, and says so to its peers, which ignore its reports. Until the check has ended, failures are not reported.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -342,6 +342,12 @@
         process = process_key(state.server_id, state.entry.started_ms)
         self.crash_evidence.merge_crash(process, ServerCrash(now_s, suspects), now_s)
 
+    def forget_failures(self, since_s: float) -> None:
+        """Takes back the failures since a time: this node was the cause, not the servers."""
+        for state in self.directory.servers.values():
+            state.forget_failures(since_s)
+        self.fleet_health.forget_own_failures(since_s)
+
     def record_start(self, dispatch_request: DispatchRequest, choice: Choice, now_s: float) -> None:
         """Counts a request that is about to be sent to the chosen server.
 
--- a/src/tanagerworks/dispatch/fleet_health.py
+++ b/src/tanagerworks/dispatch/fleet_health.py
@@ -334,6 +334,8 @@
         self.aged_s = -math.inf
         # Time of the last probe by service.
         self.probed_s: dict[str, float] = {}
+        # Returns whether connections fail in a way that may be due to this node.
+        self.is_connection_suspect: Callable[[], bool] = lambda: False
         # Called when an outcome should be reported at once.
         self.on_report_due: Callable[[], None] = lambda: None
         # Called with the server, and the evidence of an ejection or its reason to end.
@@ -386,6 +388,24 @@
         self.changed.add(key)
         self._report_soon(key)
 
+    def forget_own_failures(self, since_s: float) -> None:
+        """Drops the failures that this node has seen since a time, as it was their cause."""
+        for key, health in self.servers.items():
+            kept = [item for item in health.own if not item[1] or item[0] < since_s]
+            if len(kept) < len(health.own):
+                health.own = deque(kept)
+                self.changed.add(key)
+
+    def forget_reports(self, reporter: str) -> None:
+        """Drops what a node has reported, as it cannot tell failures of servers from its own."""
+        for key, health in self.servers.items():
+            dropped = health.node_reports.pop(reporter, None)
+            summed = [name for name in health.zone_reports if name[1] == f"{reporter}/"]
+            for name in summed:
+                del health.zone_reports[name]
+            if dropped is not None or summed:
+                self.changed.add(key)
+
     def _report_soon(self, key: int) -> None:
         self.unreported.add(key)
         self.on_report_due()
@@ -466,7 +486,9 @@
                 yield health.state, total
 
     def is_own_network_suspect(self, now_s: float) -> bool:
-        """Whether most servers fail for this node and peers report no failures of them."""
+        """Whether connections fail to all servers, or to most and peers report no failures."""
+        if self.is_connection_suspect():
+            return True
         tried = failing = 0
         for health in self.servers.values():
             if not health.own:
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -274,6 +274,15 @@
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
+    def forget_failures(self, since_s: float) -> None:
+        """Takes back the failures since a time, and the ejection that they caused."""
+        if self.failed_at_s < since_s:
+            return
+        self.consecutive_failures = 0
+        self.ejection_s = 0.0
+        self.ejected_until_s = float("-inf")
+        self.failure_share = 0.0
+
     def _faded_failure_share(self, now_s: float) -> float:
         return self.failure_share * math.exp((self.failed_at_s - now_s) / _FAILURE_MEMORY_S)
 
--- a/src/tanagerworks/edge/crash_detector.py
+++ b/src/tanagerworks/edge/crash_detector.py
@@ -9,21 +9,22 @@
 from tanagerworks.dispatch.crash_evidence import REQUEST_DEPTH, Suspect, suspect_key
 from tanagerworks.dispatch.dispatcher import Dispatcher, DispatchRequest
 from tanagerworks.dispatch.server_state import ServerState
-from tanagerworks.edge.backend_connection import open_connection
+from tanagerworks.edge.reachability_check import ReachabilityCheck
 from tanagerworks.edge.request_state import MAX_LOGGED_ID_LENGTH, MAX_LOGGED_SUSPECTS, Attempt
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import BackendConnectError, BackendConnectionRefusedError
 
 _LOGGER = logging.getLogger(__name__)
 
-_CHECK_TIMEOUT_S = 0.15
-
 
 class CrashDetector:
     """Checks each server process once when it disconnects, with one new connection."""
 
-    def __init__(self, dispatcher: Dispatcher, metrics: EdgeMetrics) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, metrics: EdgeMetrics, reachability_check: ReachabilityCheck
+    ) -> None:
         self.dispatcher = dispatcher
+        self.reachability_check = reachability_check
         self.metrics = metrics
         # The checks in progress, and the suspects found so far by their id, by server id.
         self.checks: dict[str, asyncio.Task[None]] = {}
@@ -56,13 +57,14 @@
 
     async def _check(self, state: ServerState) -> None:
         try:
-            connection = await open_connection(state.entry.host, state.entry.port, _CHECK_TIMEOUT_S)
+            connection = await self.reachability_check.open_connection(state)
             connection.close()
             _LOGGER.info(
                 "server closed a connection and accepts new ones", extra={"server": state.server_id}
             )
         except BackendConnectionRefusedError:
-            state.crashed = True
+            # A node that is cut off may be refused by all servers, which have not crashed.
+            state.crashed = not await self.reachability_check.settle()
         except BackendConnectError as error:
             _LOGGER.info(
                 "server closed a connection; whether it crashed is unknown",
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -11,13 +11,14 @@
 from tanagerworks.dispatch.choice import Prompt
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import ServerState
-from tanagerworks.edge.backend_connection import BackendConnection, ConnectionPool, open_connection
+from tanagerworks.edge.backend_connection import BackendConnection, ConnectionPool
 from tanagerworks.edge.event_stream import EventCounter
 from tanagerworks.edge.http_messages import HeaderList, find_header
 from tanagerworks.edge.interfaces import BackendDialect, BackendRequestContext, ResponseMetadata
 from tanagerworks.edge.limit_reports import log_limit
 from tanagerworks.edge.load_reports import record_answer_load
 from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
+from tanagerworks.edge.reachability_check import ReachabilityCheck
 from tanagerworks.edge.request_state import (
     ANSWER_START_S,
     MAX_LOGGED_ID_LENGTH,
@@ -42,9 +43,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Connecting takes one round trip between zones, about 2 ms. TCP retransmits a lost SYN only after
-# a second, so an attempt at another server is faster.
-_CONNECT_TIMEOUT_S = 0.15
 # All responses except successful streams are buffered up to this size before the caller gets the
 # status, so that the request can be retried if the response is truncated.
 _MAX_BUFFERED_BYTES = 262_144
@@ -63,9 +61,15 @@
 class BackendExchange:
     """Runs attempts of requests at backend servers, over pooled or new connections."""
 
-    def __init__(self, dispatcher: Dispatcher, backend_dialect: BackendDialect) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        backend_dialect: BackendDialect,
+        reachability_check: ReachabilityCheck,
+    ) -> None:
         self.dispatcher = dispatcher
         self.backend_dialect = backend_dialect
+        self.reachability_check = reachability_check
         self.pool = ConnectionPool()
         dispatcher.has_connection = lambda state, now_s: self.pool.has_recent(
             _pool_key(state), now_s
@@ -130,6 +134,9 @@
         except BackendRefusedError:
             complete = True
             raise
+        except BackendDisconnectedError:
+            self.reachability_check.record_failure(state, loop.time())
+            raise
         finally:
             if complete:
                 self.pool.release(_pool_key(state), connection, headers, loop.time())
@@ -158,7 +165,7 @@
             if pooled is not None:
                 return pooled
         try:
-            return await open_connection(state.entry.host, state.entry.port, _CONNECT_TIMEOUT_S)
+            return await self.reachability_check.open_connection(state)
         except BackendConnectError:
             request.dispatch_request.tried_server_ids.add(state.server_id)
             raise
--- a/src/tanagerworks/edge/health_reports.py
+++ b/src/tanagerworks/edge/health_reports.py
@@ -25,6 +25,8 @@
 _MAX_REPORT_BYTES = 300
 # Shortest time between two messages out of turn, for those of this node and those that it relays.
 _SEND_INTERVAL_S = 0.2
+# Time after which a report is due again while it is not clear whether this node has failed.
+_SUSPECT_DELAY_S = 0.05
 # Nodes of each other zone to which reports are sent out of turn; the second covers the loss of the
 # first, and sums of a zone count in full only if two nodes send them.
 _RELAYS_PER_ZONE = 2
@@ -78,6 +80,10 @@
         is_sum = state.HasField("summary")
         if is_sum and state.zone == self.zone:
             return
+        peer = self.peer_table.peers.get(state.name)
+        if peer is not None and peer.reaches_no_server:
+            self.health.forget_reports(state.name)
+            return
         if not self._is_from_live_peer(state, is_sum, now_s):
             _LOGGER.debug("health reports ignored", extra={"peer": state.name, "zone": state.zone})
             return
@@ -115,7 +121,12 @@
     def _send_own(self) -> None:
         """Reports the servers with new outcomes; those that do not fit follow with the next."""
         self.own_timer = None
-        now_s = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        if self.health.is_connection_suspect():
+            # Whether the servers or this node failed turns out with the next connection.
+            self.own_timer = loop.call_later(_SUSPECT_DELAY_S, self._send_own)
+            return
         unreported, self.health.unreported = self.health.unreported, set()
         reports, left = _fitting_reports(
             (
--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -153,6 +153,8 @@
         self.sequence = 0
         # Returns whether this node follows the store and gets responses from it.
         self.is_following_store: Callable[[], bool] = lambda: False
+        # Returns whether this node is cut off from all backend servers.
+        self.reaches_no_server: Callable[[], bool] = lambda: False
         # Parts sent to servers by this node, and those sent by this node and the peers in its zone.
         self.own_parts = PartAnnouncements()
         self.zone_parts = PartAnnouncements()
@@ -280,6 +282,7 @@
             state.era,
             state.configuration_version,
             now_s - state.copy_age_ms / 1000 if state.HasField("copy_age_ms") else -math.inf,
+            state.reaches_no_server,
         )
 
     def _record_addresses(self, addresses: Iterable[str]) -> None:
@@ -516,6 +519,7 @@
             follows_store=self.is_following_store(),
             era=self.store_view.replica.era,
             configuration_version=self.store_view.configuration_version,
+            reaches_no_server=self.reaches_no_server(),
         )
 
     def _add_rare_fields(self, state: NodeState, now_s: float) -> None:
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -36,6 +36,7 @@
 from tanagerworks.edge.last_resort_log import LastResortLog
 from tanagerworks.edge.pause_timeout import PauseTolerantTimeout
 from tanagerworks.edge.placing import RequestPlacer
+from tanagerworks.edge.reachability_check import ReachabilityCheck
 from tanagerworks.edge.request_state import (
     RESPONSE_MARGIN_S,
     Attempt,
@@ -108,11 +109,20 @@
         self.zone = zone
         self.metrics = metrics
         self.placer = RequestPlacer(dispatcher)
-        self.backend_exchange = BackendExchange(dispatcher, backend_dialect)
+        self.reachability_check = ReachabilityCheck(dispatcher)
+        self.reachability_check.on_changed = self._on_reachability_changed
+        dispatcher.fleet_health.is_connection_suspect = (
+            lambda: self.reachability_check.reachability.is_suspect
+        )
+        self.backend_exchange = BackendExchange(
+            dispatcher, backend_dialect, self.reachability_check
+        )
         self.backend_exchange.on_pause = self._wake_after_pause
         self.stream_origins = StreamOriginTable(dispatcher)
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
-        self.crash_detector = CrashDetector(dispatcher, metrics)
+        self.crash_detector = CrashDetector(dispatcher, metrics, self.reachability_check)
+        # Called when the node has found that it reaches no server, or servers again.
+        self.on_reachability_changed: Callable[[], None] = lambda: None
         self.last_resort_log = LastResortLog(metrics)
         observe_health(dispatcher.fleet_health, metrics)
         dispatcher.crash_evidence.on_quarantines_changed = self._on_quarantines_changed
@@ -513,6 +523,10 @@
             state.paused_until_s, self.placer.wake_first_waiter, state.entry.service
         )
 
+    def _on_reachability_changed(self) -> None:
+        self.placer.wake_all_waiters()
+        self.on_reachability_changed()
+
     # account
 
     def end_attempt(self, request: RequestState, attempt: Attempt) -> None:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -147,6 +147,8 @@
             adapter.peer_finder,
         )
         self.peer_exchange.stream_origins = self.pipeline.stream_origins
+        self.peer_exchange.reaches_no_server = lambda: self.pipeline.reachability_check.is_cut_off
+        self.pipeline.on_reachability_changed = self.peer_exchange.announce
         self.peer_exchange.on_peer_state_applied = self.pipeline.placer.wake_first_waiters
         self.cache_recovery = CacheRecovery(
             settings.node,
@@ -224,6 +226,7 @@
             self.cache_recovery.run,
             self._watch_settings,
             self._watch_memory,
+            self.pipeline.reachability_check.run,
         ):
             self.tasks.append(loop.create_task(_run_with_restarts(task_function)))
         _LOGGER.info(
--- a/src/tanagerworks/membership/peer_table.py
+++ b/src/tanagerworks/membership/peer_table.py
@@ -59,6 +59,8 @@
     configuration_version: int = 0
     # Event loop time of this node up to which the peer's copy of the store has all changes.
     copy_confirmed_s: float = float("-inf")
+    # Whether the peer is cut off from all backend servers.
+    reaches_no_server: bool = False
 
     def is_live(self, now_s: float) -> bool:
         """Returns whether the last message of the peer arrived recently."""
