Send brittle servers no more than they can reject without falling over

What callers see: servers that say that they are brittle fall over in a rush, one after the other, and their requests with them (LIMIT). Cause: nodes use the queues of servers and learn of full servers by their rejections; a server that can bear few of them falls over. Change: the header Server-Brittle is read and shared like a limit. The nodes divide the slots of such a server and leave its queue unused; if there are more nodes than it can bear, some send for the others, to which requests are forwarded. After a rejection a node leaves the server alone for as long as keeps the rejections of all nodes below the stated number.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -216,7 +216,10 @@
 
         For both limits of the service, 0 means no limit.
         """
-        if not state.accepts_another(now_s):
+        if not state.accepts_another(now_s) or state.may_be_full(nodes, now_s):
+            return True
+        senders = state.sender_count(nodes)
+        if senders < nodes and not self._is_sender(state.server_id, senders, now_s):
             return True
         max_running = max(1.0, _USED_CONNECTION_SHARE * service.max_connections / nodes)
         if service.max_connections and state.running >= max_running:
@@ -257,11 +260,36 @@
             return False
         return limiter.has_token(nodes, now_s)
 
+    def find_senders(self, dispatch_request: DispatchRequest, now_s: float) -> set[str]:
+        """Returns the nodes that may send a request to brittle servers in place of this one.
+
+        There are none if this node may send it to any server itself.
+        """
+        service = self.find_service(dispatch_request.service)
+        if service is None:
+            return set()
+        nodes = self.peer_table.assumed_fleet_size(now_s)
+        found: set[str] = set()
+        for state in self.directory.usable_servers(service.name, now_s):
+            if not dispatch_request.accepts_version(state.entry.version):
+                continue
+            senders = state.sender_count(nodes)
+            if senders >= nodes:
+                return set()
+            names = self._find_sending_nodes(state.server_id, senders, now_s)
+            if self.name in names:
+                return set()
+            found.update(names)
+        return found
+
     def _is_sender(self, server_id: str, senders: int, now_s: float) -> bool:
+        return self.name in self._find_sending_nodes(server_id, senders, now_s)
+
+    def _find_sending_nodes(self, server_id: str, senders: int, now_s: float) -> list[str]:
         # Only live peers are ranked, so that no lost one takes the place of a sender. The number of
         # senders follows from the assumed fleet size, which includes lost peers.
         names = [peer.name for peer in self.peer_table.live_peers(now_s)]
-        return self.name in rank_equally(server_id, [*names, self.name], senders)
+        return rank_equally(server_id, [*names, self.name], senders)
 
     def choose_server(
         self, dispatch_request: DispatchRequest, now_s: float, explains: bool = False
--- a/src/tanagerworks/dispatch/server_state.py
+++ b/src/tanagerworks/dispatch/server_state.py
@@ -19,6 +19,10 @@
 # Duration of the first ejection; it doubles up to the maximum while probes fail.
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
+# Least number of rejections a second that a server is believed to bear, and the longest time for
+# which one rejection keeps a node from a brittle server.
+_MIN_REJECTIONS = 0.1
+MAX_REJECTION_PAUSE_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +61,9 @@
     # Requests per second that the server takes from all nodes together, as an answer said that
     # arrived at `limit_named_at_s`; None without a limit.
     limit_per_s: float | None = None
+    # Requests per second that the server can reject for want of room without falling over, as the
+    # same answer said; None if it is not brittle.
+    rejections_per_s: float | None = None
     limit_named_at_s: float = float("-inf")
     limit_changed_at_s: float = float("-inf")
     # Earliest time at which the store can have acknowledged that the process is leaving, -infinity
@@ -155,17 +162,23 @@
         """Returns the expected time to a complete response at the present speed, in seconds."""
         return self.service_time_s * self.slowdown(now_s)
 
-    def record_limit(self, limit_per_s: float | None, named_at_s: float) -> bool:
-        """Records the limit that an answer names, or None; returns whether the limit has changed.
+    def record_limit(
+        self,
+        limit_per_s: float | None,
+        named_at_s: float,
+        rejections_per_s: float | None = None,
+    ) -> bool:
+        """Records the limits that an answer names, or None; returns whether one has changed.
 
         An answer that arrived before the one known is ignored.
         """
         if named_at_s < self.limit_named_at_s:
             return False
         self.limit_named_at_s = named_at_s
-        if limit_per_s == self.limit_per_s:
+        if (limit_per_s, rejections_per_s) == (self.limit_per_s, self.rejections_per_s):
             return False
         self.limit_per_s = limit_per_s
+        self.rejections_per_s = rejections_per_s
         self.limit_changed_at_s = named_at_s
         return True
 
@@ -198,6 +211,38 @@
         self.resume_allowance = 1
         self.resumed_call_ids.clear()
 
+    def sender_count(self, nodes: int) -> int:
+        """Returns how many of the `nodes` nodes may send requests to the server.
+
+        All of them may send one to a brittle server at once, without more rejections than half of
+        what it can bear.
+        """
+        if self.rejections_per_s is None:
+            return nodes
+        return max(1, min(nodes, self.entry.slots + int(self.rejections_per_s / 2)))
+
+    def may_be_full(self, nodes: int, now_s: float) -> bool:
+        """Whether a brittle server may reject a request of this node for want of room.
+
+        The nodes share its slots and leave its queue unused, of whose length it says nothing.
+        """
+        if self.rejections_per_s is None:
+            return False
+        share = max(1, self.entry.slots // self.sender_count(nodes))
+        return self.running >= share or self.load(now_s) >= self.entry.slots
+
+    def record_rejection(self, nodes: int, now_s: float) -> bool:
+        """Records that the server rejected a request; returns whether it is left alone for a time.
+
+        The nodes together cause no more rejections a second than a brittle server can bear: each
+        further one makes the time of this node longer.
+        """
+        if self.rejections_per_s is None:
+            return False
+        pause_s = min(MAX_REJECTION_PAUSE_S, nodes / max(self.rejections_per_s, _MIN_REJECTIONS))
+        self.record_pause(max(now_s, self.paused_until_s) + pause_s, now_s)
+        return True
+
     def record_acceptance(self, now_s: float) -> None:
         """Records an answer that asks for no pause."""
         if not self.resume_allowance or self.is_paused(now_s):
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -108,8 +108,10 @@
             headers, result = await self._read_response(request, attempt, connection, is_new)
             complete = True
             return result
-        except BackendRefusedError:
+        except BackendRefusedError as error:
             complete = True
+            if not isinstance(error, BackendMisdirectedError):
+                self._record_rejection(state)
             raise
         except BackendDisconnectedError:
             self._record_disconnect(state)
@@ -150,6 +152,20 @@
         now_s = asyncio.get_running_loop().time()
         self.pool.release(_pool_key(state), connection, headers, now_s)
 
+    def _record_rejection(self, state: ServerState) -> None:
+        now_s = asyncio.get_running_loop().time()
+        nodes = self.dispatcher.peer_table.assumed_fleet_size(now_s)
+        if state.record_rejection(nodes, now_s):
+            self.on_pause(state)
+            _LOGGER.info(
+                "brittle server rejected a request",
+                extra={
+                    "server": state.server_id,
+                    "rejections_per_s": state.rejections_per_s,
+                    "until_s": round(state.paused_until_s - now_s, 2),
+                },
+            )
+
     def _record_disconnect(self, state: ServerState) -> None:
         self.reachability_check.record_failure(state, asyncio.get_running_loop().time())
 
@@ -308,8 +324,14 @@
             )
         else:
             state.record_acceptance(now_s)
-        # A refusal without a signature may leave out a limit that is in force.
-        if metadata.signed and state.record_limit(statement.limit_per_s, now_s):
+        limit_per_s, rejections_per_s = statement.limit_per_s, statement.rejections_per_s
+        if not metadata.signed:
+            # A refusal without a signature may leave out a limit that is in force.
+            limit_per_s = state.limit_per_s if limit_per_s is None else limit_per_s
+            rejections_per_s = (
+                state.rejections_per_s if rejections_per_s is None else rejections_per_s
+            )
+        if state.record_limit(limit_per_s, now_s, rejections_per_s):
             log_limit(state, "answer")
 
     def _check_request_id(
--- a/src/tanagerworks/edge/forwarding.py
+++ b/src/tanagerworks/edge/forwarding.py
@@ -1,5 +1,7 @@
-"""Forwards requests of a node that is cut off from all servers to nodes that reach some.
+"""Forwards requests that a node can send to no server to nodes that can.
 
+The node is cut off from all servers, or leaves servers that must not get too many requests at once
+to other nodes.
 The node that a request is forwarded to serves it like that of a caller: it chooses the server,
 keeps the fleet's limits and budgets, and retries. It never forwards a request again.
 """
@@ -8,6 +10,7 @@
 import logging
 import random
 from collections import Counter
+from collections.abc import Set
 from dataclasses import replace
 
 import h11
@@ -151,9 +154,11 @@
         # Forwarded requests in progress, by node.
         self.in_progress: Counter[str] = Counter()
 
-    async def forward(self, request: RequestState) -> str:
+    async def forward(self, request: RequestState, names: Set[str] | None = None) -> str:
         """Forwards a request and relays the response; returns its result as of `run_attempt`.
 
+        `names` are the nodes that may get it; None for all that reach servers.
+
         Raises:
             ServersUnreachableError: no node takes the request; no server has got it.
             BackendError: a node failed, and the request may have run.
@@ -162,8 +167,9 @@
         refusal: BackendError | None = None
         while len(tried) < _MAX_NODES:
             now_s = asyncio.get_running_loop().time()
+            peers = self.dispatcher.peer_table.forwarding_peers(now_s)
             peer = choose_node(
-                self.dispatcher.peer_table.forwarding_peers(now_s),
+                [peer for peer in peers if names is None or peer.name in names],
                 self.zone,
                 tried,
                 self.in_progress,
@@ -184,9 +190,8 @@
                     raise
         if request.executed_error is not None:
             raise request.executed_error
-        failure = ServersUnreachableError(
-            f"this node reaches no server; {refusal.message if refusal else 'no other node does'}"
-        )
+        reason = refusal.message if refusal is not None else "no other node can"
+        failure = ServersUnreachableError(f"this node may send to no server; {reason}")
         if refusal is not None and refusal.retry_after_s is not None:
             failure.retry_after_s = refusal.retry_after_s
         raise failure
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -121,6 +121,9 @@
     unreadable_load: str | None = None
     # Requests per second that the server takes from all nodes together; None without a limit.
     limit_per_s: float | None = None
+    # Requests per second that the server can reject for want of room without falling over; None if
+    # it states no such number.
+    rejections_per_s: float | None = None
     # The server is leaving and wants no new requests.
     leaving: bool = False
     # Seconds for which the server wants no requests from this node; None if not stated.
--- a/src/tanagerworks/edge/limit_reports.py
+++ b/src/tanagerworks/edge/limit_reports.py
@@ -18,7 +18,11 @@
 
 def all_limit_reports(directory: Directory, now_s: float, max_bytes: int) -> list[LimitReport]:
     """Returns reports of the limits in force, those that changed last first, as far as they fit."""
-    limited = [state for state in directory.servers.values() if state.limit_per_s is not None]
+    limited = [
+        state
+        for state in directory.servers.values()
+        if state.limit_per_s is not None or state.rejections_per_s is not None
+    ]
     return _fitting_reports(limited, now_s, max_bytes)
 
 
@@ -42,6 +46,7 @@
             server_key=server_key(state.server_id),
             age_ms=int(age_s * 1000),
             requests_per_s=state.limit_per_s,
+            rejections_per_s=state.rejections_per_s,
         )
         # Tag and length of the field.
         size += report.ByteSize() + 3
@@ -63,13 +68,14 @@
         if state is None or not _is_valid(report):
             continue
         limit_per_s = report.requests_per_s if report.HasField("requests_per_s") else None
-        if state.record_limit(limit_per_s, now_s - report.age_ms / 1000):
+        rejections_per_s = report.rejections_per_s if report.HasField("rejections_per_s") else None
+        if state.record_limit(limit_per_s, now_s - report.age_ms / 1000, rejections_per_s):
             log_limit(state, f"peer {peer}")
 
 
 def _is_valid(report: LimitReport) -> bool:
-    # Infinite values and NaN fail the comparison as well.
-    return not report.HasField("requests_per_s") or 0.0 <= report.requests_per_s < 1e9
+    # Infinite values and NaN fail the comparison as well; absent ones are 0.
+    return 0.0 <= report.requests_per_s < 1e9 and 0.0 <= report.rejections_per_s < 1e9
 
 
 def log_limit(state: ServerState, source: str) -> None:
@@ -79,6 +85,7 @@
         extra={
             "server": state.server_id,
             "requests_per_s": state.limit_per_s,
+            "rejections_per_s": state.rejections_per_s,
             "source": source,
         },
     )
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -431,6 +431,9 @@
         while True:
             if self.reachability_check.is_cut_off:
                 return await self._serve_elsewhere(request)
+            senders = self._find_senders(request)
+            if senders:
+                return await self.forwarder.forward(request, senders)
             try:
                 choice = await self.placer.place_request(request)
             except CapacityError as error:
@@ -483,6 +486,13 @@
         check = self.reachability_check
         return check.reachability.is_suspect and await check.settle()
 
+    def _find_senders(self, request: RequestState) -> Set[str]:
+        """Returns the nodes that have to send a request in place of this one, if any."""
+        if request.forwarded_by is not None:
+            return set()
+        now_s = asyncio.get_running_loop().time()
+        return self.dispatcher.find_senders(request.dispatch_request, now_s)
+
     async def _serve_elsewhere(self, request: RequestState) -> str:
         """Forwards a request to a node that reaches servers; returns the result.
 
