--- a/src/tanagerworks/edge/forwarding.py
+++ b/src/tanagerworks/edge/forwarding.py
@@ -35,6 +35,7 @@
     BackendResponse,
     RequestState,
 )
+from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import (
     BackendConnectError,
     BackendDisconnectedError,
@@ -146,8 +147,9 @@
 class RequestForwarder:
     """Chooses nodes for the requests that this node cannot send to servers."""
 
-    def __init__(self, exchange: ForwardingExchange, zone: str) -> None:
+    def __init__(self, exchange: ForwardingExchange, zone: str, metrics: EdgeMetrics) -> None:
         self.exchange = exchange
+        self.metrics = metrics
         self.dispatcher = exchange.dispatcher
         self.zone = zone
         self.random = random.Random()
@@ -211,8 +213,11 @@
         attempt = Attempt(ServerState(_node_entry(request, peer), now_s), 0, now_s, None)
         self.in_progress[peer.name] += 1
         try:
-            return await self.exchange.run_attempt(request, attempt)
+            result = await self.exchange.run_attempt(request, attempt)
+            self.metrics.record_forwarded(request.service, result)
+            return result
         except BackendError as error:
+            self.metrics.record_forwarded(request.service, error.code)
             _LOGGER.warning(
                 "request not served by another node",
                 extra={
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -130,7 +130,7 @@
             dispatcher, backend_dialect, self.reachability_check
         )
         forwarding_exchange.on_stream_begun = self.stream_origins.record_begin
-        self.forwarder = RequestForwarder(forwarding_exchange, zone)
+        self.forwarder = RequestForwarder(forwarding_exchange, zone, metrics)
         self.crash_detector = CrashDetector(dispatcher, metrics, self.reachability_check)
         # Called when the node has found that it reaches no server, or servers again.
         self.on_reachability_changed: Callable[[], None] = lambda: None
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -390,6 +390,9 @@
             "Prompt parts and requests refused.",
             self._quarantined_parts,
         )
+        add_gauge(
+            "tanager.servers.unreachable", "1", "Whether no server is reached.", self._is_cut_off
+        )
         add_gauge("tanager.logs.dropped", "{record}", "Log records dropped.", self._dropped_logs)
         add_gauge(
             "tanager.connections.ended",
@@ -448,6 +451,9 @@
             state.server_id: state.limit_per_s for state in servers if state.limit_per_s is not None
         }
 
+    def _is_cut_off(self) -> dict[str, float]:
+        return {"node": float(self.pipeline.reachability_check.is_cut_off)}
+
     def _quarantined_parts(self) -> dict[str, float]:
         return {"node": len(self.dispatcher.crash_evidence.quarantines)}
 
--- a/src/tanagerworks/edge/telemetry.py
+++ b/src/tanagerworks/edge/telemetry.py
@@ -66,6 +66,11 @@
             unit="{request}",
             description="Requests placed at servers that are leaving or in zones out of service.",
         )
+        self.forwarded_requests = meter.create_counter(
+            "tanager.forwarded.requests",
+            unit="{request}",
+            description="Requests forwarded to other nodes, by service and result.",
+        )
         self.duration = meter.create_histogram(
             "http.server.request.duration",
             unit="s",
@@ -164,6 +169,11 @@
         """Counts a request that was placed at a server out of service."""
         self._record_or_defer(lambda: self.last_resort_requests.add(1, {"service": service}))
 
+    def record_forwarded(self, service: str, result: str) -> None:
+        """Counts a request sent to another node; `result` is "answered" or the code of an error."""
+        attributes = {"service": service, "result": result}
+        self._record_or_defer(lambda: self.forwarded_requests.add(1, attributes))
+
     def record_fleet_ejection(self, service: str) -> None:
         """Counts a server that the evidence of the fleet ejects."""
         self._record_or_defer(lambda: self.fleet_ejections.add(1, {"service": service}))
