Count forwarded connections towards the limit on those of callers

Cause: the port for forwarded requests had a limit of its own, so that together with callers' connections and those to servers more descriptors than a process has could be in use. The soak opens the port, too. Measured: tests of the process, callers' limits and forwarding pass.

--- a/src/tanagerworks/edge/forwarding.py
+++ b/src/tanagerworks/edge/forwarding.py
@@ -15,7 +15,6 @@
 
 import h11
 
-from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.forwarding import choose_node
 from tanagerworks.dispatch.server_state import ServerState
 from tanagerworks.edge.backend_connection import BackendConnection, open_connection
@@ -27,8 +26,8 @@
     without_forwarding,
 )
 from tanagerworks.edge.http_messages import HeaderList, end_to_end_headers, find_header
-from tanagerworks.edge.interfaces import BackendDialect, ResponseMetadata
-from tanagerworks.edge.reachability_check import CONNECT_TIMEOUT_S, ReachabilityCheck
+from tanagerworks.edge.interfaces import ResponseMetadata
+from tanagerworks.edge.reachability_check import CONNECT_TIMEOUT_S
 from tanagerworks.edge.request_state import (
     RESPONSE_MARGIN_S,
     Attempt,
@@ -63,15 +62,6 @@
     The other node records what concerns servers: loads, health, cached parts and budgets.
     """
 
-    def __init__(
-        self,
-        dispatcher: Dispatcher,
-        backend_dialect: BackendDialect,
-        reachability_check: ReachabilityCheck,
-    ) -> None:
-        super().__init__(dispatcher, backend_dialect, reachability_check)
-        self.node = dispatcher.name
-
     async def _acquire_connection(
         self, request: RequestState, state: ServerState
     ) -> BackendConnection:
@@ -90,7 +80,7 @@
 
     def _request_headers(self, request: RequestState, attempt: Attempt, now_s: float) -> HeaderList:
         forwarded = ForwardedRequest(
-            self.node,
+            self.dispatcher.name,
             request.deadline_s - now_s - RESPONSE_MARGIN_S,
             self.dispatcher.version,
             # The attempt that begins counts at the other node.
--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -766,7 +766,9 @@
         memory: MemoryBudget | None = None,
         max_connections: int = _DEFAULT_MAX_CONNECTIONS,
         body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
+        connections: set[HttpServerConnection] | None = None,
     ) -> None:
+        """`connections` are those of another server with which this one shares its limit."""
         self.handler = handler
         self.memory = memory or MemoryBudget(_DEFAULT_BUDGET_BYTES)
         self.max_connections = max_connections
@@ -775,7 +777,7 @@
         # Connections with input that is left to parse.
         self.parse_queue: deque[HttpServerConnection] = deque()
         self.limits = limits
-        self.connections: set[HttpServerConnection] = set()
+        self.connections = connections if connections is not None else set()
         # Returns further headers of the response to a request that fails with an error.
         self.error_headers: Callable[[TanagerError], HeaderList] = lambda _error: []
         # While set, responses carry `Connection: close`, so that callers move to other nodes.
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -182,8 +182,9 @@
             self._serve_forwarded,
             self._forwarding_limits,
             self.caller_memory,
-            self.caller_server.max_connections // 2,
+            self.caller_server.max_connections,
             settings.callers.body_timeout_s,
+            self.caller_server.connections,
         )
         self.forwarding_server.error_headers = error_headers
         self.readiness_server, self.metrics_server = (
@@ -200,7 +201,6 @@
         if self.store_view.complete:
             self.pipeline.view_complete.set()
         self.caller_server.apply_limits()
-        self.forwarding_server.apply_limits()
         self.pipeline.placer.wake_first_waiters()
 
     def _caller_limits(self) -> CallerLimits:
@@ -558,22 +558,17 @@
         self.peer_exchange.announce()
         await asyncio.sleep(_DRAIN_NOTICE_S)
         self.drain_notice_over = True
-        servers = (self.caller_server, self.forwarding_server)
-        while True:
-            for server in servers:
-                server.close_idle_connections()
-            if loop.time() >= shutdown_deadline_s or not any(
-                server.connections for server in servers
-            ):
-                break
+        self.caller_server.close_idle_connections()
+        while loop.time() < shutdown_deadline_s and self.caller_server.connections:
+            self.caller_server.close_idle_connections()
             await asyncio.sleep(0.1)
         self.pipeline.expire_requests()
-        for server in servers:
-            server.close_listener()
+        self.caller_server.close_listener()
+        self.forwarding_server.close_listener()
         flushed_by_s = loop.time() + _FLUSH_PERIOD_S
         while loop.time() < flushed_by_s and self.pipeline.active_requests:
             await asyncio.sleep(0.01)
-        connections_left = sum(len(server.connections) for server in servers)
+        connections_left = len(self.caller_server.connections)
         for task in self.tasks:
             task.cancel()
         level = logging.WARNING if connections_left else logging.INFO
--- a/tests/edge_soak.py
+++ b/tests/edge_soak.py
@@ -70,6 +70,7 @@
     def __init__(self, number, directory, store_address, seeds):
         self.name = f"node-{number}"
         self.callers, self.readiness, self.peers = (free_address() for _ in range(3))
+        self.forwarding = free_address()
         self.settings = directory / f"{self.name}.yaml"
         self.log = directory / f"{self.name}.log"
         self.process = None
@@ -86,6 +87,7 @@
                 "readiness": self.readiness,
                 "peers": self.peers,
                 "metrics": free_address(),
+                "forwarding": self.forwarding,
             },
             "seeds": [*seeds],
             "store": {"address": store_address, "timeout_s": 0.5},
--- a/tests/test_fault_endless_paths.py
+++ b/tests/test_fault_endless_paths.py
@@ -41,6 +41,22 @@
     return EndlessServer(chunked_head, encode_chunk(PIECE))
 
 
+async def write_until_closed(writer, most):
+    """Writes pieces until the reader closes; returns the bytes written, `most` at the most."""
+    sent = 0
+    try:
+        while sent < most:
+            writer.write(PIECE)
+            sent += len(PIECE)
+            await writer.drain()
+            # On one event loop, the reader needs a turn.
+            await asyncio.sleep(0)
+    except ConnectionError:
+        pass
+    writer.close()
+    return sent
+
+
 async def send_without_reading(port, raw):
     """Sends a request whose response the caller does not take; returns the open connection."""
     address = port.listener.sockets[0].getsockname()
@@ -94,33 +110,23 @@
 
 def test_check_of_a_connection():
     """Guards against a check that reads what a server sends without a request."""
-    sent = 0
 
     async def scenario(port, pipeline, servers):
-        ended = asyncio.Event()
-
-        async def send(reader, writer):
-            nonlocal sent
-            try:
-                while sent < MAX_BYTES_READ:
-                    writer.write(PIECE)
-                    sent += len(PIECE)
-                    await writer.drain()
-                    await asyncio.sleep(0)
-            except ConnectionError:
-                pass
-            ended.set()
+        sent = asyncio.get_running_loop().create_future()
+
+        async def send(_reader, writer):
+            sent.set_result(await write_until_closed(writer, MAX_BYTES_READ))
 
         servers[0].server.close()
         server = await asyncio.start_server(send, "127.0.0.1", servers[0].port)
         state = pipeline.dispatcher.directory.servers["server-0"]
-        check = pipeline.reachability_check
-        assert await check._accepts(state)
-        await ended.wait()
-        server.close()
+        assert await pipeline.reachability_check._accepts(state)
+        try:
+            return await sent
+        finally:
+            server.close()
 
-    run_scenario([[respond_with()]], scenario)
-    assert sent < MAX_BYTES_READ
+    assert run_scenario([[respond_with()]], scenario) < MAX_BYTES_READ
 
 
 @pytest.mark.parametrize("part", ["head", "body"])
@@ -155,30 +161,22 @@
 @pytest.mark.parametrize("start", [b"", (30_000_000).to_bytes(4, "big")])
 def test_copy_from_a_peer(start):
     """Guards against a peer that answers with anything but a copy of the store."""
-    sent = 0
 
-    async def send(reader, writer):
-        nonlocal sent
-        try:
+    async def run():
+        sent = asyncio.get_running_loop().create_future()
+
+        async def send(_reader, writer):
             writer.write(start)
-            while sent < 2 * MAX_COPY_BYTES_READ:
-                writer.write(PIECE)
-                sent += len(PIECE)
-                await writer.drain()
-                await asyncio.sleep(0)
-        except ConnectionError:
-            pass
-        writer.close()
+            sent.set_result(await write_until_closed(writer, 2 * MAX_COPY_BYTES_READ))
 
-    async def run():
         server = await asyncio.start_server(send, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         with pytest.raises(PeerError):
             await fetch_store_copy(f"{host}:{port}", StoreCopyRequest())
         server.close()
+        return await sent
 
-    asyncio.run(run())
-    assert sent < MAX_COPY_BYTES_READ
+    assert asyncio.run(run()) < MAX_COPY_BYTES_READ
 
 
 @pytest.mark.parametrize("part", ["head", "body"])
