--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -213,7 +213,7 @@
         body: bytes,
         responder: Responder,
         arrived_s: float,
-        forwarded: ForwardedRequest | None,
+        forwarded: ForwardedRequest | None = None,
     ) -> RequestState:
         """Returns the state of a new request with its route, customer, service and deadline.
 
