--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -163,7 +163,10 @@
         process = EdgeProcess(settings, adapter, lambda: settings)
         self.processes.append(process)
         self.running.append(asyncio.get_running_loop().create_task(process.run()))
-        await wait_until(lambda: process.tasks)
+        await wait_until(lambda: process.tasks or self.running[-1].done())
+        if self.running[-1].done():
+            # Shows why the process did not start.
+            self.running[-1].result()
 
     async def stop(self):
         for process in self.processes:
