Show that a stopping node takes late streams that it has to cut

A stream that comes after the drain notice is taken if twice the longest of the last 64 streams that have ended still fits. Eight suffice, and slower servers do not show in them until a slow stream has ended. The balancer sends new callers to stopping nodes if fewer than half of a zone are in rotation.

--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -12,6 +12,8 @@
 
 from tests.edge_process_runner import edge_settings, publish_to_store, run_process
 from tests.platform_standin import (
+    WIRE_CONFIGURATION,
+    encode_chunk,
     never_respond,
     read_response,
     request_bytes,
@@ -213,3 +215,68 @@
     late, requests_before, repeatable, early = run_scenario([[respond_with()]], scenario)
     assert (late.status, requests_before) == (503, 0)
     assert (repeatable.status, early.status) == (200, 200)
+
+
+def publish_stream_route(store):
+    """Publishes a route of streams that one server gets once, for 15 s at most."""
+    stream, plain = WIRE_CONFIGURATION["routes"]
+    stream = stream | {
+        "weighted-services": [{"service": "desk", "weight": 1}],
+        "max-attempts": 1,
+        "resumable": False,
+    }
+    changes = {"version": WIRE_CONFIGURATION["version"] + 1, "routes": [stream, plain]}
+    store.put("op/config", WIRE_CONFIGURATION | changes)
+
+
+def stream_at_pace(pace):
+    """Sends ten events, with `pace[0]` seconds before each."""
+
+    async def action(server, headers, reader, writer):
+        kind = ("content-type: text/event-stream", "transfer-encoding: chunked")
+        writer.write(response_head(headers, "200 OK", *kind))
+        for number in range(1, 11):
+            await asyncio.sleep(pace[0])
+            writer.write(encode_chunk(b"id: %d\ndata: x\n\n" % number))
+        writer.write(b"0\r\n\r\n")
+
+    return action
+
+
+def test_stream_that_comes_late_in_a_stop_is_refused_or_whole():
+    """Guards against streams that are taken late and cut, since servers have become slower.
+
+    The balancer sends new callers to a node during its whole stop if too few others are left.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        pace = [0.05]
+        server.script = [stream_at_pace(pace)]
+        publish_to_store(store, server)
+        publish_stream_route(store)
+        await wait_until(process.is_ready)
+
+        def send(call_id):
+            raw = request_bytes("/chat/x", call_id, "POST").replace(b"1500", b"15000")
+            return asyncio.ensure_future(send_request(process.caller_server, raw))
+
+        for batch in ("a", "b"):
+            early = [send(f"early-{batch}{number}") for number in range(4)]
+            assert all(response.complete for response in await asyncio.gather(*early))
+        process.stop_requested.set()
+        # Keeps the process from ending before the late ones come.
+        await asyncio.sleep(2.3)
+        holder = send("holder")
+        await wait_until(lambda: process.drain_notice_over)
+        pace[0] = 0.175
+        late = {f"late-{number}": send(f"late-{number}") for number in range(4)}
+        await asyncio.gather(holder, *late.values(), return_exceptions=True)
+        passed_on = {headers["x-tanagerworks-attempt-id"] for _line, headers in server.requests}
+        cut = [
+            call_id
+            for call_id, sending in late.items()
+            if call_id in passed_on and (sending.exception() or not sending.result().complete)
+        ]
+        assert cut == []
+
+    run_process(scenario, stop_limit_s=5.0)
