Take late streams at a stopping node only if much slower ones would fit

Callers saw streams broken off at the end of a planned stop although they had been taken seconds after the signal. The estimate of a stream's length was twice the longest recorded one, from eight samples on, and streams in progress did not count: at a node that had just started, or beside servers that had become slower, the sample held the short ones only.

After the drain notice four times the longest of the recorded streams and of those in progress has to fit now; until then nothing changes, as the balancer still sends all callers here and refused ones may reach the next stopping node.

That this was the cause of the users' record is suspected, not shown.

--- a/src/tanagerworks/dispatch/shutdown.py
+++ b/src/tanagerworks/dispatch/shutdown.py
@@ -10,9 +10,10 @@
 # A stream is started only if this multiple of the longest recorded stream of the route still fits
 # before the shutdown deadline. During the drain notice the balancer may send all callers of a zone
 # here, so the factor is smaller: about one stream in 65 lasts longer than the longest of 64. After
-# the notice, the balancer sends new callers to other nodes.
+# the notice, the balancer sends new callers to other nodes as long as enough are in rotation.
+# Servers that become slower do not show in the recorded streams until a slow one has ended.
 _NOTICE_MARGIN_FACTOR = 1.0
-_SHUTDOWN_MARGIN_FACTOR = 2.0
+_SHUTDOWN_MARGIN_FACTOR = 4.0
 # Repeatable requests are assumed to take at most this multiple of the latency objective.
 _OBJECTIVE_FACTOR = 2.0
 
@@ -63,9 +64,13 @@
             if route.execution is ExecutionSemantics.AT_MOST_ONCE:
                 return Expectation(limit_s)
             return Expectation(_OBJECTIVE_FACTOR * route.objective_s)
-        factor = _NOTICE_MARGIN_FACTOR if now_s < self.notice_until_s else _SHUTDOWN_MARGIN_FACTOR
-        needed_s = durations.estimate_s(route.name, limit_s, factor)
-        return Expectation(needed_s, durations.sample_count(route.name))
+        samples = durations.sample_count(route.name)
+        if now_s < self.notice_until_s:
+            needed_s = durations.estimate_s(route.name, limit_s, _NOTICE_MARGIN_FACTOR)
+            return Expectation(needed_s, samples)
+        longest_s = durations.estimate_s(route.name, limit_s, _SHUTDOWN_MARGIN_FACTOR)
+        oldest_s = _SHUTDOWN_MARGIN_FACTOR * durations.oldest_s(route.name, now_s)
+        return Expectation(min(limit_s, max(longest_s, oldest_s)), samples)
 
     def fits(self, expectation: Expectation, now_s: float) -> bool:
         """Whether a request that is expected to take that long ends before the deadline."""
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -414,6 +414,7 @@
         timeout = PauseTolerantTimeout(
             request.deadline_s - RESPONSE_MARGIN_S, _DEADLINE_EXTENSION_S
         )
+        number = self.durations.record_start(request.route.name, request.arrived_s)
         try:
             async with timeout:
                 self.request_timeouts.add(timeout)
@@ -425,6 +426,7 @@
             raise RouteTimeoutError(f"the response was incomplete at the {limit}") from error
         finally:
             self.request_timeouts.discard(timeout)
+            self.durations.record_end(request.route.name, number)
 
     async def _serve_request(self, request: RequestState) -> str:
         """Makes attempts until one succeeds or there is no retry; returns the result.
