Count a planned stop from its signal, also if the event loop is held up

The stop limit was counted from the moment at which the event loop got to the signal. A loop that is held up makes the process use time that it does not have: whoever sent the signal kills it when the limit is over, and all requests in progress end without an answer and without a log line.

--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -560,7 +560,8 @@
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         self.signalled_s = min(self.signalled_s, now_s)
-        shutdown_deadline_s = now_s + self.settings.bounds.stop_limit_s - _EXIT_MARGIN_S
+        stop_limit_s = self.settings.bounds.stop_limit_s
+        shutdown_deadline_s = self.signalled_s + stop_limit_s - _EXIT_MARGIN_S
         _LOGGER.info(
             "stopping",
             extra={
@@ -570,10 +571,11 @@
             },
         )
         self.caller_server.closing_connections = True
-        self.pipeline.begin_shutdown(shutdown_deadline_s, now_s + _DRAIN_NOTICE_S, self.signalled_s)
+        notice_until_s = min(now_s + _DRAIN_NOTICE_S, shutdown_deadline_s)
+        self.pipeline.begin_shutdown(shutdown_deadline_s, notice_until_s, self.signalled_s)
         self.peer_exchange.stopping = True
         self.peer_exchange.announce()
-        await asyncio.sleep(_DRAIN_NOTICE_S)
+        await asyncio.sleep(notice_until_s - now_s)
         self.drain_notice_over = True
         self.caller_server.close_idle_connections()
         while loop.time() < shutdown_deadline_s and self.caller_server.connections:
--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import signal
+import time
 
 import pytest
 
@@ -156,6 +157,30 @@
     run_process(scenario, route_timeout_ms=60_000)
 
 
+def test_stop_is_counted_from_the_signal_while_the_event_loop_is_held_up():
+    """Guards against a process that is killed in its stop, as it has seen the signal late.
+
+    Whoever sent the signal kills the process when the time for the stop is over.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        server.script = [never_respond()]
+        raw = request_bytes("/book/x", "c1", "POST").replace(b"1500", b"60000")
+        pending = asyncio.ensure_future(send_request(process.caller_server, raw))
+        await wait_until(lambda: server.requests)
+        os.kill(os.getpid(), signal.SIGTERM)
+        signalled_s = time.monotonic()
+        while time.monotonic() < signalled_s + 1.2:
+            pass
+        response = await pending
+        assert (response.status, response.complete) == (504, True)
+        assert time.monotonic() < signalled_s + 4.0
+
+    run_process(scenario, route_timeout_ms=60_000, stop_limit_s=4.0)
+
+
 def test_stop_without_requests_is_short():
     """Guards against a stop that lasts longer than the balancer needs to notice it."""
 
