Check once more before an attempt whether a request still fits a stop

Callers saw streams that broke off at the deadline of a planned stop, 7.3 s after the signal at the users' site, though the node had taken them for ones that end in time. Cause: a stopping node judged a request at its arrival only. The wait in the queue, for a server of its stream's version, for the version at which a stream began, or the refusal of a server used the time up, and the request was passed on nevertheless. Requests that had come before the signal and waited were not judged at all.

The pipeline now judges a request before each attempt, and those that wait every 0.25 s and at the signal, as at its arrival. One that no longer fits is refused as not run with a short Retry-After, so its caller turns to another node at once. A request that a server may have run, or whose answer has begun, is not refused: its caller could not tell that from one that has not run.

The refusals come earlier than they would have to, since the recorded durations contain the wait in the queue.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -123,6 +123,7 @@
         self.stream_origins = StreamOriginTable(dispatcher)
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
         self.placer.is_cut_off = lambda: self.reachability_check.is_cut_off
+        self.placer.check_start = self._check_start
         forwarding_exchange = ForwardingExchange(
             dispatcher, backend_dialect, self.reachability_check
         )
@@ -330,6 +331,7 @@
         if signalled_s is None:
             signalled_s = asyncio.get_running_loop().time()
         self.shutdown = Shutdown(signalled_s, deadline_s, notice_until_s)
+        self.placer.wake_all_waiters()
 
     def expire_requests(self) -> None:
         """Ends the requests in progress as at their deadlines, since the process has to exit.
@@ -356,6 +358,20 @@
             raise StoppingError(route.name, expectation.needed_s, expectation.samples)
         return expectation
 
+    def _check_start(self, request: RequestState) -> None:
+        """Checks once more before an attempt what held for the request when it arrived.
+
+        It may have waited meanwhile, or have come before the stop signal. One that a server may
+        have run goes on: its caller could not tell that from a refusal.
+
+        Raises:
+            StoppingError: the request may not end before the shutdown deadline.
+        """
+        if request.executed_error is not None or request.responder.started:
+            return
+        now_s = asyncio.get_running_loop().time()
+        request.expectation = self._check_shutdown(request.route, now_s, request.deadline_s)
+
     def _pick_service(self, route: Route, call: Call) -> str:
         """Returns one of the route's services, chosen by weight.
 
@@ -438,6 +454,7 @@
         if request.goes_on_with_stream and request.dispatch_request.software_version is None:
             await self._find_origin(request)
         while True:
+            self._check_start(request)
             if self.reachability_check.is_cut_off:
                 return await self._serve_elsewhere(request)
             senders = self._find_senders(request)
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -66,6 +66,8 @@
         self.random = random.Random()
         # Returns whether this node is cut off from all servers, so that waiting is in vain.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Raises an error if a request that waits must not be sent any more.
+        self.check_start: Callable[[RequestState], None] = lambda _request: None
 
     async def place_request(self, request: RequestState) -> Choice:
         """Returns the server for the next attempt and counts the attempt as started.
@@ -79,6 +81,7 @@
             NoServerError: the service has no server that the request may be sent to.
             CapacityError: no server can run the request before its deadline, or the queue
                 is full.
+            StoppingError: it waited, and may not end any more before the node stops.
         """
         dispatch_request = request.dispatch_request
         loop = asyncio.get_running_loop()
@@ -127,6 +130,7 @@
                 await event.wait()
                 event.clear()
                 self._check_reachability()
+                self.check_start(request)
                 self._check_quarantine(dispatch_request)
                 choice = self._choose(dispatch_request)
                 if choice is not None:
@@ -210,6 +214,7 @@
             while True:
                 event.clear()
                 self._check_reachability()
+                self.check_start(request)
                 self._check_quarantine(dispatch_request)
                 choice = self._choose_if_first(dispatch_request)
                 if choice is not None:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -490,6 +490,8 @@
                 _LOGGER.info("zone back in service", extra={"zone": zone, "source": "timeout"})
             self.pipeline.placer.wake_first_waiters()
             if self.stop_requested.is_set():
+                # Refuses those that cannot end in time, so that their callers turn to other nodes.
+                self.pipeline.placer.wake_all_waiters()
                 # `_shut_down` closes the connections.
                 continue
             isolated = self.store_view.complete and self.check_isolation()
--- /dev/null
+++ b/tests/test_shutdown_states.py
@@ -0,0 +1,173 @@
+"""Fault: a node stops while a request is between two steps of the pipeline.
+
+Each test holds a request in one state of the table in docs/design/graceful_shutdown.md.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from tests.edge_builders import MODEL_SERVICE, configuration, stream_route
+from tests.edge_process_runner import run_process
+from tests.platform_standin import (
+    WIRE_CONFIGURATION,
+    WIRE_ENTRY,
+    encode_chunk,
+    refuse,
+    request_bytes,
+    response_head,
+    resume_bytes,
+    run_scenario,
+    send_request,
+    stream_events,
+    wait_until,
+)
+
+RESUMABLE = stream_route("plan", resumable=True, max_attempts=2)
+
+
+def stop(pipeline, left_s=0.1):
+    """Begins a shutdown that leaves less time than a stream of unknown length needs."""
+    now_s = asyncio.get_running_loop().time()
+    pipeline.begin_shutdown(now_s + left_s, now_s)
+
+
+def start(port, raw):
+    return asyncio.ensure_future(send_request(port, raw))
+
+
+def arrivals(servers, call_id):
+    """Returns how often the servers got the request."""
+    ids = [
+        headers["x-tanagerworks-attempt-id"] for server in servers for _, headers in server.requests
+    ]
+    return ids.count(call_id)
+
+
+def publish_model_server(store, server):
+    """Publishes a model server with one slot, and a route of streams that it gets once."""
+    stream = WIRE_CONFIGURATION["routes"][0] | {
+        "weighted-services": [{"service": "models", "weight": 1}],
+        "max-attempts": 1,
+        "resumable": False,
+    }
+    store.put("op/config", WIRE_CONFIGURATION | {"routes": [stream]})
+    entry = {"address": f"127.0.0.1:{server.port}", "capacity": 1, "cold-remaining-ms": 0}
+    store.put("servers/a", WIRE_ENTRY | entry)
+
+
+def stream_for(duration_s):
+    """Sends one event at the start and one at the end."""
+
+    async def action(server, headers, reader, writer):
+        kind = ("content-type: text/event-stream", "transfer-encoding: chunked")
+        writer.write(response_head(headers, "200 OK", *kind) + encode_chunk(b"id: 1\ndata: x\n\n"))
+        await asyncio.sleep(duration_s)
+        writer.write(encode_chunk(b"id: 2\ndata: x\n\n") + b"0\r\n\r\n")
+
+    return action
+
+
+def hold_until(released, then):
+    """Follows `then` once `released` is set."""
+
+    async def action(*arguments):
+        await released.wait()
+        await then(*arguments)
+
+    return action
+
+
+async def wait_for_server(port, pipeline, servers, bound):
+    """Fills the only server, holds a second stream in a queue and stops; returns its response."""
+    released = asyncio.Event()
+    servers[0].script = [hold_until(released, stream_events(1, 3))]
+    directory = pipeline.dispatcher.directory
+    directory.put(replace(directory.servers["server-0"].entry, slots=1), 0.0)
+    for name in ("c1", "c2"):
+        pipeline.stream_origins.record_begin(name, MODEL_SERVICE, "v1")
+    holder = start(port, request_bytes("/plan/x", "holder", "POST"))
+    await wait_until(lambda: servers[0].requests)
+    raw = resume_bytes("late", 1, "c1") if bound else request_bytes("/plan/x", "late", "POST")
+    late = start(port, raw)
+    placer = pipeline.placer
+    await wait_until(lambda: placer.version_waiters.get(MODEL_SERVICE) or placer.waiters)
+    assert bool(placer.waiters) is not bound
+    stop(pipeline)
+    await asyncio.wait({late}, timeout=1.0)
+    released.set()
+    await holder
+    return await late
+
+
+async def wait_for_origin(port, pipeline, servers):
+    async def catch_up(_since_s):
+        stop(pipeline)
+        return True
+
+    pipeline.catch_up = catch_up
+    return await send_request(port, resume_bytes("late", 1, None))
+
+
+async def be_refused(port, pipeline, servers):
+    async def refuse_and_stop(*arguments):
+        stop(pipeline)
+        await refuse()(*arguments)
+
+    for server in servers:
+        server.script = [refuse_and_stop]
+    return await send_request(port, request_bytes("/plan/x", "late", "POST"))
+
+
+@pytest.mark.parametrize(
+    "state",
+    [
+        lambda *held: wait_for_server(*held, bound=False),
+        lambda *held: wait_for_server(*held, bound=True),
+        wait_for_origin,
+        be_refused,
+    ],
+    ids=["queue", "version", "origin", "refused"],
+)
+def test_request_that_no_longer_fits_is_not_sent(state):
+    """Guards against a request that is passed on late, and cut at the deadline of the stop.
+
+    It fitted when it arrived; what kept it since has used the time.
+    """
+
+    async def scenario(port, pipeline, servers):
+        response = await state(port, pipeline, servers)
+        return response, arrivals(servers, "late")
+
+    scripts = [[stream_events(1, 3)]] * (2 if state is be_refused else 1)
+    response, sent = run_scenario(
+        scripts, scenario, configuration(routes=[RESUMABLE]), MODEL_SERVICE
+    )
+    assert (response.status, b"stopping" in response.body) == (503, True)
+    assert sent == (1 if state is be_refused else 0)
+
+
+def test_streams_that_wait_for_a_server_of_a_stopping_node_are_not_cut():
+    """Guards against streams that leave the queue too late, in a process with its real times."""
+
+    async def scenario(process, store, server, settings_versions):
+        # The first request lists the contents of the cache.
+        server.script = [refuse("404 Not Found"), stream_for(0.05)]
+        publish_model_server(store, server)
+        await wait_until(process.pipeline.caches_recovered.is_set)
+        raw = request_bytes("/chat/x", "{}", "POST").replace(b"1500", b"15000")
+        port = process.caller_server
+        for number in range(8):
+            await send_request(port, raw.replace(b"{}", b"early-%d" % number))
+        # The sixth of them begins 0.3 s before the deadline of the stop.
+        server.script = [stream_for(0.8)]
+        process.stop_requested.set()
+        await wait_until(lambda: process.pipeline.shutdown)
+        late = [start(port, raw.replace(b"{}", b"late-%d" % number)) for number in range(8)]
+        responses = await asyncio.gather(*late)
+        assert {response.complete for response in responses} == {True}
+        assert responses[0].status == 200
+        assert responses[-1].status == 503
+
+    run_process(scenario, stop_limit_s=5.0)
