Let streams of silent servers go on until the deadline of a stop

A caller saw its stream break off in the middle of a planned stop, while the node still had time: a stream without a complete event for one and a half times as long as callers wait is ended as stalled. The users' rule on planned stops says that a server's silence is no reason to end an answer sooner.

Evidence: a server that is silent for three times that limit and then completes its stream; the caller got 504 before the first event, and half a stream after it. While a node stops, streams now end as stalled only if another server can go on with them; the deadline of the stop bounds all others. Measured: both streams arrive whole. Outside a stop nothing changes (test_fault_stalled_streams.py passes).

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -81,6 +81,8 @@
         # Called with the attempt, the service and the server's software version when the first
         # event of a resumable stream has arrived.
         self.on_stream_begun: Callable[[str, str, str], None] = lambda *_: None
+        # Whether a stream ends if its server is silent and no other server can go on with it.
+        self.ends_stalled_streams: Callable[[], bool] = lambda: True
 
     async def run_attempt(self, request: RequestState, attempt: Attempt) -> str:
         """Sends a request to one server, relays the response and returns the result.
@@ -497,6 +499,8 @@
                     break
             except TimeoutError as error:
                 limit_s = end_after_s - (loop.time() - attempt.last_event_s)
+                if limit_s <= 0.0 and not self.ends_stalled_streams():
+                    limit_s = end_after_s
                 if limit_s <= 0.0 or self._can_move(request):
                     raise BackendTimeoutError(
                         "the stream stalled without a complete event"
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -128,6 +128,9 @@
             dispatcher, backend_dialect, self.reachability_check
         )
         forwarding_exchange.on_stream_begun = self.stream_origins.record_begin
+        for exchange in (self.backend_exchange, forwarding_exchange):
+            # A shutdown has its own deadline, which is soon enough for a silent server.
+            exchange.ends_stalled_streams = lambda: self.shutdown is None
         self.forwarder = RequestForwarder(forwarding_exchange, zone, metrics)
         self.crash_detector = CrashDetector(dispatcher, metrics, self.reachability_check)
         # Called when the node has found that it reaches no server, or servers again.
