Test requests that wait, run or are forwarded while a node stops

Each state that a request can have beyond the connection of its caller has a test, of whole processes where times or connections matter. A forwarded request keeps a node that stops from ending, as both ports share one set of connections.

--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -10,13 +10,15 @@
 
 from tanagerworks.edge.stall import StallLimits
 from tests.edge_builders import MODEL_SERVICE, configuration, stream_route
-from tests.edge_process_runner import run_process
+from tests.edge_process_runner import publish_to_store, run_process
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
     WIRE_ENTRY,
     encode_chunk,
+    never_respond,
     refuse,
     request_bytes,
+    respond_with,
     response_head,
     resume_bytes,
     run_scenario,
@@ -24,6 +26,7 @@
     stream_events,
     wait_until,
 )
+from tests.test_forwarding import run_fleet
 
 RESUMABLE = stream_route("plan", resumable=True, max_attempts=2)
 SHORT_LIMITS = StallLimits(1.0, 0.1, 0.1, 0.1, 0.1)
@@ -39,6 +42,12 @@
     return asyncio.ensure_future(send_request(port, raw))
 
 
+def ended(caplog, *call_ids):
+    """Returns the log records of the ends of requests."""
+    records = [record for record in caplog.records if record.message == "request ended"]
+    return [record for record in records if getattr(record, "call", None) in call_ids]
+
+
 def arrivals(servers, call_id):
     """Returns how often the servers got the request."""
     ids = [
@@ -47,15 +56,16 @@
     return ids.count(call_id)
 
 
-def publish_model_server(store, server):
-    """Publishes a model server with one slot, and a route of streams that it gets once."""
+def publish_model_server(store, server, slots, **changes):
+    """Publishes a model server, and a route of streams that it gets once."""
     stream = WIRE_CONFIGURATION["routes"][0] | {
         "weighted-services": [{"service": "models", "weight": 1}],
         "max-attempts": 1,
         "resumable": False,
+        **changes,
     }
     store.put("op/config", WIRE_CONFIGURATION | {"routes": [stream]})
-    entry = {"address": f"127.0.0.1:{server.port}", "capacity": 1, "cold-remaining-ms": 0}
+    entry = {"address": f"127.0.0.1:{server.port}", "capacity": slots, "cold-remaining-ms": 0}
     store.put("servers/a", WIRE_ENTRY | entry)
 
 
@@ -180,7 +190,7 @@
     async def scenario(process, store, server, settings_versions):
         # The first request lists the contents of the cache.
         server.script = [refuse("404 Not Found"), stream_for(0.05)]
-        publish_model_server(store, server)
+        publish_model_server(store, server, 1)
         await wait_until(process.pipeline.caches_recovered.is_set)
         raw = request_bytes("/chat/x", "{}", "POST").replace(b"1500", b"15000")
         port = process.caller_server
@@ -197,3 +207,96 @@
         assert responses[-1].status == 503
 
     run_process(scenario, stop_limit_s=5.0)
+
+
+def test_request_that_waits_for_room_for_its_body_is_read_and_answered():
+    """Guards against a connection that is closed as idle while its body waits for memory."""
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        bodies = process.caller_memory.bodies
+        held = bodies.reserve(bodies.limit_bytes, lambda: None)
+        process.stop_requested.set()
+        await wait_until(lambda: process.pipeline.shutdown)
+        raw = request_bytes("/book/x", "large", "POST", b"x" * 100_000)
+        pending = start(process.caller_server, raw)
+        await wait_until(lambda: bodies.waiting)
+        process.caller_server.close_idle_connections()
+        held.release()
+        assert (await pending).status == 200
+
+    run_process(scenario)
+
+
+def test_attempts_have_until_the_deadline_of_the_stop(caplog):
+    """Guards against attempts that end sooner, or whose end no line of the log shows."""
+    caplog.set_level("INFO")
+    last_event = asyncio.Event()
+
+    async def scenario(process, store, server, settings_versions):
+        server.script = [
+            refuse("404 Not Found"),
+            stream_until(last_event.wait, events=0),
+            stream_until(last_event.wait),
+        ]
+        # Streams count as stalled after 3.0 s, sooner than the stop limit.
+        publish_model_server(store, server, 9, **{"target-latency-ms": 100, "target-gap-ms": 50})
+        await wait_until(process.pipeline.caches_recovered.is_set)
+        pending = []
+        for number in range(2):
+            raw = request_bytes("/chat/x", f"c{number}", "POST").replace(b"1500", b"15000")
+            pending.append(start(process.caller_server, raw))
+            await wait_until(lambda count=number + 2: len(server.requests) == count)
+        process.stop_requested.set()
+        before, after = await asyncio.gather(*pending)
+        assert (before.status, before.complete) == (504, True)
+        assert (after.status, after.complete) == (200, False)
+
+    run_process(scenario)
+    for line in ended(caplog, "c0", "c1"):
+        assert line.outcome == "route_timeout"
+        assert line.ended_after_signal_ms >= 3_250.0
+
+
+@pytest.mark.parametrize("stopping", [0, 1], ids=["to another node", "from another node"])
+def test_forwarded_requests_have_until_the_deadline_of_either_node(caplog, stopping):
+    """Guards against a node that stops while it has forwarded requests, or serves those of others.
+
+    One request is answered once the idle connections are closed, the other one never.
+    """
+    caplog.set_level("INFO")
+    answer, left = asyncio.Event(), asyncio.Event()
+
+    async def act(server, headers, reader, writer):
+        if headers["x-tanagerworks-attempt-id"] == "whole":
+            await answer.wait()
+            await respond_with()(server, headers, reader, writer)
+        else:
+            await never_respond(left)(server, headers, reader, writer)
+
+    async def scenario(fleet):
+        await fleet.cut("refuse")
+        assert (await fleet.send("/read/x", "first")).status == 200
+        for server in fleet.servers:
+            server.script = [act]
+        pending = []
+        for call_id in ("whole", "late"):
+            raw = request_bytes("/book/x", call_id, "POST").replace(b"1500", b"4000")
+            pending.append(start(fleet.first.caller_server, raw))
+            await wait_until(lambda call_id=call_id: fleet.runs(call_id))
+        process = fleet.processes[stopping]
+        process.stop_requested.set()
+        await wait_until(lambda: process.drain_notice_over)
+        answer.set()
+        whole, late = await asyncio.gather(*pending)
+        assert (whole.status, late.status, late.complete) == (200, 504, True)
+        await left.wait()
+
+    run_fleet(scenario)
+    lines = ended(caplog, "whole", "late")
+    assert {(line.forwarded_to, line.forwarded_by) for line in lines} == {
+        ("node-1", None),
+        (None, "node-0"),
+    }
+    assert max(getattr(line, "ended_after_signal_ms", 0.0) for line in lines) >= 3_250.0
