Leave brittle servers to nodes that go on when a node stops

Callers of all other nodes were refused (503, servers_unreachable) for as long as the only nodes that may send to a brittle server were stopping, up to 8 s: those kept their place among the senders, while no node forwards a request to a node that is stopping. What waited in the queue of a former sender stayed there until its deadline.

Evidence: two tests in tests/test_shutdown_states.py; of 60 nodes, the senders of a server stop: a request at another node got 503. Of two nodes, the sender stops: the request that waited for the server got 504 at its deadline.

The senders of a brittle server are now ranked among the nodes that go on, by all nodes alike, so the number of senders is unchanged. A request that waits when its node loses the place is forwarded. If all nodes stop, they rank as before. Measured: 200 in both tests.

The senders to cold servers and to those that name a limit are ranked as before: no request is forwarded for their sake, so a stopping node would have to refuse.

--- a/src/tanagerworks/dispatch/dispatcher.py
+++ b/src/tanagerworks/dispatch/dispatcher.py
@@ -128,6 +128,8 @@
         self.plain_chooser: ServerChooser = PlainChooser()
         # Returns whether the node has a connection to a server that has not been idle for long.
         self.has_connection: Callable[[ServerState, float], bool] = lambda _state, _now_s: False
+        # Whether this node is shutting down.
+        self.stopping = False
 
     def apply_bounds(self, bounds: FleetBounds) -> None:
         """Replaces the bounds, also those of the existing retry budgets.
@@ -219,7 +221,7 @@
         if not state.accepts_another(now_s) or state.may_be_full(nodes, now_s):
             return True
         senders = state.sender_count(nodes)
-        if senders < nodes and not self._is_sender(state.server_id, senders, now_s):
+        if senders < nodes and self.name not in self._find_brittle_senders(state, senders, now_s):
             return True
         max_running = max(1.0, _USED_CONNECTION_SHARE * service.max_connections / nodes)
         if service.max_connections and state.running >= max_running:
@@ -276,12 +278,26 @@
             senders = state.sender_count(nodes)
             if senders >= nodes:
                 return set()
-            names = self._find_sending_nodes(state.server_id, senders, now_s)
+            names = self._find_brittle_senders(state, senders, now_s)
             if self.name in names:
                 return set()
             found.update(names)
         return found
 
+    def _find_brittle_senders(self, state: ServerState, senders: int, now_s: float) -> list[str]:
+        """Returns the nodes that may send to a brittle server.
+
+        Nodes that are shutting down are among them only if all are, as none forwards requests to
+        them.
+        """
+        peers = list(self.peer_table.live_peers(now_s))
+        names = [peer.name for peer in peers if not peer.stopping]
+        if not self.stopping:
+            names.append(self.name)
+        return rank_equally(
+            state.server_id, names or [*(peer.name for peer in peers), self.name], senders
+        )
+
     def _is_sender(self, server_id: str, senders: int, now_s: float) -> bool:
         return self.name in self._find_sending_nodes(server_id, senders, now_s)
 
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -124,6 +124,7 @@
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
         self.placer.is_cut_off = lambda: self.reachability_check.is_cut_off
         self.placer.check_start = self._check_start
+        self.placer.is_sent_elsewhere = lambda request: bool(self._find_senders(request))
         forwarding_exchange = ForwardingExchange(
             dispatcher, backend_dialect, self.reachability_check
         )
@@ -334,6 +335,7 @@
         if signalled_s is None:
             signalled_s = asyncio.get_running_loop().time()
         self.shutdown = Shutdown(signalled_s, deadline_s, notice_until_s)
+        self.dispatcher.stopping = True
         self.placer.wake_all_waiters()
 
     def expire_requests(self) -> None:
@@ -467,7 +469,7 @@
                 choice = await self.placer.place_request(request)
             except CapacityError as error:
                 if isinstance(error, NoServerError):
-                    if await self._is_cut_off():
+                    if self._find_senders(request) or await self._is_cut_off():
                         continue
                     self.last_resort_log.record_no_server(request.dispatch_request)
                 if request.error_response is not None and not request.responder.started:
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -66,6 +66,8 @@
         self.random = random.Random()
         # Returns whether this node is cut off from all servers, so that waiting is in vain.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Returns whether only other nodes may send the request to servers by now.
+        self.is_sent_elsewhere: Callable[[RequestState], bool] = lambda _request: False
         # Raises an error if a request that waits must not be sent any more.
         self.check_start: Callable[[RequestState], None] = lambda _request: None
 
@@ -129,7 +131,7 @@
             while True:
                 await event.wait()
                 event.clear()
-                self._check_reachability()
+                self._check_reachability(request)
                 self.check_start(request)
                 self._check_quarantine(dispatch_request)
                 choice = self._choose(dispatch_request)
@@ -145,9 +147,11 @@
             f"no backend server may take the request: {unusable or 'none is left'}"
         )
 
-    def _check_reachability(self) -> None:
+    def _check_reachability(self, request: RequestState) -> None:
         if self.is_cut_off():
             raise ServersUnreachableError("this node reaches no server")
+        if self.is_sent_elsewhere(request):
+            raise ServersUnreachableError("only other nodes may send to the servers")
 
     def _check_quarantine(self, dispatch_request: DispatchRequest) -> None:
         refusal = self.dispatcher.check_quarantine(
@@ -213,7 +217,7 @@
         try:
             while True:
                 event.clear()
-                self._check_reachability()
+                self._check_reachability(request)
                 self.check_start(request)
                 self._check_quarantine(dispatch_request)
                 choice = self._choose_if_first(dispatch_request)
--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -9,11 +9,19 @@
 import pytest
 
 from tanagerworks.edge.stall import StallLimits
-from tests.edge_builders import MODEL_SERVICE, configuration, stream_route
+from tests.edge_builders import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    configuration,
+    dispatch_request,
+    peer,
+    stream_route,
+)
 from tests.edge_process_runner import publish_to_store, run_process
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
     WIRE_ENTRY,
+    ServerStandin,
     encode_chunk,
     never_respond,
     refuse,
@@ -300,3 +308,70 @@
         (None, "node-0"),
     }
     assert max(getattr(line, "ended_after_signal_ms", 0.0) for line in lines) >= 3_250.0
+
+
+def answer_as_node():
+    async def action(server, headers, reader, writer):
+        writer.write(response_head(headers, "200 OK", "tanager-software: v1", "content-length: 0"))
+
+    return action
+
+
+def test_brittle_server_gets_requests_while_the_nodes_that_may_send_to_it_stop():
+    """Guards against requests that all nodes refuse as the only senders of a server are stopping.
+
+    The other nodes forward no requests to nodes that stop.
+    """
+
+    async def scenario(port, pipeline, servers):
+        other = await ServerStandin("node", answer_as_node()).start()
+        now_s = asyncio.get_running_loop().time()
+        table = pipeline.dispatcher.peer_table
+        fields = {"forwarding_port": other.port, "message_interval_s": 9.0}
+        names = [f"peer-{number:02}" for number in range(59)]
+        for name in names:
+            table.record_message(peer(name, now_s, **fields))
+        pipeline.dispatcher.directory.servers["server-0"].record_limit(None, now_s + 1.0, 2.0)
+        wanted = dispatch_request(service=PLAIN_SERVICE)
+        senders = pipeline.dispatcher.find_senders(wanted, now_s)
+        assert senders
+        for name in senders:
+            table.record_message(peer(name, now_s, sequence=2, stopping=True, **fields))
+        response = await send_request(port, request_bytes("/desk-read/x", "c1"))
+        other.server.close()
+        return response.status
+
+    assert run_scenario([[respond_with()]], scenario) == 200
+
+
+def test_node_that_stops_forwards_what_waits_for_a_brittle_server():
+    """Guards against requests that wait in vain at the former sender of a server until it ends."""
+    released = asyncio.Event()
+
+    async def scenario(port, pipeline, servers):
+        servers[0].script = [hold_until(released, respond_with())]
+        other = await ServerStandin("node", answer_as_node()).start()
+        subject, now_s = pipeline.dispatcher, asyncio.get_running_loop().time()
+        state = subject.directory.servers["server-0"]
+        state.entry = replace(state.entry, slots=1)
+        state.record_limit(None, now_s + 1.0, 1.0)
+        # Of two nodes, this one is the sender with some names of the other one.
+        for number in range(20):
+            subject.peer_table.peers.clear()
+            fields = {"forwarding_port": other.port, "message_interval_s": 9.0}
+            subject.peer_table.record_message(peer(f"peer-{number}", now_s, **fields))
+            if not subject.find_senders(dispatch_request(service=PLAIN_SERVICE), now_s):
+                break
+        holder = start(port, request_bytes("/desk-read/x", "holder"))
+        await wait_until(lambda: servers[0].requests)
+        waiting = start(port, request_bytes("/desk-read/x", "waiting"))
+        await wait_until(lambda: pipeline.placer.waiters)
+        assert not other.requests
+        stop(pipeline, left_s=5.0)
+        statuses = [(await waiting).status, len(other.requests)]
+        released.set()
+        statuses.append((await holder).status)
+        other.server.close()
+        return statuses
+
+    assert run_scenario([[respond_with()]], scenario) == [200, 1, 200]
