Test that requests end in time if the stop limit is shorter than the drain notice

A process that waited 2.6 s for the balancer first ended them after the limit, when it may have been killed.

--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -267,6 +267,25 @@
         assert line.ended_after_signal_ms >= 3_250.0
 
 
+def test_requests_end_in_time_if_the_stop_limit_is_shorter_than_the_drain_notice(caplog):
+    """Guards against a process that is killed with its requests while it waits for the balancer."""
+    caplog.set_level("INFO")
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        server.script = [never_respond()]
+        raw = request_bytes("/book/x", "c1", "POST").replace(b"1500", b"60000")
+        pending = start(process.caller_server, raw)
+        await wait_until(lambda: server.requests)
+        process.stop_requested.set()
+        assert (await pending).status == 504
+
+    run_process(scenario, route_timeout_ms=60_000, stop_limit_s=1.5)
+    (line,) = ended(caplog, "c1")
+    assert line.ended_after_signal_ms < 1_500.0
+
+
 @pytest.mark.parametrize("stopping", [0, 1], ids=["to another node", "from another node"])
 def test_forwarded_requests_have_until_the_deadline_of_either_node(caplog, stopping):
     """Guards against a node that stops while it has forwarded requests, or serves those of others.
