--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -743,7 +743,8 @@
     ) -> dict[str, object]:
         """Returns when a request came and ended relative to the stop signal, and what was assumed.
 
-        Requests that came before the signal have a negative time and no assumption.
+        Requests that came before the signal have a negative time; what was assumed of them is known
+        only if they were not sent before it.
         """
         now_s = asyncio.get_running_loop().time()
         described: dict[str, object] = {
--- a/src/tanagerworks/edge/request_state.py
+++ b/src/tanagerworks/edge/request_state.py
@@ -89,7 +89,7 @@
     # request.
     error_response: "BackendResponse | None" = None
     executed_error: BackendError | None = None
-    # What was assumed of a request that arrived after the stop signal.
+    # What was last assumed of a request that had not been sent when the stop signal came.
     expectation: Expectation | None = None
 
     @property
