Stop in order also if the peers cannot be told

If the announcement of a shutdown raised an exception, the process ended at once: requests in progress were cut without an answer. The rounds of the exchange are guarded against that, the announcement was not. No input that makes it fail is known.

Evidence: with an announcement that raises ValueError, the process ended with that error and the caller got no answer.

--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -286,6 +286,29 @@
     assert line.ended_after_signal_ms < 1_500.0
 
 
+def test_failed_announcement_of_a_stop_ends_no_request(caplog):
+    """Guards against a process that exits with its requests as it cannot tell its peers."""
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        released = asyncio.Event()
+        server.script = [hold_until(released, respond_with())]
+
+        def announce():
+            released.set()
+            raise ValueError("value out of range")
+
+        process.peer_exchange.announce = announce
+        pending = start(process.caller_server, request_bytes("/book/x", "c1", "POST"))
+        await wait_until(lambda: server.requests)
+        process.stop_requested.set()
+        assert (await pending).status == 200
+
+    run_process(scenario)
+    assert "shutdown not announced to the peers" in caplog.messages
+
+
 @pytest.mark.parametrize("stopping", [0, 1], ids=["to another node", "from another node"])
 def test_forwarded_requests_have_until_the_deadline_of_either_node(caplog, stopping):
     """Guards against a node that stops while it has forwarded requests, or serves those of others.
