Refuse requests that are read after a stopping node has ended the others

_shut_down ends early if no caller is connected, and then the time for the stop is not over. A connection that has just been accepted can still deliver a request while the tasks are cancelled, or beside a request whose caller has left: up to 0.3 s. The node passed it on to a server, and the exit cut it.

expire_requests() ends what is in progress, so it now also moves the deadline of the shutdown to that moment: what is read later is refused with 503, which promises that it has not run.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -335,8 +335,11 @@
         """Ends the requests in progress as at their deadlines, since the process has to exit.
 
         Their callers get an error response, or see that the response that has begun is incomplete.
+        A request that is read later is refused.
         """
         now_s = asyncio.get_running_loop().time()
+        if self.shutdown is not None:
+            self.shutdown.deadline_s = min(self.shutdown.deadline_s, now_s)
         for timeout in self.request_timeouts:
             timeout.reschedule(now_s)
 
