Let a stopping node write buffered answers to their end before it exits

A complete answer that its caller reads slowly is still in part in the buffer of the connection when the time for the stop is over. No request is in progress then, so the process left its last 0.3 s unused, exited at once and lost the rest, although the server had long finished. The same held for the last bytes of an answer that ended just before, and for error responses behind it.

The last wait is now for this output as well, within the same 0.3 s. What the kernel holds arrives without the process.

A caller with small buffers begins to read an answer of 60 kB when the time is over.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -854,6 +854,11 @@
         for connection in list(self.connections):
             connection.apply_limits()
 
+    def has_unsent_output(self) -> bool:
+        """Whether callers have yet to take output that the kernel does not hold."""
+        transports = [connection.transport for connection in self.connections]
+        return any(transport and transport.get_write_buffer_size() for transport in transports)
+
     def close_listener(self) -> None:
         """Stops accepting connections."""
         if self.listener is not None:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -45,7 +45,8 @@
 _DRAIN_NOTICE_S = 2.6
 # Reserved at the end of the stop limit to write the remaining output and exit.
 _EXIT_MARGIN_S = 0.7
-# Time at the end of the shutdown for the error responses of requests that are still in progress.
+# Time at the end of the shutdown for the error responses of requests that are still in progress and
+# for output that callers have not taken yet.
 _FLUSH_PERIOD_S = 0.3
 _PERIODIC_CHECKS_INTERVAL_S = 0.25
 _CONNECTION_CLEANUP_INTERVAL_S = 1.0
@@ -584,7 +585,9 @@
         self.caller_server.close_listener()
         self.forwarding_server.close_listener()
         flushed_by_s = loop.time() + _FLUSH_PERIOD_S
-        while loop.time() < flushed_by_s and self.pipeline.active_requests:
+        while loop.time() < flushed_by_s and (
+            self.pipeline.active_requests or self.caller_server.has_unsent_output()
+        ):
             await asyncio.sleep(0.01)
         self._log_stopped(active)
         for task in self.tasks:
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -1,8 +1,19 @@
 """What callers see of their connections when a node stops, down to the bytes in its buffers."""
 
 import asyncio
+import os
+import signal
+import socket
 
-from tests.platform_standin import request_bytes, respond_with, run_scenario, send_request
+from tests.edge_process_runner import publish_to_store, run_process
+from tests.platform_standin import (
+    read_response,
+    request_bytes,
+    respond_with,
+    run_scenario,
+    send_request,
+    wait_until,
+)
 
 
 def test_request_that_is_read_after_the_last_moment_is_refused():
@@ -16,3 +27,37 @@
         return response.status, len(servers[0].requests)
 
     assert run_scenario([[respond_with()]], scenario) == (503, 0)
+
+
+async def connect_with_small_buffers(process):
+    """Connects a caller that reads little at a time; returns its streams and the connection."""
+    address = process.caller_server.listener.sockets[0].getsockname()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(address)
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4_096)
+    await wait_until(lambda: process.caller_server.connections)
+    (connection,) = process.caller_server.connections
+    own_socket = connection.transport.get_extra_info("socket")
+    own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    return reader, writer, connection
+
+
+def test_answer_is_written_to_its_end_before_the_exit():
+    """Guards against the loss of output that a slow caller has not taken when the time is over."""
+
+    async def scenario(process, store, server, settings_versions):
+        server.script = [respond_with(b"x" * 60_000)]
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        reader, writer, connection = await connect_with_small_buffers(process)
+        writer.write(request_bytes("/book/x", "c1", "POST"))
+        await wait_until(lambda: connection.unsent_bytes and connection.task is None)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await wait_until(lambda: not process.caller_server.listener.is_serving())
+        reading = asyncio.ensure_future(read_response(reader))
+        await wait_until(lambda: process.pipeline.exiting)
+        assert not process.caller_server.has_unsent_output()
+        assert (await reading).complete
+
+    run_process(scenario)
