Let responses linger while a node stops

A response that closes its connection lingers for a second: the node closes its output and discards input, as closing a socket with unread input resets the connection and the caller may lose the response. From 2.6 s after the stop signal on, close_idle_connections() runs ten times a second and took such a connection for an idle one, so it lingered for 0.1 s at most. A caller that was refused (413, 503 for memory) while it was still sending its body was reset.

close_if_idle() now leaves lingering connections to their timer. A stop may take up to a second longer for callers that do not close their side.

The test sends 25 kB of a refused body in 0.25 s while the node stops. Before, the connection was reset; now the caller gets the 413.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -712,9 +712,10 @@
     def close_if_idle(self) -> bool:
         """Closes the connection unless a request is in progress; returns whether it did.
 
-        The first request of a new connection counts as in progress for a short time.
+        The first request of a new connection counts as in progress for a short time. A lingering
+        connection ends by itself; closing it sooner may reset its response.
         """
-        if not self._waits_for_request():
+        if self.lingering or not self._waits_for_request():
             return False
         age_s = asyncio.get_running_loop().time() - self.opened_s
         if not self.had_request and age_s < FIRST_REQUEST_GRACE_S:
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -61,3 +61,28 @@
         assert (await reading).complete
 
     run_process(scenario)
+
+
+def test_refusal_lingers_while_the_node_stops():
+    """Guards against a reset that destroys a refusal whose caller still sends its body."""
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        reader, writer, connection = await connect_with_small_buffers(process)
+        head = request_bytes("/book/x", "c1", "POST", b"", "content-length: 5000000")
+        writer.write(head[:20])
+        await wait_until(lambda: connection.head_started)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await wait_until(lambda: process.drain_notice_over)
+        writer.write(head[20:])
+        await wait_until(lambda: connection.lingering)
+        for _ in range(25):
+            writer.write(b"x" * 1_000)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        response = await read_response(reader)
+        assert (response.status, response.complete) == (413, True)
+        writer.close()
+
+    run_process(scenario)
