Do not close a kept connection whose answer is still being written

close_idle_connections() closed a kept connection as soon as its request had been handled, also with output in its buffer. The rest was sent, but nothing was read any more. If the caller sent its next request meanwhile, the end of the connection was a reset, which destroyed what the kernel still held of the complete answer. That takes a caller that sends a request before it has read the answer to the one before.

Such a connection now stays open until the output is written, and a request that arrives meanwhile is served; its response closes the connection.

The test sends the second request while an answer of 60 kB is being read, after the idle connections have been closed. Before, the caller got a reset and neither answer; now it gets both.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -712,11 +712,14 @@
     def close_if_idle(self) -> bool:
         """Closes the connection unless a request is in progress; returns whether it did.
 
-        The first request of a new connection counts as in progress for a short time. A lingering
-        connection ends by itself; closing it sooner may reset its response.
+        The first request of a new connection counts as in progress for a short time, and a response
+        until it is written: a request that arrives while the rest is sent would make the end of the
+        connection a reset. A lingering connection ends by itself for the same reason.
         """
         if self.lingering or not self._waits_for_request():
             return False
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            return False
         age_s = asyncio.get_running_loop().time() - self.opened_s
         if not self.had_request and age_s < FIRST_REQUEST_GRACE_S:
             return False
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -86,3 +86,27 @@
         writer.close()
 
     run_process(scenario)
+
+
+def test_answer_that_is_being_read_keeps_its_connection():
+    """Guards against a reset that destroys a complete answer, as its caller sends a request early.
+
+    The stop closes connections without a request in progress; this one still has output to write.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        body = b"x" * 60_000
+        server.script = [respond_with(body)]
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        reader, writer, connection = await connect_with_small_buffers(process)
+        writer.write(request_bytes("/book/x", "c1", "POST"))
+        await wait_until(lambda: connection.unsent_bytes and connection.task is None)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await wait_until(lambda: process.drain_notice_over)
+        writer.write(request_bytes("/book/x", "c2", "POST"))
+        responses = [await read_response(reader) for _ in range(2)]
+        assert [len(response.body) for response in responses] == [len(body), len(body)]
+        assert responses[1].headers["connection"] == "close"
+
+    run_process(scenario, stop_limit_s=6.0)
