Answer requests that wait behind the first response of a stopping node

While a node stops, or is isolated, a response carries `Connection: close`, and what follows on the connection is discarded.

A response now closes the connection only if no further input is in the buffer; the last of the pipelined requests gets `Connection: close`. Requests sent after that header are still discarded, as HTTP says (RFC 9112, section 9.6).

The test sends two requests in one write while the node stops. Before, the second one got no response; now both get 200.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -637,8 +637,10 @@
 
     def closes_after_response(self) -> bool:
         """Whether a response that starts now is the last one of the connection."""
-        closing = self.refusing or self.server.closing_connections
-        return closing or self.http.their_state is h11.SEND_BODY
+        if self.refusing or self.http.their_state is h11.SEND_BODY:
+            return True
+        # A request that is in the buffer already would not be answered.
+        return self.server.closing_connections and not self.http.trailing_data[0]
 
     # Output and closing
 
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -110,3 +110,23 @@
         assert responses[1].headers["connection"] == "close"
 
     run_process(scenario, stop_limit_s=6.0)
+
+
+def test_pipelined_requests_are_answered_while_the_node_stops():
+    """Guards against a request that is read and dropped behind a response that ends a connection.
+
+    The first response starts with the second request in the buffer; the second one is the last.
+    """
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        await wait_until(process.is_ready)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await wait_until(lambda: process.pipeline.shutdown)
+        reader, writer, _connection = await connect_with_small_buffers(process)
+        writer.write(b"".join(request_bytes("/book/x", f"c{n}", "POST") for n in range(2)))
+        responses = [await read_response(reader) for _ in range(2)]
+        assert [response.status for response in responses] == [200, 200]
+        assert [response.headers.get("connection") for response in responses] == [None, "close"]
+
+    run_process(scenario)
