Start without a port for forwarded requests

A node whose platform gives no `port-range` did not start: the template of the settings rendered the address `IP:`, which is invalid, and the process ended with status 2.

Forwarded requests are an option of a node, as its administration address is. An address without a port now counts as not stated, and the process starts and logs that the address stays closed. Any other address that is wrong remains a settings error. An address that cannot be opened closes that part as well instead of ending the process; that is logged as an error.

--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -253,10 +253,7 @@
             await self.caller_server.accept_from(caller_listener, BACKLOG)
         await self.metrics_server.listen(*_split_address(addresses.metrics), BACKLOG)
         await self._open_admin_address()
-        if addresses.forwarding is not None:
-            host, port = _split_address(addresses.forwarding)
-            await self.forwarding_server.listen(host, port, BACKLOG)
-            self.peer_exchange.forwarding_port = port
+        await self._open_forwarding_address()
         for task_function in (
             self._run_periodic_checks,
             self.follower.run,
@@ -316,6 +313,21 @@
         except OSError as error:
             _LOGGER.error("the administration address stays closed", extra={"reason": str(error)})
 
+    async def _open_forwarding_address(self) -> None:
+        """Lets peers forward requests to this node; a node that cannot still serves callers."""
+        address = self.settings.addresses.forwarding
+        if address is None:
+            reason = "the settings state no address with a port"
+            _LOGGER.info("the forwarding address stays closed", extra={"reason": reason})
+            return
+        host, port = _split_address(address)
+        try:
+            await self.forwarding_server.listen(host, port, BACKLOG)
+        except OSError as error:
+            _LOGGER.error("the forwarding address stays closed", extra={"reason": str(error)})
+            return
+        self.peer_exchange.forwarding_port = port
+
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections here."""
         if self.stop_requested.is_set() or not self.store_view.complete:
--- a/src/tanagerworks/settings/edge.py
+++ b/src/tanagerworks/settings/edge.py
@@ -2,7 +2,7 @@
 
 from ipaddress import IPv4Address
 
-from pydantic import Field, model_validator
+from pydantic import Field, field_validator, model_validator
 
 from tanagerworks.fields import Address, Name
 from tanagerworks.settings.loader import SettingsModel
@@ -24,6 +24,18 @@
     # Explains choices of servers to `tanagerctl route`; closed if not stated.
     admin: Address | None = None
 
+    @field_validator("forwarding", mode="before")
+    @classmethod
+    def _accept_missing_port(cls, value: object) -> object:
+        """Returns None for an IP address with an empty port, and other values unchanged.
+
+        The platform's template leaves the port empty if the platform assigns none.
+        """
+        if not isinstance(value, str) or not value.endswith(":"):
+            return value
+        IPv4Address(value[:-1])
+        return None
+
 
 class EdgeBounds(SettingsModel):
     """Limits that operators set for the whole fleet."""
