Write the last record at the exit also if the writer has taken it

At the exit a process waited until the queue of log records was empty. The writer thread takes a record from the queue before it writes it, so the process could end while the thread held the last one, and the line was lost. The wait now lasts until the thread has handled all records, or for the same time at most.

Evidence: the new test holds the thread between the two steps for 0.1 s; the line was missing before the change.

--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -7,7 +7,6 @@
 import logging
 import logging.handlers
 import sys
-import time
 from collections import Counter
 from queue import Full, Queue
 
@@ -107,11 +106,13 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    atexit.register(_wait_until_queue_empty, record_queue)
+    atexit.register(_wait_until_written, record_queue)
     return handler
 
 
-def _wait_until_queue_empty(record_queue: Queue[logging.LogRecord]) -> None:
-    deadline_s = time.monotonic() + _EXIT_FLUSH_TIMEOUT_S
-    while record_queue.qsize() and time.monotonic() < deadline_s:
-        time.sleep(0.01)
+def _wait_until_written(record_queue: Queue[logging.LogRecord]) -> None:
+    # The queue may be empty while the writer thread still holds its last record.
+    with record_queue.all_tasks_done:
+        record_queue.all_tasks_done.wait_for(
+            lambda: not record_queue.unfinished_tasks, _EXIT_FLUSH_TIMEOUT_S
+        )
--- a/tests/test_edge_telemetry.py
+++ b/tests/test_edge_telemetry.py
@@ -99,6 +99,51 @@
     assert json.loads(lines[0])["program"] == "program"
 
 
+def run_program(text, read_output=True):
+    """Runs a program that logs to a pipe; returns its exit status and the logged records.
+
+    `text` follows imports and the set-up of the log.
+    """
+    source = str(Path(__file__).parent.parent / "src")
+    process = subprocess.Popen(
+        [sys.executable, "-c", _PROGRAM.format(src=source) + text], stdout=subprocess.PIPE
+    )
+    killer = threading.Timer(30.0, process.kill)
+    killer.start()
+    try:
+        if not read_output:
+            process.wait()
+        output = process.communicate()[0]
+    finally:
+        killer.cancel()
+    complete_lines = output[: output.rfind(b"\n") + 1].splitlines()
+    return process.returncode, [json.loads(line) for line in complete_lines]
+
+
+_PROGRAM = """
+import logging, sys, threading, time
+sys.path.insert(0, {src!r})
+from tanagerworks.telemetry import queued_logs
+handler = queued_logs.configure_queued_logging("program")
+"""
+_SLOW_WRITER = """
+was_taken = threading.Event()
+def prepare_slowly(self, record):
+    was_taken.set()
+    time.sleep(0.1)
+    return record
+logging.handlers.QueueListener.prepare = prepare_slowly
+logging.warning("last line")
+was_taken.wait()
+"""
+
+
+def test_record_that_the_writer_has_taken_is_written_before_the_exit():
+    """Guards against the last line of a process that is lost while the queue is empty already."""
+    status, records = run_program(_SLOW_WRITER)
+    assert (status, [record["message"] for record in records]) == (0, ["last line"])
+
+
 def test_measurements_before_the_library_is_imported_are_recorded():
     """Guards against requests of the first second that are missing from the metrics."""
     metrics = EdgeMetrics()
