Exit also while nobody reads the log output

A process whose output is not read did not exit at a planned stop until it was killed. Measured with a full pipe and a stop limit of 4 s: it still ran 7 s after the SIGTERM. With a reader that is blocked, the writer thread holds the lock of its handler, which `logging.shutdown` waits for at the exit, and then that of the buffer of standard output, which the interpreter flushes.

The writer thread now writes to the file descriptor itself and needs no lock, as no other thread uses its handler. A line that is being written at the exit may be cut.

Evidence: the new test logs to a pipe that nobody reads; before the change the process did not end within 30 s.

--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -6,6 +6,7 @@
 import atexit
 import logging
 import logging.handlers
+import os
 import sys
 from collections import Counter
 from queue import Full, Queue
@@ -89,6 +90,28 @@
         self.record_queue.put_nowait(summary)
 
 
+class _OutputHandler(logging.Handler):
+    """Writes records to a file descriptor; only the writer thread uses it.
+
+    It has neither a lock nor a buffer. The interpreter's exit would wait for both, without limit
+    if nobody reads the output and the writer thread is blocked.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.lock = None
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes the record as one line."""
+        try:
+            unwritten = memoryview(f"{self.format(record)}\n".encode(errors="backslashreplace"))
+            while unwritten:
+                unwritten = unwritten[os.write(self.descriptor, unwritten) :]
+        except Exception:
+            self.handleError(record)
+
+
 def configure_queued_logging(
     program: str, level: str = "info", node: str | None = None
 ) -> BoundedQueueHandler:
@@ -99,7 +122,7 @@
     """
     record_queue: Queue[logging.LogRecord] = Queue(MAX_QUEUED_RECORDS)
     handler = BoundedQueueHandler(record_queue)
-    writer = logging.StreamHandler(sys.stdout)
+    writer = _OutputHandler(sys.stdout.fileno())
     writer.setFormatter(JsonFormatter(program, node))
     listener = logging.handlers.QueueListener(record_queue, writer)
     listener.start()
--- a/tests/test_edge_telemetry.py
+++ b/tests/test_edge_telemetry.py
@@ -144,6 +144,16 @@
     assert (status, [record["message"] for record in records]) == (0, ["last line"])
 
 
+def test_blocked_log_output_does_not_keep_the_process_from_its_exit():
+    """Guards against a process that has to be killed because nobody reads its output."""
+    text = "for number in range(2000): logging.warning(100 * f'{number} ')"
+    status, records = run_program(text, read_output=False)
+    assert status == 0
+    assert [record["message"] for record in records] == [
+        100 * f"{number} " for number in range(len(records))
+    ]
+
+
 def test_measurements_before_the_library_is_imported_are_recorded():
     """Guards against requests of the first second that are missing from the metrics."""
     metrics = EdgeMetrics()
