Write the log at the exit for as long as the stop limit allows

With a slow reader of the output, lines on requests that a planned stop ended were lost: the exit waited 0.3 s for the queue of log records, whatever time was left.

The exit now waits until 0.2 s before the stop limit, counted from the signal.

Evidence: the new tests; before the change a reader that paused for 1 s got part of the lines.

--- a/src/tanagerworks/edge/main.py
+++ b/src/tanagerworks/edge/main.py
@@ -11,7 +11,7 @@
 from tanagerworks.program import CommandLine
 from tanagerworks.settings.edge import EdgeSettings
 from tanagerworks.settings.loader import load_settings
-from tanagerworks.telemetry.queued_logs import configure_queued_logging
+from tanagerworks.telemetry.queued_logs import BoundedQueueHandler, configure_queued_logging
 
 PROGRAM = "tanager-edge"
 _DESCRIPTION = "Serves callers on one VM: routes requests to backend servers."
@@ -37,9 +37,13 @@
     )
     command_line.parse_arguments(argv)
     settings = command_line.load_settings(EdgeSettings)
-    configure_queued_logging(PROGRAM, settings.log_level, settings.node)
+    log_handler = configure_queued_logging(PROGRAM, settings.log_level, settings.node)
     settings_path = str(command_line.flag_values["settings"].value)
-    sys.exit(asyncio.run(_run_process(settings, create_adapter, settings_path, caller_listener)))
+    sys.exit(
+        asyncio.run(
+            _run_process(settings, create_adapter, settings_path, caller_listener, log_handler)
+        )
+    )
 
 
 async def _run_process(
@@ -47,8 +51,11 @@
     create_adapter: Callable[[EdgeSettings], PlatformAdapter],
     settings_path: str,
     caller_listener: socket.socket | None,
+    log_handler: BoundedQueueHandler,
 ) -> int:
     process = EdgeProcess(
         settings, create_adapter(settings), lambda: load_settings(settings_path, EdgeSettings)
     )
-    return await process.run(caller_listener)
+    status = await process.run(caller_listener)
+    log_handler.exit_deadline_s = process.log_deadline_s
+    return status
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -45,6 +45,8 @@
 _DRAIN_NOTICE_S = 2.6
 # Reserved at the end of the stop limit to write the remaining output and exit.
 _EXIT_MARGIN_S = 0.7
+# Reserved at the end of the stop limit for the interpreter's exit, after the log is written.
+_INTERPRETER_EXIT_S = 0.2
 # Time at the end of the shutdown for the error responses of requests that are still in progress.
 _FLUSH_PERIOD_S = 0.3
 _PERIODIC_CHECKS_INTERVAL_S = 0.25
@@ -282,6 +284,11 @@
         copy_server.close()
         return 0
 
+    @property
+    def log_deadline_s(self) -> float:
+        """By when the log has to be written at the exit, in seconds of the monotonic clock."""
+        return self.signalled_s + self.settings.bounds.stop_limit_s - _INTERPRETER_EXIT_S
+
     def _record_stop_signal(self, _number: int, _frame: FrameType | None) -> None:
         self.signalled_s = min(self.signalled_s, time.monotonic())
 
--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -8,6 +8,7 @@
 import logging.handlers
 import os
 import sys
+import time
 from collections import Counter
 from queue import Full, Queue
 
@@ -21,8 +22,10 @@
 # Records below WARNING of one message template that are written per second; the rest are dropped,
 # and a summary counts them.
 MAX_RECORDS_PER_S = 200
-# Longest wait at exit until the queued records are written.
+# Longest wait at exit until the queued records are written, unless the program states a deadline.
 _EXIT_FLUSH_TIMEOUT_S = 0.3
+# Least wait, also after the deadline.
+_MIN_EXIT_FLUSH_TIMEOUT_S = 0.1
 
 
 class BoundedQueueHandler(logging.handlers.QueueHandler):
@@ -41,6 +44,8 @@
         self.dropped_total = 0
         self.current_second = 0
         self.records_in_second: Counter[str] = Counter()
+        # Until when the exit waits for the writer thread, in seconds of the monotonic clock.
+        self.exit_deadline_s: float | None = None
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Returns the record unchanged, as the writer thread runs in the same process."""
@@ -129,13 +134,15 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    atexit.register(_wait_until_written, record_queue)
+    atexit.register(_wait_until_written, handler)
     return handler
 
 
-def _wait_until_written(record_queue: Queue[logging.LogRecord]) -> None:
+def _wait_until_written(handler: BoundedQueueHandler) -> None:
+    timeout_s = _EXIT_FLUSH_TIMEOUT_S
+    if handler.exit_deadline_s is not None:
+        timeout_s = max(_MIN_EXIT_FLUSH_TIMEOUT_S, handler.exit_deadline_s - time.monotonic())
+    record_queue = handler.record_queue
     # The queue may be empty while the writer thread still holds its last record.
     with record_queue.all_tasks_done:
-        record_queue.all_tasks_done.wait_for(
-            lambda: not record_queue.unfinished_tasks, _EXIT_FLUSH_TIMEOUT_S
-        )
+        record_queue.all_tasks_done.wait_for(lambda: not record_queue.unfinished_tasks, timeout_s)
--- a/tests/test_edge_telemetry.py
+++ b/tests/test_edge_telemetry.py
@@ -1,5 +1,6 @@
 """Bounded logging that never blocks, and the metrics of the edge process."""
 
+import contextlib
 import json
 import logging
 import subprocess
@@ -99,10 +100,11 @@
     assert json.loads(lines[0])["program"] == "program"
 
 
-def run_program(text, read_output=True):
+def run_program(text, unread_s=0.0):
     """Runs a program that logs to a pipe; returns its exit status and the logged records.
 
-    `text` follows imports and the set-up of the log.
+    `text` follows imports and the set-up of the log. The output is not read before `unread_s` have
+    passed or the program has ended.
     """
     source = str(Path(__file__).parent.parent / "src")
     process = subprocess.Popen(
@@ -111,8 +113,8 @@
     killer = threading.Timer(30.0, process.kill)
     killer.start()
     try:
-        if not read_output:
-            process.wait()
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.wait(unread_s)
         output = process.communicate()[0]
     finally:
         killer.cancel()
@@ -144,10 +146,21 @@
     assert (status, [record["message"] for record in records]) == (0, ["last line"])
 
 
+def test_exit_waits_for_a_slow_reader_until_the_deadline_that_the_program_states():
+    """Guards against lines that are lost although the process may run for longer."""
+    text = """
+handler.exit_deadline_s = time.monotonic() + 25.0
+for number in range(2000):
+    logging.warning(100 * f"{number} ")
+"""
+    status, records = run_program(text, unread_s=1.0)
+    assert (status, len(records)) == (0, 2000)
+
+
 def test_blocked_log_output_does_not_keep_the_process_from_its_exit():
     """Guards against a process that has to be killed because nobody reads its output."""
     text = "for number in range(2000): logging.warning(100 * f'{number} ')"
-    status, records = run_program(text, read_output=False)
+    status, records = run_program(text, unread_s=30.0)
     assert status == 0
     assert [record["message"] for record in records] == [
         100 * f"{number} " for number in range(len(records))
--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -4,10 +4,24 @@
 import os
 import signal
 import time
+from queue import Queue
 
+from adapter.backend_http import BackendHttp
+from adapter.caller_http import CallerHttp
+from adapter.store import MetadataStore
+
+from tanagerworks.edge.main import _run_process
+from tanagerworks.edge.process import _INTERPRETER_EXIT_S, PlatformAdapter
+from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
 from tests.edge_builders import MODEL_SERVICE
-from tests.edge_process_runner import publish_to_store, run_process
+from tests.edge_process_runner import (
+    SettingsSeeds,
+    edge_settings,
+    publish_to_store,
+    run_process,
+)
 from tests.platform_standin import (
+    StoreStandin,
     never_respond,
     request_bytes,
     run_scenario,
@@ -103,3 +117,28 @@
     run_process(scenario)
     (stopping,) = records(caplog, "stopping")
     assert stopping.noticed_after_ms >= 290.0
+
+
+def test_log_is_written_for_as_long_as_the_stop_limit_allows(caplog):
+    """Guards against a process that is killed while it still waits for a reader of its log."""
+    caplog.set_level("INFO")
+
+    async def scenario():
+        store = await StoreStandin().start()
+        settings = edge_settings(store, stop_limit_s=3.0)
+        seeds = SettingsSeeds(settings)
+        adapter = PlatformAdapter(MetadataStore(store.address), CallerHttp(), BackendHttp(), seeds)
+        handler = BoundedQueueHandler(Queue())
+        running = asyncio.ensure_future(
+            _run_process(settings, lambda _settings: adapter, "", None, handler)
+        )
+        await wait_until(lambda: records(caplog, "started"))
+        before_s = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        after_s = time.monotonic()
+        assert await running == 0
+        store.server.close_listener()
+        signalled_s = handler.exit_deadline_s - (3.0 - _INTERPRETER_EXIT_S)
+        assert before_s <= signalled_s <= after_s
+
+    asyncio.run(scenario())
