Name a request also if the node has no configuration yet

A request that was refused for a missing configuration, or whose caller left while a new process waited for one, left a line `request ended` without its id. The headers were parsed after that wait only. They are now parsed first, as nothing in them depends on the configuration; a request without an id is refused without the wait.

Evidence: the new test; before the change both lines had no `call`.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -176,9 +176,9 @@
         error: TanagerError | None = None
         self.active_requests += 1
         try:
+            call = self.caller_dialect.parse_call(head)
             await self._wait_during_startup(self.view_complete)
             configuration = self._require_configuration()
-            call = self.caller_dialect.parse_call(head)
             request = self._classify_request(
                 configuration, call, head, body, responder, arrived_s, forwarded
             )
--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -1,6 +1,7 @@
 """What the log and the metrics say of the requests that a planned stop refuses, ends or leaves."""
 
 import asyncio
+import math
 import os
 import signal
 import time
@@ -10,6 +11,7 @@
 from adapter.caller_http import CallerHttp
 from adapter.store import MetadataStore
 
+from tanagerworks.edge import pipeline as pipeline_module
 from tanagerworks.edge.main import _run_process
 from tanagerworks.edge.process import _INTERPRETER_EXIT_S, PlatformAdapter
 from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
@@ -31,6 +33,10 @@
 )
 
 
+def caller_address(process):
+    return process.caller_server.listener.sockets[0].getsockname()
+
+
 def records(caplog, message):
     return [record for record in caplog.records if record.message == message]
 
@@ -79,6 +85,28 @@
     assert {fate.value: count for fate, count in fates.items()} == {"cut": 2}
 
 
+def test_request_is_named_before_there_is_a_configuration(caplog, monkeypatch):
+    """Guards against refusals, and callers that leave, without a line that names the request."""
+    caplog.set_level("INFO")
+
+    monkeypatch.setattr(pipeline_module, "_MAX_STARTUP_WAIT_S", 20.0)
+
+    async def scenario(process, store, server, settings_versions):
+        process.pipeline.created_s = time.monotonic()
+        _reader, writer = await asyncio.open_connection(*caller_address(process))
+        writer.write(request_bytes("/book/x", "left", "POST"))
+        await wait_until(lambda: process.pipeline.active_requests)
+        writer.transport.abort()
+        await wait_until(lambda: not process.pipeline.active_requests)
+        process.pipeline.created_s = -math.inf
+        raw = request_bytes("/book/x", "refused", "POST")
+        assert (await send_request(process.caller_server, raw)).status == 503
+
+    run_process(scenario)
+    lines = {record.call: record.outcome for record in records(caplog, "request ended")}
+    assert lines == {"left": "caller_left", "refused": "no_configuration"}
+
+
 def test_end_of_the_process_counts_what_became_of_requests(caplog):
     """Guards against an exit that does not tell how many requests it refused, ended or left."""
     caplog.set_level("INFO")
