Count the requests that an exit ends before a handler has got them

Such a request, of which only a part has arrived or that waits for memory, leaves no line `request ended`: its head may be incomplete, and its id unknown. `stopped` counted its connection among those that are left, with connections whose answers were not read. It now states `incomplete_requests`.

Evidence: the new test, with half a head, half a body and an idle connection.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -722,6 +722,10 @@
         self.close()
         return True
 
+    def is_reading_request(self) -> bool:
+        """Whether a request has begun to arrive that its handler has not got yet."""
+        return self.task is None and not (self.lingering or self._waits_for_request())
+
     def _waits_for_request(self) -> bool:
         return self.task is None and self.head is None and not self.head_started
 
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -626,6 +626,9 @@
                 "expired": expired,
                 "active": self.pipeline.active_requests,
                 "connections_left": len(connections),
+                "incomplete_requests": sum(
+                    connection.is_reading_request() for connection in connections
+                ),
                 "unsent_bytes": sum(connection.unsent_bytes for connection in connections),
             },
         )
--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -14,6 +14,7 @@
 from tanagerworks.edge import pipeline as pipeline_module
 from tanagerworks.edge.main import _run_process
 from tanagerworks.edge.process import _INTERPRETER_EXIT_S, PlatformAdapter
+from tanagerworks.published.model import CallerLimits
 from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
 from tests.edge_builders import MODEL_SERVICE
 from tests.edge_process_runner import (
@@ -170,3 +171,25 @@
         assert before_s <= signalled_s <= after_s
 
     asyncio.run(scenario())
+
+
+def test_requests_that_have_not_arrived_whole_are_counted_at_the_exit(caplog):
+    """Guards against requests that an exit ends without a line, as no handler has got them."""
+    caplog.set_level("INFO")
+    whole = request_bytes("/book/x", "c1", "POST", b"body")
+    # Connections close when nothing refers to their streams.
+    streams = []
+
+    async def scenario(process, store, server, settings_versions):
+        process.caller_server.limits = lambda: CallerLimits(header_timeout_s=30.0)
+        for _connection in range(3):
+            streams.append(await asyncio.open_connection(*caller_address(process)))
+        streams[0][1].write(whole[:20])
+        streams[1][1].write(whole[:-1])
+        connections = process.caller_server.connections
+        await wait_until(lambda: sum(each.is_reading_request() for each in connections) == 2)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    run_process(scenario)
+    (stopped,) = records(caplog, "stopped")
+    assert (stopped.connections_left, stopped.incomplete_requests) == (2, 2)
