--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -45,6 +45,8 @@
 _DRAIN_NOTICE_S = 2.6
 # Reserved at the end of the stop limit to write the remaining output and exit.
 _EXIT_MARGIN_S = 0.7
+# Reserved at the end of the stop limit for the interpreter's exit, after the log is written.
+_INTERPRETER_EXIT_S = 0.2
 # Time at the end of the shutdown for the error responses of requests that are still in progress and
 # for output that callers have not taken yet.
 _FLUSH_PERIOD_S = 0.3
@@ -254,10 +256,7 @@
             await self.caller_server.accept_from(caller_listener, BACKLOG)
         await self.metrics_server.listen(*_split_address(addresses.metrics), BACKLOG)
         await self._open_admin_address()
-        if addresses.forwarding is not None:
-            host, port = _split_address(addresses.forwarding)
-            await self.forwarding_server.listen(host, port, BACKLOG)
-            self.peer_exchange.forwarding_port = port
+        await self._open_forwarding_address()
         for task_function in (
             self._run_periodic_checks,
             self.follower.run,
@@ -286,6 +285,11 @@
         copy_server.close()
         return 0
 
+    @property
+    def log_deadline_s(self) -> float:
+        """By when the log has to be written at the exit, in seconds of the monotonic clock."""
+        return self.signalled_s + self.settings.bounds.stop_limit_s - _INTERPRETER_EXIT_S
+
     def _record_stop_signal(self, _number: int, _frame: FrameType | None) -> None:
         self.signalled_s = min(self.signalled_s, time.monotonic())
 
@@ -317,6 +321,21 @@
         except OSError as error:
             _LOGGER.error("the administration address stays closed", extra={"reason": str(error)})
 
+    async def _open_forwarding_address(self) -> None:
+        """Lets peers forward requests to this node; a node that cannot still serves callers."""
+        address = self.settings.addresses.forwarding
+        if address is None:
+            reason = "the settings state no address with a port"
+            _LOGGER.info("the forwarding address stays closed", extra={"reason": reason})
+            return
+        host, port = _split_address(address)
+        try:
+            await self.forwarding_server.listen(host, port, BACKLOG)
+        except OSError as error:
+            _LOGGER.error("the forwarding address stays closed", extra={"reason": str(error)})
+            return
+        self.peer_exchange.forwarding_port = port
+
     def is_ready(self) -> bool:
         """Whether the balancer may send new connections here."""
         if self.stop_requested.is_set() or not self.store_view.complete:
@@ -618,6 +637,9 @@
                 "expired": expired,
                 "active": self.pipeline.active_requests,
                 "connections_left": len(connections),
+                "incomplete_requests": sum(
+                    connection.is_reading_request() for connection in connections
+                ),
                 "unsent_bytes": sum(connection.unsent_bytes for connection in connections),
             },
         )
--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -6,6 +6,7 @@
 import atexit
 import logging
 import logging.handlers
+import os
 import sys
 import time
 from collections import Counter
@@ -21,8 +22,10 @@
 # Records below WARNING of one message template that are written per second; the rest are dropped,
 # and a summary counts them.
 MAX_RECORDS_PER_S = 200
-# Longest wait at exit until the queued records are written.
+# Longest wait at exit until the queued records are written, unless the program states a deadline.
 _EXIT_FLUSH_TIMEOUT_S = 0.3
+# Least wait, also after the deadline.
+_MIN_EXIT_FLUSH_TIMEOUT_S = 0.1
 
 
 class BoundedQueueHandler(logging.handlers.QueueHandler):
@@ -41,6 +44,8 @@
         self.dropped_total = 0
         self.current_second = 0
         self.records_in_second: Counter[str] = Counter()
+        # Until when the exit waits for the writer thread, in seconds of the monotonic clock.
+        self.exit_deadline_s: float | None = None
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Returns the record unchanged, as the writer thread runs in the same process."""
@@ -90,6 +95,28 @@
         self.record_queue.put_nowait(summary)
 
 
+class _OutputHandler(logging.Handler):
+    """Writes records to a file descriptor; only the writer thread uses it.
+
+    It has neither a lock nor a buffer. The interpreter's exit would wait for both, without limit
+    if nobody reads the output and the writer thread is blocked.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.lock = None
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes the record as one line."""
+        try:
+            unwritten = memoryview(f"{self.format(record)}\n".encode(errors="backslashreplace"))
+            while unwritten:
+                unwritten = unwritten[os.write(self.descriptor, unwritten) :]
+        except Exception:
+            self.handleError(record)
+
+
 def configure_queued_logging(
     program: str, level: str = "info", node: str | None = None
 ) -> BoundedQueueHandler:
@@ -100,18 +127,22 @@
     """
     record_queue: Queue[logging.LogRecord] = Queue(MAX_QUEUED_RECORDS)
     handler = BoundedQueueHandler(record_queue)
-    writer = logging.StreamHandler(sys.stdout)
+    writer = _OutputHandler(sys.stdout.fileno())
     writer.setFormatter(JsonFormatter(program, node))
     listener = logging.handlers.QueueListener(record_queue, writer)
     listener.start()
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    atexit.register(_wait_until_queue_empty, record_queue)
+    atexit.register(_wait_until_written, handler)
     return handler
 
 
-def _wait_until_queue_empty(record_queue: Queue[logging.LogRecord]) -> None:
-    deadline_s = time.monotonic() + _EXIT_FLUSH_TIMEOUT_S
-    while record_queue.qsize() and time.monotonic() < deadline_s:
-        time.sleep(0.01)
+def _wait_until_written(handler: BoundedQueueHandler) -> None:
+    timeout_s = _EXIT_FLUSH_TIMEOUT_S
+    if handler.exit_deadline_s is not None:
+        timeout_s = max(_MIN_EXIT_FLUSH_TIMEOUT_S, handler.exit_deadline_s - time.monotonic())
+    record_queue = handler.record_queue
+    # The queue may be empty while the writer thread still holds its last record.
+    with record_queue.all_tasks_done:
+        record_queue.all_tasks_done.wait_for(lambda: not record_queue.unfinished_tasks, timeout_s)
--- a/tests/test_edge_telemetry.py
+++ b/tests/test_edge_telemetry.py
@@ -1,5 +1,6 @@
 """Bounded logging that never blocks, and the metrics of the edge process."""
 
+import contextlib
 import json
 import logging
 import subprocess
@@ -99,6 +100,73 @@
     assert json.loads(lines[0])["program"] == "program"
 
 
+def run_program(text, unread_s=0.0):
+    """Runs a program that logs to a pipe; returns its exit status and the logged records.
+
+    `text` follows imports and the set-up of the log. The output is not read before `unread_s` have
+    passed or the program has ended.
+    """
+    source = str(Path(__file__).parent.parent / "src")
+    process = subprocess.Popen(
+        [sys.executable, "-c", _PROGRAM.format(src=source) + text], stdout=subprocess.PIPE
+    )
+    killer = threading.Timer(30.0, process.kill)
+    killer.start()
+    try:
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.wait(unread_s)
+        output = process.communicate()[0]
+    finally:
+        killer.cancel()
+    complete_lines = output[: output.rfind(b"\n") + 1].splitlines()
+    return process.returncode, [json.loads(line) for line in complete_lines]
+
+
+_PROGRAM = """
+import logging, sys, threading, time
+sys.path.insert(0, {src!r})
+from tanagerworks.telemetry import queued_logs
+handler = queued_logs.configure_queued_logging("program")
+"""
+_SLOW_WRITER = """
+was_taken = threading.Event()
+def prepare_slowly(self, record):
+    was_taken.set()
+    time.sleep(0.1)
+    return record
+logging.handlers.QueueListener.prepare = prepare_slowly
+logging.warning("last line")
+was_taken.wait()
+"""
+
+
+def test_record_that_the_writer_has_taken_is_written_before_the_exit():
+    """Guards against the last line of a process that is lost while the queue is empty already."""
+    status, records = run_program(_SLOW_WRITER)
+    assert (status, [record["message"] for record in records]) == (0, ["last line"])
+
+
+def test_exit_waits_for_a_slow_reader_until_the_deadline_that_the_program_states():
+    """Guards against lines that are lost although the process may run for longer."""
+    text = """
+handler.exit_deadline_s = time.monotonic() + 25.0
+for number in range(2000):
+    logging.warning(100 * f"{number} ")
+"""
+    status, records = run_program(text, unread_s=1.0)
+    assert (status, len(records)) == (0, 2000)
+
+
+def test_blocked_log_output_does_not_keep_the_process_from_its_exit():
+    """Guards against a process that has to be killed because nobody reads its output."""
+    text = "for number in range(2000): logging.warning(100 * f'{number} ')"
+    status, records = run_program(text, unread_s=30.0)
+    assert status == 0
+    assert [record["message"] for record in records] == [
+        100 * f"{number} " for number in range(len(records))
+    ]
+
+
 def test_measurements_before_the_library_is_imported_are_recorded():
     """Guards against requests of the first second that are missing from the metrics."""
     metrics = EdgeMetrics()
