Log for each request how a planned stop counts it

A request that a stop ended has the outcome `route_timeout`, as one whose own deadline passed during the stop. `stopped` tells them apart in its counts. `request ended` now has the same as `fate`.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -706,7 +706,7 @@
             extra["run"] = error.outcome.value
         if self.shutdown is not None:
             extra |= self._describe_shutdown(self.shutdown, request, error, arrived_s)
-            self._count_fate(self.shutdown, result)
+            extra["fate"] = self._count_fate(self.shutdown, result).value
         level = logging.INFO if result == "answered" else logging.WARNING
         _LOGGER.log(level, "request ended", extra=extra)
 
@@ -735,7 +735,7 @@
             described["expected_from"] = expectation.samples
         return described
 
-    def _count_fate(self, shutdown: Shutdown, result: str) -> None:
+    def _count_fate(self, shutdown: Shutdown, result: str) -> RequestFate:
         now_s = asyncio.get_running_loop().time()
         fate = RequestFate.FAILED
         if result == "answered":
@@ -748,6 +748,7 @@
             fate = RequestFate.CUT
         shutdown.fates[fate] += 1
         self.metrics.record_shutdown_fate(fate)
+        return fate
 
 
 async def _cannot_catch_up(_since_s: float) -> bool:
--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -83,6 +83,7 @@
     assert lines["during"].came_after_signal_ms >= 0.0
     assert lines["during"].expected_ms > 0.0
     assert lines["during"].ended_after_signal_ms >= 800.0
+    assert {lines["before"].fate, lines["during"].fate} == {"cut"}
     assert {fate.value: count for fate, count in fates.items()} == {"cut": 2}
 
 
