Conclude in tanagerctl explain that a planned stop ended a request

For a stream that a stop had cut, the conclusion was that it timed out, and for a process that was killed while it was stopping, that it ended without a stop. The conclusion now names the stop of the node, when the request came and ended relative to the signal, and what was expected of it from how many samples. Without a last line it tells a stop, a kill during a stop and a crash apart; for that, the lines `stopping` and `stopped` are shown however late they are, as `started` was.

--- a/src/tanagerworks/ctl/request_timeline.py
+++ b/src/tanagerworks/ctl/request_timeline.py
@@ -44,6 +44,12 @@
 )
 
 
+# What a planned stop did to a request, by the field `fate` of its last line.
+_FATES = {"cut": "ended", "refused": "refused"}
+# Messages about the start and the planned stop of a node's process.
+_PROCESS_MESSAGES = frozenset({"started", "stopping", "stopped"})
+
+
 class LogsUnreadableError(RequestError):
     """A log file cannot be read."""
 
@@ -142,10 +148,10 @@
     for line in ordered:
         if line.node not in nodes or line.fields.get("call") is not None:
             continue
-        # A start is shown however late it is, since it shows that the node's process was restarted.
-        if not first_s <= line.time_s <= last_s and line.message != "started":
+        # The end and the restart of the node's process are shown however late they are.
+        if line.time_s < first_s:
             continue
-        if line.message == "started" and line.time_s < first_s:
+        if line.time_s > last_s and line.message not in _PROCESS_MESSAGES:
             continue
         if line.message in _NODE_MESSAGES or line.fields.get("server") in servers:
             state_lines.append(line)
@@ -165,14 +171,7 @@
 def _format_conclusion(request: tuple[LogLine, ...], state_lines: Iterable[LogLine]) -> str:
     last = request[-1]
     if last.message != "request ended":
-        restarts = [
-            line
-            for line in state_lines
-            if line.message == "started" and line.node == last.node and line.time_s > last.time_s
-        ]
-        if restarts:
-            return f"{last.node} ended without a stop before the request did, and started again"
-        return "the logs end before the request does"
+        return _conclude_without_end(last, state_lines)
     outcome = str(last.fields.get("outcome"))
     reason = last.fields.get("reason")
     failures = [
@@ -181,6 +180,9 @@
         if line.message == "attempt failed"
     ]
     parts = [outcome if reason is None else f"{outcome}: {reason}"]
+    fate = last.fields.get("fate")
+    if fate in _FATES:
+        parts = [f"{_FATES[fate]} by the stop of {last.node}", *_describe_stop(last), *parts]
     if last.fields.get("run"):
         parts.append(f"outcome {last.fields['run']}")
     first_byte_ms = last.fields.get("first_byte_ms")
@@ -197,6 +199,50 @@
     return "; ".join(parts)
 
 
+def _conclude_without_end(last: LogLine, state_lines: Iterable[LogLine]) -> str:
+    """Returns the conclusion on a request whose end no line states; `last` is its last line."""
+    stop = None
+    restarted = False
+    for line in state_lines:
+        if line.message not in _PROCESS_MESSAGES or line.node != last.node:
+            continue
+        if line.message != "started":
+            stop = line
+        elif line.time_s > last.time_s:
+            restarted = True
+            break
+        else:
+            stop = None
+    if stop is not None and stop.message == "stopped":
+        return f"{last.node} stopped, and its log lacks the end of the request"
+    if stop is not None and restarted:
+        return f"{last.node} was stopping and was killed before it logged the end of the request"
+    if stop is not None:
+        return f"the logs end before the request does, while {last.node} was stopping"
+    if restarted:
+        return f"{last.node} ended without a stop before the request did, and started again"
+    return "the logs end before the request does"
+
+
+def _describe_stop(last: LogLine) -> list[str]:
+    """Returns when a request came and ended relative to a stop signal, and what was expected."""
+    came_ms = last.fields.get("came_after_signal_ms")
+    ended_ms = last.fields.get("ended_after_signal_ms")
+    if not isinstance(came_ms, int | float) or not isinstance(ended_ms, int | float):
+        return []
+    relation = "after" if came_ms >= 0 else "before"
+    described = [
+        f"it came {abs(came_ms) / 1000:.3f} s {relation} the signal"
+        f" and ended {ended_ms / 1000:.3f} s after it"
+    ]
+    expected_ms = last.fields.get("expected_ms")
+    if isinstance(expected_ms, int | float):
+        samples = last.fields.get("expected_from")
+        source = "from its route" if samples is None else f"from {samples} samples"
+        described.append(f"it was expected to take at most {expected_ms / 1000:.3f} s, {source}")
+    return described
+
+
 def print_timeline(printer: Printer, timeline: RequestTimeline) -> None:
     """Prints the timeline as tables, or as one JSON document."""
     printer.print_json(
--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -87,6 +87,50 @@
     assert [shown.node for shown in timeline.state_lines] == ["node-1"]
 
 
+CUT = {
+    "outcome": "route_timeout", "reason": "the response was incomplete at the deadline",
+    "took_ms": 4050.0, "fate": "cut", "came_after_signal_ms": 3250.0,
+    "ended_after_signal_ms": 7300.0, "expected_ms": 1400.0, "expected_from": 10,
+}  # fmt: skip
+BEFORE = {"came_after_signal_ms": -1250.0, "expected_ms": None, "expected_from": None}
+
+
+@pytest.mark.parametrize(
+    ("changes", "conclusion"),
+    [
+        ({}, "ended by the stop of node-1; it came 3.250 s after the signal and ended 7.300 s after"
+             " it; it was expected to take at most 1.400 s, from 10 samples; route_timeout: "),
+        (BEFORE, "ended by the stop of node-1; it came 1.250 s before the signal and ended 7.300 s"
+                 " after it; route_timeout: "),
+        ({"fate": "refused", "expected_from": None}, "refused by the stop of node-1; it came 3.250"
+         " s after the signal and ended 7.300 s after it; it was expected to take at most 1.400 s,"
+         " from its route; route_timeout: "),
+        ({"fate": "failed"}, "route_timeout: "),
+    ],
+)  # fmt: skip
+def test_request_that_a_planned_stop_ended(tmp_path, changes, conclusion):
+    """Guards against a stop that is taken for a timeout of the request itself."""
+    lines = [SERVER_LOST[0], log_line(24.0, "request ended", call="c1", **CUT | changes)]
+    timeline = build_timeline(read_log_lines([write_log(tmp_path, "log", lines)]), "c1")
+    assert timeline.conclusion.startswith(conclusion)
+
+
+@pytest.mark.parametrize(
+    ("messages", "conclusion"),
+    [
+        (["stopping", "started"], "was killed before it logged"),
+        (["stopping", "stopped", "started"], "its log lacks the end"),
+        (["stopping"], "the logs end before the request does, while node-1 was stopping"),
+        (["started", "stopping", "stopped"], "ended without a stop"),
+    ],
+)
+def test_request_without_an_end_at_a_node_that_stops(tmp_path, messages, conclusion):
+    """Guards against a stop that seems to be a crash, or belongs to a later process."""
+    later = [log_line(24.0 + n, message) for n, message in enumerate(messages)]
+    path = write_log(tmp_path, "log", [SERVER_LOST[0], *later])
+    assert conclusion in build_timeline(read_log_lines([path]), "c1").conclusion
+
+
 def test_logs_that_end_early(tmp_path):
     """Guards against a guessed cause when the logs end before the request does."""
     path = write_log(tmp_path, "a", SERVER_LOST[:1])
