Count the log records dropped in the last second at the exit

The summary of dropped records is triggered by a record of a later second. Those that a process dropped in its last second were missing without a trace, so that a request without a line seemed to be one that the exit had lost.

Evidence: the new test; before the change the lines and the counts did not add up to the records.

--- a/src/tanagerworks/telemetry/queued_logs.py
+++ b/src/tanagerworks/telemetry/queued_logs.py
@@ -31,8 +31,9 @@
 class BoundedQueueHandler(logging.handlers.QueueHandler):
     """Queues records without ever waiting, and counts the records that it drops.
 
-    Records below WARNING are dropped first. The first record of a later second triggers a summary
-    of the dropped records if the part of the queue that is not reserved for warnings has space.
+    Records below WARNING are dropped first. The first record of a later second, or the exit,
+    triggers a summary of the dropped records if the part of the queue that is not reserved for
+    warnings has space.
     """
 
     def __init__(self, record_queue: Queue[logging.LogRecord]) -> None:
@@ -59,7 +60,7 @@
         """
         second = int(record.created)
         if second != self.current_second:
-            self._queue_summary(record)
+            self.queue_summary(record.name)
             self.current_second = second
             self.records_in_second.clear()
         message = str(record.msg)
@@ -81,14 +82,15 @@
         self.dropped_by_message[message] += 1
         self.dropped_total += 1
 
-    def _queue_summary(self, record: logging.LogRecord) -> None:
+    def queue_summary(self, logger: str) -> None:
+        """Queues a summary of the dropped records, if there are any and there is space for it."""
         if (
             not self.dropped_by_message
             or self.record_queue.qsize() > MAX_QUEUED_RECORDS - RECORDS_RESERVED_FOR_WARNINGS
         ):
             return
         summary = logging.LogRecord(
-            record.name, logging.WARNING, "", 0, "log records dropped", None, None
+            logger, logging.WARNING, "", 0, "log records dropped", None, None
         )
         summary.__dict__["counts"] = dict(self.dropped_by_message)
         self.dropped_by_message.clear()
@@ -142,6 +144,7 @@
     timeout_s = _EXIT_FLUSH_TIMEOUT_S
     if handler.exit_deadline_s is not None:
         timeout_s = max(_MIN_EXIT_FLUSH_TIMEOUT_S, handler.exit_deadline_s - time.monotonic())
+    handler.queue_summary(__name__)
     record_queue = handler.record_queue
     # The queue may be empty while the writer thread still holds its last record.
     with record_queue.all_tasks_done:
--- a/tests/test_edge_telemetry.py
+++ b/tests/test_edge_telemetry.py
@@ -157,6 +157,14 @@
     assert (status, len(records)) == (0, 2000)
 
 
+def test_records_dropped_in_the_last_second_are_counted_at_the_exit():
+    """Guards against lines that are missing at the end of a log without a trace."""
+    status, records = run_program(f"for _ in range({2 * MAX_RECORDS_PER_S}): logging.info('line')")
+    counts = [record["counts"]["line"] for record in records if "counts" in record]
+    written = sum(record["message"] == "line" for record in records)
+    assert (status, written + sum(counts)) == (0, 2 * MAX_RECORDS_PER_S)
+
+
 def test_blocked_log_output_does_not_keep_the_process_from_its_exit():
     """Guards against a process that has to be killed because nobody reads its output."""
     text = "for number in range(2000): logging.warning(100 * f'{number} ')"
