--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -611,6 +611,8 @@
 
     def _log_stopped(self, expired: int) -> None:
         """Logs what a shutdown leaves behind; `expired` requests were in progress at its end."""
+        for server in (self.caller_server, self.forwarding_server):
+            server.ends.log()
         shutdown = self.pipeline.shutdown
         assert shutdown is not None
         connections = self.caller_server.connections
--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -12,7 +12,9 @@
 from adapter.store import MetadataStore
 
 from tanagerworks.edge import pipeline as pipeline_module
+from tanagerworks.edge import process as process_module
 from tanagerworks.edge.main import _run_process
+from tanagerworks.edge.memory_budget import EndReason
 from tanagerworks.edge.process import _INTERPRETER_EXIT_S, PlatformAdapter
 from tanagerworks.published.model import CallerLimits
 from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
@@ -194,3 +196,16 @@
     run_process(scenario)
     (stopped,) = records(caplog, "stopped")
     assert (stopped.connections_left, stopped.incomplete_requests) == (2, 2)
+
+
+def test_requests_refused_just_before_the_exit_are_counted(caplog, monkeypatch):
+    """Guards against refusals for want of memory that no line counts as the process exits."""
+    monkeypatch.setattr(process_module, "_MEMORY_CHECK_INTERVAL_S", 60.0)
+
+    async def scenario(process, store, server, settings_versions):
+        await wait_until(lambda: store.calls)
+        process.caller_server.ends.record(EndReason.NO_MEMORY)
+
+    run_process(scenario, stop_limit_s=2.0)
+    (ended,) = records(caplog, "connections of callers ended or refused")
+    assert ended.reasons == {"no_memory": 1}
