--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -111,6 +111,25 @@
     assert lines == {"left": "caller_left", "refused": "no_configuration"}
 
 
+def test_request_in_progress_at_the_exit_is_named(caplog, monkeypatch):
+    """Guards against a request without a line that waits where its deadline cannot end it yet."""
+    caplog.set_level("INFO")
+    monkeypatch.setattr(pipeline_module, "_MAX_STARTUP_WAIT_S", 20.0)
+    streams = []
+
+    async def scenario(process, store, server, settings_versions):
+        process.pipeline.created_s = time.monotonic()
+        streams.append(await asyncio.open_connection(*caller_address(process)))
+        streams[0][1].write(request_bytes("/book/x", "c1", "POST"))
+        await wait_until(lambda: process.pipeline.active_requests)
+
+    run_process(scenario, stop_limit_s=2.0)
+    (stopped,) = records(caplog, "stopped")
+    (line,) = records(caplog, "request ended")
+    assert (stopped.active, line.call, line.outcome, line.fate) == (1, "c1", "process_exit", "cut")
+    assert line.came_after_signal_ms < 0.0 < line.ended_after_signal_ms
+
+
 def test_end_of_the_process_counts_what_became_of_requests(caplog):
     """Guards against an exit that does not tell how many requests it refused, ended or left."""
     caplog.set_level("INFO")
