Log a fault of the node as such, not as a caller that left

A request that ended with an unexpected exception got the outcome `caller_left` in its line and in the metrics, while its caller got 500 with the code `internal_error`. During a planned stop `stopped` counted it as `caller_left` too. It now has the outcome `internal_error`.

Evidence: the new test; before the change the outcome was `caller_left`.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -170,8 +170,7 @@
         arrived_s = loop.time()
         call: Call | None = None
         request: RequestState | None = None
-        # The result if the caller disconnects, which cancels this task. An unexpected exception is
-        # recorded with this code as well.
+        # The result if the caller disconnects, which cancels this task.
         result = CallerLeftError.code
         error: TanagerError | None = None
         self.active_requests += 1
@@ -194,6 +193,9 @@
                 responder.send_error(failure)
             elif not responder.finished:
                 responder.abort()
+        except Exception:
+            result = TanagerError.code
+            raise
         finally:
             self.active_requests -= 1
             if self.exiting and result == CallerLeftError.code:
--- a/tests/test_edge_pipeline.py
+++ b/tests/test_edge_pipeline.py
@@ -92,6 +92,18 @@
     assert counts == [0]
 
 
+def test_internal_error_is_not_logged_as_a_caller_that_left(caplog):
+    """Guards against faults of the node that its log and metrics ascribe to callers."""
+
+    async def scenario(port, pipeline, servers):
+        pipeline.placer.place_request = None
+        return await send_request(port, request_bytes("/desk-read/x", "c1"))
+
+    assert run_scenario([[respond_with()]], scenario).status == 500
+    (line,) = [record for record in caplog.records if record.message == "request ended"]
+    assert (line.call, line.outcome) == ("c1", "internal_error")
+
+
 @pytest.mark.parametrize(
     "failure",
     [reset_connection, truncate_response, refuse, lambda: respond_with(b"x", "500 Broken")],
