--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -175,8 +175,7 @@
         arrived_s = loop.time()
         call: Call | None = None
         request: RequestState | None = None
-        # The result if the caller disconnects, which cancels this task. An unexpected exception is
-        # recorded with this code as well.
+        # The result if the caller disconnects, which cancels this task.
         result = CallerLeftError.code
         error: TanagerError | None = None
         self.active_requests += 1
@@ -199,6 +198,9 @@
                 responder.send_error(failure)
             elif not responder.finished:
                 responder.abort()
+        except Exception:
+            result = TanagerError.code
+            raise
         finally:
             self.active_requests -= 1
             if self.exiting and result == CallerLeftError.code:
@@ -733,7 +735,7 @@
             extra["run"] = error.outcome.value
         if self.shutdown is not None:
             extra |= self._describe_shutdown(self.shutdown, request, error, arrived_s)
-            self._count_fate(self.shutdown, result)
+            extra["fate"] = self._count_fate(self.shutdown, result).value
         level = logging.INFO if result == "answered" else logging.WARNING
         _LOGGER.log(level, "request ended", extra=extra)
 
@@ -763,7 +765,7 @@
             described["expected_from"] = expectation.samples
         return described
 
-    def _count_fate(self, shutdown: Shutdown, result: str) -> None:
+    def _count_fate(self, shutdown: Shutdown, result: str) -> RequestFate:
         now_s = asyncio.get_running_loop().time()
         fate = RequestFate.FAILED
         if result == "answered":
@@ -776,6 +778,7 @@
             fate = RequestFate.CUT
         shutdown.fates[fate] += 1
         self.metrics.record_shutdown_fate(fate)
+        return fate
 
 
 async def _cannot_catch_up(_since_s: float) -> bool:
--- a/tests/test_shutdown_report.py
+++ b/tests/test_shutdown_report.py
@@ -12,7 +12,9 @@
 from adapter.store import MetadataStore
 
 from tanagerworks.edge import pipeline as pipeline_module
+from tanagerworks.edge import process as process_module
 from tanagerworks.edge.main import _run_process
+from tanagerworks.edge.memory_budget import EndReason
 from tanagerworks.edge.process import _INTERPRETER_EXIT_S, PlatformAdapter
 from tanagerworks.published.model import CallerLimits
 from tanagerworks.telemetry.queued_logs import BoundedQueueHandler
@@ -83,6 +85,7 @@
     assert lines["during"].came_after_signal_ms >= 0.0
     assert lines["during"].expected_ms > 0.0
     assert lines["during"].ended_after_signal_ms >= 800.0
+    assert {lines["before"].fate, lines["during"].fate} == {"cut"}
     assert {fate.value: count for fate, count in fates.items()} == {"cut": 2}
 
 
@@ -108,6 +111,25 @@
     assert lines == {"left": "caller_left", "refused": "no_configuration"}
 
 
+def test_request_in_progress_at_the_exit_is_named(caplog, monkeypatch):
+    """Guards against a request without a line that waits where its deadline cannot end it yet."""
+    caplog.set_level("INFO")
+    monkeypatch.setattr(pipeline_module, "_MAX_STARTUP_WAIT_S", 20.0)
+    streams = []
+
+    async def scenario(process, store, server, settings_versions):
+        process.pipeline.created_s = time.monotonic()
+        streams.append(await asyncio.open_connection(*caller_address(process)))
+        streams[0][1].write(request_bytes("/book/x", "c1", "POST"))
+        await wait_until(lambda: process.pipeline.active_requests)
+
+    run_process(scenario, stop_limit_s=2.0)
+    (stopped,) = records(caplog, "stopped")
+    (line,) = records(caplog, "request ended")
+    assert (stopped.active, line.call, line.outcome, line.fate) == (1, "c1", "process_exit", "cut")
+    assert line.came_after_signal_ms < 0.0 < line.ended_after_signal_ms
+
+
 def test_end_of_the_process_counts_what_became_of_requests(caplog):
     """Guards against an exit that does not tell how many requests it refused, ended or left."""
     caplog.set_level("INFO")
@@ -193,3 +215,16 @@
     run_process(scenario)
     (stopped,) = records(caplog, "stopped")
     assert (stopped.connections_left, stopped.incomplete_requests) == (2, 2)
+
+
+def test_requests_refused_just_before_the_exit_are_counted(caplog, monkeypatch):
+    """Guards against refusals for want of memory that no line counts as the process exits."""
+    monkeypatch.setattr(process_module, "_MEMORY_CHECK_INTERVAL_S", 60.0)
+
+    async def scenario(process, store, server, settings_versions):
+        await wait_until(lambda: store.calls)
+        process.caller_server.ends.record(EndReason.NO_MEMORY)
+
+    run_process(scenario, stop_limit_s=2.0)
+    (ended,) = records(caplog, "connections of callers ended or refused")
+    assert ended.reasons == {"no_memory": 1}
