--- a/tests/edge_soak.py
+++ b/tests/edge_soak.py
@@ -67,7 +67,7 @@
 class EdgeNode:
     """One edge process, which can be started again under its name."""
 
-    def __init__(self, number, directory, store_address, seeds):
+    def __init__(self, number, directory, store_address, seeds, stop_limit_s=_STOP_LIMIT_S):
         self.name = f"node-{number}"
         self.callers, self.readiness, self.peers = (free_address() for _ in range(3))
         self.forwarding = free_address()
@@ -92,7 +92,7 @@
             "seeds": [*seeds],
             "store": {"address": store_address, "timeout_s": 0.5},
             "bounds": {
-                "stop_limit_s": _STOP_LIMIT_S,
+                "stop_limit_s": stop_limit_s,
                 "repeat_ratio": 0.2,
                 "repeat_window_s": 10,
                 "repeat_minimum": 50,
