--- a/tests/test_edge_soak.py
+++ b/tests/test_edge_soak.py
@@ -2,14 +2,15 @@
 
 import asyncio
 
-from tests.edge_soak import Soak, run_seed
+from tests.edge_soak import run_seed
+from tests.edge_soak_faults import Soak
 
 SECONDS = 20.0
 
 
 def test_edge_keeps_its_promises_while_faults_overlap():
     """Guards against joined, repeated or lost events, and repeated bookings, after any fault."""
-    assert asyncio.run(run_seed(1, SECONDS)) == []
+    assert run_seed(1, SECONDS) == []
 
 
 def test_checks_of_the_soak_notice_what_they_look_for(tmp_path):
--- a/tests/test_fault_body_memory.py
+++ b/tests/test_fault_body_memory.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.edge_builders import API_KEY, MODEL_SERVICE, configuration, stream_route
-from tests.edge_soak import EdgeNode
+from tests.edge_node import EdgeNode
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
     WIRE_ENTRY,
--- a/tests/test_fault_early_signals.py
+++ b/tests/test_fault_early_signals.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.edge_soak import EdgeNode
+from tests.edge_node import EdgeNode
 from tests.platform_standin import StoreStandin, wait_until
 
 
--- a/tests/uncontrolled_clients.py
+++ b/tests/uncontrolled_clients.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from tests.edge_soak import EdgeNode
+from tests.edge_node import EdgeNode
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
     WIRE_ENTRY,
