Soak the edge with planned stops, and check what callers lose by them

The profile stops nodes in series, at the same time and just after their start, with 8 s of grace, beside releases, SIGHUPs, changed timeouts and slower servers. Callers keep connections until they end, or open new ones as the balancer allows. A node that stops too soon is noticed by its own test.

--- a/Makefile
+++ b/Makefile
@@ -41,8 +41,11 @@
 
 FIRST ?= 1
 LAST ?= 3
+# Or stops, of NODES processes.
+PROFILE ?= faults
 edge-soak: env
-	PYTHONPATH=src:.:platform $(PYTHON) -m tests.edge_soak $(FIRST) $(LAST) $(SECONDS)
+	PYTHONPATH=src:.:platform $(PYTHON) -m tests.edge_soak $(FIRST) $(LAST) $(SECONDS) \
+		--profile=$(PROFILE) $(if $(NODES),--nodes=$(NODES))
 
 # Generated code is committed; run this only after a change to the .proto file.
 proto: env
--- a/tests/edge_soak.py
+++ b/tests/edge_soak.py
@@ -1,6 +1,6 @@
 """A soak of the edge: real processes beside stand-ins, with faults in random order.
 
-Usage: python -m tests.edge_soak FIRST_SEED LAST_SEED [SECONDS] [--nodes=N]
+Usage: python -m tests.edge_soak FIRST_SEED LAST_SEED [SECONDS] [--profile=stops] [--nodes=N]
 """
 
 import asyncio
@@ -12,8 +12,9 @@
 
 from tanagerworks.program import EXIT_FAILED, EXIT_OK, CommandLine
 from tests.edge_soak_faults import Soak
+from tests.edge_soak_stops import StopSoak
 
-_PROFILES = {"faults": Soak}
+_PROFILES = {"faults": Soak, "stops": StopSoak}
 
 
 async def run_soak(soak, seconds):
--- a/tests/test_edge_soak.py
+++ b/tests/test_edge_soak.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
-from tests.edge_soak import run_seed
+from tests.edge_soak import run_seed, run_soak
 from tests.edge_soak_faults import Soak
+from tests.edge_soak_stops import StopSoak
 
 SECONDS = 20.0
+STOPS_SECONDS = 8.0
 
 
 def test_edge_keeps_its_promises_while_faults_overlap():
@@ -13,6 +15,21 @@
     assert run_seed(1, SECONDS) == []
 
 
+def test_requests_get_whole_answers_around_overlapping_stops(tmp_path):
+    """Guards against streams that a planned stop breaks off although they had time left."""
+    soak = StopSoak(1, tmp_path, node_count=4, kills=False)
+    assert asyncio.run(run_soak(soak, STOPS_SECONDS)) == []
+    assert soak.overlapping_stops > 0
+
+
+def test_stop_that_ends_too_soon_is_noticed(tmp_path):
+    """Guards against a soak that misses cut streams: its nodes stop long before the grace ends."""
+    soak = StopSoak(1, tmp_path, node_count=3, stop_limit_s=3.4, kills=False)
+    soak.faults = lambda: [soak.stop_several]
+    violations = asyncio.run(run_soak(soak, STOPS_SECONDS / 2))
+    assert any("lost around a SIGTERM" in line for line in violations)
+
+
 def test_checks_of_the_soak_notice_what_they_look_for(tmp_path):
     """Guards against a soak that finds nothing because it looks at nothing."""
     soak = Soak(1, tmp_path)
