--- a/tests/edge_soak_faults.py
+++ b/tests/edge_soak_faults.py
@@ -116,6 +116,9 @@
             await self.wait_until_ready()
         finally:
             self.stopping = True
+            for fault in faults:
+                # Those of a run that failed could start nodes again.
+                fault.cancel()
             results = await asyncio.gather(*callers, return_exceptions=True)
             self.violations += [f"caller: {e!r}" for e in results if isinstance(e, Exception)]
             self.check_at_end()
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -53,6 +53,13 @@
             is_lost(LATE, signal=PlannedSignal("node-1", 101.0, stop=False)),
         ),
         (is_lost(LATE), is_lost(LATE, signal=PlannedSignal("node-2", 100.0))),
+        (
+            is_lost(LATE, signal=PlannedSignal("node-1", 100.0, serving=False)),
+            is_lost(
+                replace(UNSENT, ended_s=103.4),
+                signal=PlannedSignal("node-1", 100.0, serving=False),
+            ),
+        ),
     ],
 )
 def test_rule_counts_a_request_and_excuses_it_for_each_reason_only(counted, excused):
