--- a/tests/edge_soak_stops.py
+++ b/tests/edge_soak_stops.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
 from dataclasses import dataclass
@@ -43,6 +44,8 @@
 _ON_THE_WAY_S = 0.2
 _MAX_STALL_S = 0.1
 _STALL_CHECK_S = 0.02
+# For requests that were cut outside of planned work.
+_NO_SIGNAL = PlannedSignal("", -math.inf)
 
 
 @dataclass(frozen=True, slots=True)
@@ -505,7 +508,6 @@
         """Adds the requests that were lost around planned work, with what their nodes logged."""
         work = PlannedWork(self.signals, self.server_runs, self.disruptions)
         cuts = work.find_cut(self.requests)
-        self.outcomes["cut elsewhere"] = sum(map(work.is_cut, self.requests)) - len(cuts)
         logs = {node.name: node.log.read_text().splitlines() for node in self.nodes}
         for lost in cuts:
             if lost.excuse is not None:
@@ -522,6 +524,16 @@
                 f"{request.call_id}: lost around a {work_name} of {request.node}:"
                 f" {', '.join(relative)}; limit {request.limit_s} s"
             )
-            for line in logs[request.node]:
-                if f'"{request.call_id}"' in line:
-                    print(line)
+            self.print_log(request, logs)
+        # Those are no violations of the rule, but show what to look for in the runs without kills.
+        around = {cut.request.call_id for cut in cuts}
+        for request in filter(work.is_cut, self.requests):
+            if request.call_id in around or work.find_excuse(request, _NO_SIGNAL) is not None:
+                continue
+            self.outcomes["cut elsewhere"] += 1
+            self.print_log(request, logs)
+
+    def print_log(self, request, logs):
+        for line in logs[request.node]:
+            if f'"{request.call_id}"' in line:
+                print(line)
