End a process that is stopped while it starts, wherever the signal meets it

Callers could see a node that goes on after its SIGTERM until the platform kills it: the handler raised SystemExit, which an import of an extension module replaces by an error of its own. An optional import would have gone on. The handler now ends the process itself; nothing is open then but the callers' port. The test fails on the former code ("still running").

--- a/src/tanagerworks/edge/early_signals.py
+++ b/src/tanagerworks/edge/early_signals.py
@@ -1,11 +1,11 @@
 """Handles signals that arrive before the process has read its settings and opened its ports.
 
-The defaults would end a process that starts. This module imports nothing beyond `signal` and `sys`,
+The defaults would end a process that starts. This module imports nothing beyond `os` and `signal`,
 so that it can run first.
 """
 
+import os
 import signal
-import sys
 from types import FrameType
 
 
@@ -19,5 +19,8 @@
 
 
 def _stop_start(_number: int, _frame: FrameType | None) -> None:
-    print("stopped by a signal while starting", file=sys.stderr)
-    sys.exit(0)
+    try:
+        os.write(2, b"stopped by a signal while starting\n")
+    finally:
+        # Imports of extension modules replace an exception, SystemExit included, by their own.
+        os._exit(0)
--- a/tests/test_fault_early_signals.py
+++ b/tests/test_fault_early_signals.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -45,3 +47,22 @@
 def test_signal_during_the_start_is_handled(tmp_path, number, started):
     """Guards against a reload that ends a process, and a stop that counts as a crash."""
     assert run_with_early_signal(tmp_path, number) == (started, 0)
+
+
+def test_stop_is_not_lost_where_exceptions_are_swallowed():
+    """Guards against a stop signal that an import replaces by an error of its own.
+
+    Extension modules do so: a signal during an import of theirs came out as an ImportError.
+    """
+    lines = [
+        "import signal",
+        "from tanagerworks.edge.early_signals import handle_signals_early",
+        "handle_signals_early()",
+        "try:",
+        "    signal.raise_signal(signal.SIGTERM)",
+        "except BaseException:",
+        "    print('still running')",
+    ]
+    ended = subprocess.run([sys.executable, "-c", "\n".join(lines)], capture_output=True, text=True)
+    assert (ended.returncode, ended.stdout) == (0, "")
+    assert ended.stderr == "stopped by a signal while starting\n"
