--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,12 +4,13 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import pytest
 from urllib3.exceptions import HTTPError
 
 from tanagerworks.standin.answers import expected_answer
-from tools.fleet import Fleet, free_address
+from tools.fleet import Fleet, free_address, free_port
 
 _MESSAGES = [{"role": "user", "content": "How coarse is the winter wax? " * 20}]
 
@@ -192,3 +193,16 @@
     with ThreadPoolExecutor(8) as threads:
         answers = list(threads.map(lambda _number: read("n3").status, range(120)))
     assert 429 in answers
+
+
+def test_port_that_is_taken_for_datagrams_is_not_free(monkeypatch):
+    """Guards against processes that cannot start as another one has their port for UDP."""
+    with socket.socket(type=socket.SOCK_DGRAM) as holder:
+        holder.bind(("127.0.0.1", 0))
+        other = free_port()
+        order = iter([holder.getsockname()[1], other])
+        monkeypatch.setattr("tools.fleet._allocated_ports", set())
+        monkeypatch.setattr(
+            "tools.fleet._RANDOM", SimpleNamespace(choice=lambda _ports: next(order))
+        )
+        assert free_port() == other
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -40,14 +40,15 @@
 
 
 def free_port() -> int:
-    """Returns a loopback port that nothing listens on and that was not returned before."""
+    """Returns a loopback port that was not returned before and is free for TCP and for UDP."""
     while True:
         port = _RANDOM.choice(_PORTS)
         if port in _allocated_ports:
             continue
-        with socket.socket() as probe:
+        with socket.socket() as tcp_probe, socket.socket(type=socket.SOCK_DGRAM) as udp_probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                tcp_probe.bind(("127.0.0.1", port))
+                udp_probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
         _allocated_ports.add(port)
