--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -637,8 +637,10 @@
 
     def closes_after_response(self) -> bool:
         """Whether a response that starts now is the last one of the connection."""
-        closing = self.refusing or self.server.closing_connections
-        return closing or self.http.their_state is h11.SEND_BODY
+        if self.refusing or self.http.their_state is h11.SEND_BODY:
+            return True
+        # A request that is in the buffer already would not be answered.
+        return self.server.closing_connections and not self.http.trailing_data[0]
 
     # Output and closing
 
@@ -712,9 +714,13 @@
     def close_if_idle(self) -> bool:
         """Closes the connection unless a request is in progress; returns whether it did.
 
-        The first request of a new connection counts as in progress for a short time.
+        The first request of a new connection counts as in progress for a short time, and a response
+        until it is written: a request that arrives while the rest is sent would make the end of the
+        connection a reset. A lingering connection ends by itself for the same reason.
         """
-        if not self._waits_for_request():
+        if self.lingering or not self._waits_for_request():
+            return False
+        if self.transport is not None and self.transport.get_write_buffer_size():
             return False
         age_s = asyncio.get_running_loop().time() - self.opened_s
         if not self.had_request and age_s < FIRST_REQUEST_GRACE_S:
@@ -722,6 +728,10 @@
         self.close()
         return True
 
+    def is_reading_request(self) -> bool:
+        """Whether a request has begun to arrive that its handler has not got yet."""
+        return self.task is None and not (self.lingering or self._waits_for_request())
+
     def _waits_for_request(self) -> bool:
         return self.task is None and self.head is None and not self.head_started
 
@@ -854,6 +864,11 @@
         for connection in list(self.connections):
             connection.apply_limits()
 
+    def has_unsent_output(self) -> bool:
+        """Whether callers have yet to take output that the kernel does not hold."""
+        transports = [connection.transport for connection in self.connections]
+        return any(transport and transport.get_write_buffer_size() for transport in transports)
+
     def close_listener(self) -> None:
         """Stops accepting connections."""
         if self.listener is not None:
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -123,10 +123,15 @@
         self.stream_origins = StreamOriginTable(dispatcher)
         self.backend_exchange.on_stream_begun = self.stream_origins.record_begin
         self.placer.is_cut_off = lambda: self.reachability_check.is_cut_off
+        self.placer.check_start = self._check_start
+        self.placer.is_sent_elsewhere = lambda request: bool(self._find_senders(request))
         forwarding_exchange = ForwardingExchange(
             dispatcher, backend_dialect, self.reachability_check
         )
         forwarding_exchange.on_stream_begun = self.stream_origins.record_begin
+        for exchange in (self.backend_exchange, forwarding_exchange):
+            # A shutdown has its own deadline, which is soon enough for a silent server.
+            exchange.ends_stalled_streams = lambda: self.shutdown is None
         self.forwarder = RequestForwarder(forwarding_exchange, zone, metrics)
         self.crash_detector = CrashDetector(dispatcher, metrics, self.reachability_check)
         # Called when the node has found that it reaches no server, or servers again.
@@ -176,9 +181,9 @@
         error: TanagerError | None = None
         self.active_requests += 1
         try:
+            call = self.caller_dialect.parse_call(head)
             await self._wait_during_startup(self.view_complete)
             configuration = self._require_configuration()
-            call = self.caller_dialect.parse_call(head)
             request = self._classify_request(
                 configuration, call, head, body, responder, arrived_s, forwarded
             )
@@ -330,13 +335,18 @@
         if signalled_s is None:
             signalled_s = asyncio.get_running_loop().time()
         self.shutdown = Shutdown(signalled_s, deadline_s, notice_until_s)
+        self.dispatcher.stopping = True
+        self.placer.wake_all_waiters()
 
     def expire_requests(self) -> None:
         """Ends the requests in progress as at their deadlines, since the process has to exit.
 
         Their callers get an error response, or see that the response that has begun is incomplete.
+        A request that is read later is refused.
         """
         now_s = asyncio.get_running_loop().time()
+        if self.shutdown is not None:
+            self.shutdown.deadline_s = min(self.shutdown.deadline_s, now_s)
         for timeout in self.request_timeouts:
             timeout.reschedule(now_s)
 
@@ -356,6 +366,20 @@
             raise StoppingError(route.name, expectation.needed_s, expectation.samples)
         return expectation
 
+    def _check_start(self, request: RequestState) -> None:
+        """Checks once more before an attempt what held for the request when it arrived.
+
+        It may have waited meanwhile, or have come before the stop signal. One that a server may
+        have run goes on: its caller could not tell that from a refusal.
+
+        Raises:
+            StoppingError: the request may not end before the shutdown deadline.
+        """
+        if request.executed_error is not None or request.responder.started:
+            return
+        now_s = asyncio.get_running_loop().time()
+        request.expectation = self._check_shutdown(request.route, now_s, request.deadline_s)
+
     def _pick_service(self, route: Route, call: Call) -> str:
         """Returns one of the route's services, chosen by weight.
 
@@ -438,6 +462,7 @@
         if request.goes_on_with_stream and request.dispatch_request.software_version is None:
             await self._find_origin(request)
         while True:
+            self._check_start(request)
             if self.reachability_check.is_cut_off:
                 return await self._serve_elsewhere(request)
             senders = self._find_senders(request)
@@ -447,7 +472,7 @@
                 choice = await self.placer.place_request(request)
             except CapacityError as error:
                 if isinstance(error, NoServerError):
-                    if await self._is_cut_off():
+                    if self._find_senders(request) or await self._is_cut_off():
                         continue
                     self.last_resort_log.record_no_server(request.dispatch_request)
                 if request.error_response is not None and not request.responder.started:
@@ -721,7 +746,8 @@
     ) -> dict[str, object]:
         """Returns when a request came and ended relative to the stop signal, and what was assumed.
 
-        Requests that came before the signal have a negative time and no assumption.
+        Requests that came before the signal have a negative time; what was assumed of them is known
+        only if they were not sent before it.
         """
         now_s = asyncio.get_running_loop().time()
         described: dict[str, object] = {
--- a/src/tanagerworks/edge/placing.py
+++ b/src/tanagerworks/edge/placing.py
@@ -66,6 +66,10 @@
         self.random = random.Random()
         # Returns whether this node is cut off from all servers, so that waiting is in vain.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Returns whether only other nodes may send the request to servers by now.
+        self.is_sent_elsewhere: Callable[[RequestState], bool] = lambda _request: False
+        # Raises an error if a request that waits must not be sent any more.
+        self.check_start: Callable[[RequestState], None] = lambda _request: None
 
     async def place_request(self, request: RequestState) -> Choice:
         """Returns the server for the next attempt and counts the attempt as started.
@@ -79,6 +83,7 @@
             NoServerError: the service has no server that the request may be sent to.
             CapacityError: no server can run the request before its deadline, or the queue
                 is full.
+            StoppingError: it waited, and may not end any more before the node stops.
         """
         dispatch_request = request.dispatch_request
         loop = asyncio.get_running_loop()
@@ -126,7 +131,8 @@
             while True:
                 await event.wait()
                 event.clear()
-                self._check_reachability()
+                self._check_reachability(request)
+                self.check_start(request)
                 self._check_quarantine(dispatch_request)
                 choice = self._choose(dispatch_request)
                 if choice is not None:
@@ -141,9 +147,11 @@
             f"no backend server may take the request: {unusable or 'none is left'}"
         )
 
-    def _check_reachability(self) -> None:
+    def _check_reachability(self, request: RequestState) -> None:
         if self.is_cut_off():
             raise ServersUnreachableError("this node reaches no server")
+        if self.is_sent_elsewhere(request):
+            raise ServersUnreachableError("only other nodes may send to the servers")
 
     def _check_quarantine(self, dispatch_request: DispatchRequest) -> None:
         refusal = self.dispatcher.check_quarantine(
@@ -209,7 +217,8 @@
         try:
             while True:
                 event.clear()
-                self._check_reachability()
+                self._check_reachability(request)
+                self.check_start(request)
                 self._check_quarantine(dispatch_request)
                 choice = self._choose_if_first(dispatch_request)
                 if choice is not None:
