--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.edge_process_runner import publish_to_store, run_process
-from tests.edge_soak import EdgeNode
+from tests.edge_node import EdgeNode
 from tests.platform_standin import (
     ReceivedResponse,
     ServerStandin,
@@ -149,7 +149,7 @@
         publish_to_store(store, server)
         if streams:
             publish_stream_route(store)
-        node = EdgeNode(1, directory, store.address, [], stop_limit_s)
+        node = EdgeNode(1, directory, store.address, [], stop_limit_s=stop_limit_s)
         await node.start()
         address = node.callers.split(":")
         try:
