Notice that a stream breaks off inside an event also after a pause

Callers got a stream as complete although its server broke it off inside an event: if the response had neither a length nor chunks, and the server had paused in that event for longer than the limit after which streams resume (1 s at least) while no other server could take the stream. While a node stops, this holds for every stream that pauses beyond its limit, as it goes on.

After such a timeout the relay began with a new EventCounter, to which the event that had begun was unknown, so the end of the connection was taken for the end of the stream. The counter now lasts as long as the response.

Evidence: the new test; before the change the response was complete, now it is not.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -492,10 +492,14 @@
         attempt.last_event_s = loop.time()
         limit_s = self._stall_timeout_s(request, first=True)
         end_after_s = self.stall_limits.end_after_s(request.route)
+        # Keeps its state when the stream goes on after a timeout inside an event.
+        event_counter = EventCounter()
         while True:
             try:
                 async with PauseTolerantTimeout(loop.time() + limit_s, limit_s) as stall_timeout:
-                    await self._relay_events(request, attempt, connection, response, stall_timeout)
+                    await self._relay_events(
+                        request, attempt, connection, response, event_counter, stall_timeout
+                    )
                     break
             except TimeoutError as error:
                 limit_s = end_after_s - (loop.time() - attempt.last_event_s)
@@ -517,6 +521,7 @@
         attempt: Attempt,
         connection: BackendConnection,
         response: BackendResponse,
+        event_counter: EventCounter,
         stall_timeout: PauseTolerantTimeout,
     ) -> None:
         """Relays data until the end; postpones the timeout with each complete event.
@@ -529,7 +534,6 @@
         loop = asyncio.get_running_loop()
         responder = request.responder
         event_splitter = request.event_splitter
-        event_counter = EventCounter()
         stall_timeout_s = self._stall_timeout_s(request, first=False)
         while True:
             event = await connection.next_event()
--- a/tests/test_fault_stalled_streams.py
+++ b/tests/test_fault_stalled_streams.py
@@ -244,3 +244,22 @@
     for objective_s, gap_s in [(0.25, 0.2), (0.8, 0.25), (3.0, 0.1), (0.1, 2.0)]:
         route = stream_route(objective_s=objective_s, gap_objective_s=gap_s)
         assert StallLimits().end_after_s(route) > max(2.0, 4 * objective_s, 8 * gap_s)
+
+
+def test_stream_that_breaks_off_inside_an_event_after_a_pause_is_not_complete():
+    """Guards against a stream that looks complete as its server paused in the event it broke off.
+
+    The response has neither a length nor chunks. Its pause is longer than the limit after which
+    streams resume, and there is no other server.
+    """
+    config = configuration(routes=[stream_route("plan", resumable=True, max_attempts=3, **FAST)])
+    pause_s = 0.5 * (SHORT_LIMITS.min_resume_s + END_AFTER_S)
+
+    async def break_off(server, headers, reader, writer):
+        writer.write(response_head(headers, "200 OK", "content-type: text/event-stream"))
+        writer.write(b"id: 0\ndata: piece 0\n\nid: 1\ndata: pi")
+        await asyncio.sleep(pause_s)
+        raise ConnectionResetError
+
+    response, _took_s = run_scenario([[break_off]], timed_request("/plan/x"), config, MODEL_SERVICE)
+    assert (response.status, response.complete) == (200, False)
