Start a request at a stopping node if its own deadline comes first

A repeatable request that is no stream was assumed to take twice the objective of its route even if its caller's or the route's deadline left less time, so a stopping node refused requests (503 `stopping`) that had to end before the stop. Since requests that wait are judged again, it refused those as well that had used most of their time in the queue. Streams were limited already.

Evidence: the new test, and by hand a request with 0.5 s left at a node that stops in 1 s, objective 2 s: 503 before the change. Now the request fits.

--- a/src/tanagerworks/dispatch/shutdown.py
+++ b/src/tanagerworks/dispatch/shutdown.py
@@ -63,7 +63,7 @@
         if not route.streams:
             if route.execution is ExecutionSemantics.AT_MOST_ONCE:
                 return Expectation(limit_s)
-            return Expectation(_OBJECTIVE_FACTOR * route.objective_s)
+            return Expectation(min(limit_s, _OBJECTIVE_FACTOR * route.objective_s))
         samples = durations.sample_count(route.name)
         if now_s < self.notice_until_s:
             needed_s = durations.estimate_s(route.name, limit_s, _NOTICE_MARGIN_FACTOR)
--- a/tests/test_shutdown_admission.py
+++ b/tests/test_shutdown_admission.py
@@ -7,7 +7,7 @@
 
 from tanagerworks.dispatch.durations import RouteDurations
 from tanagerworks.dispatch.shutdown import Shutdown
-from tests.edge_builders import stream_route
+from tests.edge_builders import route, stream_route
 
 STREAMS = stream_route("chat")
 STOP_S = 7.3
@@ -76,3 +76,13 @@
             took_s = 0.2 + 2.5 * chance.lognormvariate(0.3, 0.44)
             cut += starts(durations, now_s) and now_s + took_s > STOP_S
     assert cut == 0
+
+
+def test_request_is_started_if_its_own_deadline_is_before_that_of_the_stop():
+    """Guards against refusals of requests that end in time whatever their servers do.
+
+    Twice the objective of the route is longer than the time left, the caller's deadline is not.
+    """
+    shutdown = Shutdown(0.0, STOP_S, NOTICE_S)
+    expectation = shutdown.expect(route(objective_s=2.0), RouteDurations(), 5.0, 0.5)
+    assert shutdown.fits(expectation, 5.0)
