Let the idle timeout pass while an answer is still being read

A caller that reads an answer slowly, and sends its next request once the idle timeout has passed since the node had written the answer, got a reset and neither answer. The timeout closed the connection: the rest of the output was still sent, but nothing was read, so the end of the connection was a reset, which destroys what the kernel holds of the complete answer. A change of the configuration that shortens the timeout may reach it at once.

While there is output, the timer starts again. `check_memory` ends connections whose callers take no output, as before.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -238,7 +238,7 @@
         memory = self.server.memory
         memory.update(self, _CONNECTION_BYTES)
         memory.idle.put(self, self.opened_s)
-        self._start_timer(self.limits.idle_timeout_s, self.close)
+        self._start_timer(self.limits.idle_timeout_s, self._idle_timeout)
 
     def max_read_bytes(self) -> int:
         """Returns how many bytes the next read may return."""
@@ -609,7 +609,7 @@
         if not self.transport.get_write_buffer_size():
             # A caller that still reads its answer is not idle; `check_unsent` tells when it is.
             self.server.memory.idle.put(self, self.idle_since_s)
-        self._start_timer(self.limits.idle_timeout_s, self.close)
+        self._start_timer(self.limits.idle_timeout_s, self._idle_timeout)
         self.apply_limits()
         self.transport.resume_reading()
         self._process_input()
@@ -629,7 +629,7 @@
         if unparsed:
             self.http.receive_data(unparsed)
         idle_s = asyncio.get_running_loop().time() - self.idle_since_s
-        self._start_timer(max(0.0, limits.idle_timeout_s - idle_s), self.close)
+        self._start_timer(max(0.0, limits.idle_timeout_s - idle_s), self._idle_timeout)
 
     def is_head_request(self) -> bool:
         """Whether the request in progress asks for the head of the response only."""
@@ -686,6 +686,16 @@
         self.transport.resume_reading()
         self._start_timer(LINGER_S, self.close)
 
+    def _idle_timeout(self) -> None:
+        """Closes the connection, but not while its caller still reads the last response.
+
+        `HttpServer.check_memory` ends it if the caller makes no progress.
+        """
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self._start_timer(self.limits.idle_timeout_s, self._idle_timeout)
+        else:
+            self.close()
+
     def _header_timeout(self) -> None:
         self._reject_request(408)
 
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -4,7 +4,10 @@
 import os
 import signal
 import socket
+from types import SimpleNamespace
 
+from tanagerworks.published.model import CallerLimits
+from tests.edge_builders import configuration
 from tests.edge_process_runner import publish_to_store, run_process
 from tests.platform_standin import (
     read_response,
@@ -130,3 +133,24 @@
         assert [response.headers.get("connection") for response in responses] == [None, "close"]
 
     run_process(scenario)
+
+
+def test_answer_that_is_being_read_outlasts_the_idle_timeout():
+    """Guards against a reset that destroys an answer which its caller reads slowly.
+
+    The time without a request runs out while the answer is read; then the next request comes.
+    """
+    body = b"x" * 60_000
+
+    async def scenario(port, pipeline, servers):
+        reader, writer, connection = await connect_with_small_buffers(
+            SimpleNamespace(caller_server=port)
+        )
+        writer.write(request_bytes("/desk-read/x", "c1"))
+        await wait_until(lambda: connection.unsent_bytes and connection.task is None)
+        await asyncio.sleep(1.5 * connection.limits.idle_timeout_s)
+        writer.write(request_bytes("/desk-read/x", "c2"))
+        return [len((await read_response(reader)).body) for _ in range(2)]
+
+    config = configuration(limits=CallerLimits(idle_timeout_s=0.2))
+    assert run_scenario([[respond_with(body)]], scenario, config) == [len(body), len(body)]
