Show that streams of silent servers are ended around a reload

A stream that was sent before a SIGHUP is ended after it if its server is silent for longer than the stall limit (3 s at least). A planned stop lets such streams go on to its deadline; the same rule names the SIGHUP and changes of the configuration. The new test fails: the stream is cut.

--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import os
+import signal
 from dataclasses import replace
 
 import pytest
@@ -417,3 +419,23 @@
         return statuses
 
     assert run_scenario([[respond_with()]], scenario) == [200, 1, 200]
+
+
+def test_stream_of_a_silent_server_outlasts_a_reload():
+    """Guards against a stream that the node ends around a SIGHUP since its server is silent."""
+
+    async def scenario(process, store, server, settings_versions):
+        last_event = asyncio.Event()
+        server.script = [refuse("404 Not Found"), stream_until(last_event.wait)]
+        process.pipeline.backend_exchange.stall_limits = SHORT_LIMITS
+        publish_model_server(store, server, 9, **{"target-latency-ms": 10, "target-gap-ms": 10})
+        await wait_until(process.pipeline.caches_recovered.is_set)
+        raw = request_bytes("/chat/x", "c1", "POST").replace(b"1500", b"15000")
+        pending = start(process.caller_server, raw)
+        await wait_until(lambda: len(server.requests) == 2)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.wait({pending}, timeout=5.0 * SHORT_LIMITS.end_after_s(stream_route()))
+        last_event.set()
+        assert (await pending).complete
+
+    run_process(scenario)
