Show that a caller that always sends ahead is never told to leave

Since requests that wait behind a response are answered while a node stops or is isolated, a response that starts with a further request in the buffer has no `Connection: close`. A caller that always keeps one ahead stays at an isolated node as long as it likes.

--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -154,3 +154,25 @@
 
     config = configuration(limits=CallerLimits(idle_timeout_s=0.2))
     assert run_scenario([[respond_with(body)]], scenario, config) == [len(body), len(body)]
+
+
+def test_caller_that_always_sends_ahead_is_told_to_leave():
+    """Guards against a connection that stays at an isolated node for as long as its caller likes.
+
+    The caller sends its next request before it has read the response to the last one.
+    """
+
+    async def scenario(port, pipeline, servers):
+        port.closing_connections = True
+        reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(2 * request_bytes("/desk-read/x"))
+        closing = False
+        for _ in range(100):
+            closing = closing or (await read_response(reader)).headers.get("connection") == "close"
+            if closing:
+                break
+            writer.write(request_bytes("/desk-read/x"))
+        writer.close()
+        return closing
+
+    assert run_scenario([[respond_with()]], scenario)
