--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -4,11 +4,14 @@
 import os
 import signal
 import socket
+from types import SimpleNamespace
 
 import pytest
 
-from tests.edge_process_runner import publish_to_store, run_process
+from tanagerworks.published.model import CallerLimits
+from tests.edge_builders import configuration
 from tests.edge_node import EdgeNode
+from tests.edge_process_runner import publish_to_store, run_process
 from tests.platform_standin import (
     ReceivedResponse,
     ServerStandin,
@@ -324,3 +327,46 @@
         await respond_with(body)(server, headers, reader, writer)
 
     return action
+
+
+def test_answer_that_is_being_read_outlasts_the_idle_timeout():
+    """Guards against a reset that destroys an answer which its caller reads slowly.
+
+    The time without a request runs out while the answer is read; then the next request comes.
+    """
+    body = b"x" * 60_000
+
+    async def scenario(port, pipeline, servers):
+        reader, writer, connection = await connect_with_small_buffers(
+            SimpleNamespace(caller_server=port)
+        )
+        writer.write(request_bytes("/desk-read/x", "c1"))
+        await wait_until(lambda: connection.unsent_bytes and connection.task is None)
+        await asyncio.sleep(1.5 * connection.limits.idle_timeout_s)
+        writer.write(request_bytes("/desk-read/x", "c2"))
+        return [len((await read_response(reader)).body) for _ in range(2)]
+
+    config = configuration(limits=CallerLimits(idle_timeout_s=0.2))
+    assert run_scenario([[respond_with(body)]], scenario, config) == [len(body), len(body)]
+
+
+def test_caller_that_always_sends_ahead_is_told_to_leave():
+    """Guards against a connection that stays at an isolated node for as long as its caller likes.
+
+    The caller sends its next request before it has read the response to the last one.
+    """
+
+    async def scenario(port, pipeline, servers):
+        port.closing_connections = True
+        reader, writer = await asyncio.open_connection(*port.listener.sockets[0].getsockname())
+        writer.write(2 * request_bytes("/desk-read/x"))
+        closing = False
+        for _ in range(100):
+            closing = closing or (await read_response(reader)).headers.get("connection") == "close"
+            if closing:
+                break
+            writer.write(request_bytes("/desk-read/x"))
+        writer.close()
+        return closing
+
+    assert run_scenario([[respond_with()]], scenario)
