Tell a caller that always sends ahead to leave

A caller that sends its next request before it has read the last response stayed at an isolated node for as long as it liked, and at a stopping one until the deadline: each response started with a further request in the buffer, so none had `Connection: close`. Since requests that wait behind a response are answered, only an empty buffer closed the connection.

At most 16 responses leave such a connection open now.

--- a/src/tanagerworks/edge/http_server.py
+++ b/src/tanagerworks/edge/http_server.py
@@ -80,6 +80,9 @@
 _DEFAULT_BUDGET_BYTES = 64_000_000
 # Timers may fire this much early.
 _TIMER_RESOLUTION_S = 0.01
+# Responses of a connection that do not close it although the node is closing its connections, since
+# further requests are in the buffer. A caller that always sends ahead would never leave otherwise.
+_MAX_PIPELINED_RESPONSES = 16
 _STATUSES_WITHOUT_BODY = (204, 304)
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _CLOSE = (b"connection", b"close")
@@ -106,6 +109,8 @@
             framing = []
         self.has_body = bool(framing) and not self.connection.is_head_request()
         closing = [_CLOSE] if self.connection.closes_after_response() else []
+        if self.connection.server.closing_connections:
+            self.connection.responses_while_closing += 1
         self.started = True
         self.connection.send_event(
             h11.Response(status_code=status, headers=[*headers, *framing, *closing])
@@ -199,6 +204,8 @@
         self.parsing = False
         # Whether the response that starts next is the last one, whatever the input.
         self.refusing = False
+        # Responses since the server closes its connections.
+        self.responses_while_closing = 0
         # What the budget counts for this connection, and parts of that.
         self.held_bytes = 0
         self.head_bytes = 0
@@ -639,8 +646,11 @@
         """Whether a response that starts now is the last one of the connection."""
         if self.refusing or self.http.their_state is h11.SEND_BODY:
             return True
+        if not self.server.closing_connections:
+            return False
         # A request that is in the buffer already would not be answered.
-        return self.server.closing_connections and not self.http.trailing_data[0]
+        is_pipelined = bool(self.http.trailing_data[0])
+        return not is_pipelined or self.responses_while_closing >= _MAX_PIPELINED_RESPONSES
 
     # Output and closing
 
