Refuse forwarded requests that wait for a brittle server when a node stops

A node that stops leaves its place as a sender of brittle servers to others and forwards its callers' requests. Those that other nodes had forwarded to it stayed in its queue, as a forwarded request is not forwarded again, although this node sent nothing more to these servers. Callers waited in vain, until their requests no longer fitted the stop or their deadlines.

Such a node now refuses them as not run, and the nodes that forwarded them ask the present senders, as for any refusal.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -467,7 +467,7 @@
                 return await self._serve_elsewhere(request)
             senders = self._find_senders(request)
             if senders:
-                return await self.forwarder.forward(request, senders)
+                return await self._serve_elsewhere(request, senders)
             try:
                 choice = await self.placer.place_request(request)
             except CapacityError as error:
@@ -521,15 +521,21 @@
         return check.reachability.is_suspect and await check.settle()
 
     def _find_senders(self, request: RequestState) -> Set[str]:
-        """Returns the nodes that have to send a request in place of this one, if any."""
-        if request.forwarded_by is not None:
+        """Returns the nodes that have to send a request in place of this one, if any.
+
+        Another node has found that this one may send a forwarded request; that holds until this
+        one stops.
+        """
+        if request.forwarded_by is not None and self.shutdown is None:
             return set()
         now_s = asyncio.get_running_loop().time()
         return self.dispatcher.find_senders(request.dispatch_request, now_s)
 
-    async def _serve_elsewhere(self, request: RequestState) -> str:
+    async def _serve_elsewhere(self, request: RequestState, senders: Set[str] | None = None) -> str:
         """Forwards a request to a node that reaches servers; returns the result.
 
+        `senders` are the nodes that may get it; None for all.
+
         Raises:
             ServersUnreachableError: there is none, or another node has forwarded the request here.
             BackendError: the other node failed, and the request may have run.
@@ -537,8 +543,9 @@
         if request.forwarded_by is not None:
             if request.executed_error is not None:
                 raise request.executed_error
-            raise ServersUnreachableError("this node reaches no server either")
-        return await self.forwarder.forward(request)
+            reason = "reaches no server either" if senders is None else "may not send any more"
+            raise ServersUnreachableError(f"this node {reason}")
+        return await self.forwarder.forward(request, senders)
 
     def create_attempt(self, request: RequestState, choice: Choice) -> Attempt:
         """Returns a new attempt at the chosen server, which becomes that of the request."""
--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -10,7 +10,10 @@
 
 import pytest
 
+from tanagerworks.edge.forwarded_headers import ForwardedRequest
+from tanagerworks.edge.http_server import HttpServer
 from tanagerworks.edge.stall import StallLimits
+from tanagerworks.published.model import CallerLimits
 from tests.edge_builders import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -388,37 +391,62 @@
     assert run_scenario([[respond_with()]], scenario) == 200
 
 
-def test_node_that_stops_forwards_what_waits_for_a_brittle_server():
-    """Guards against requests that wait in vain at the former sender of a server until it ends."""
+def become_sender(pipeline, other):
+    """Makes the server brittle, with one slot, and this node the one of two that sends to it."""
+    subject, now_s = pipeline.dispatcher, asyncio.get_running_loop().time()
+    state = subject.directory.servers["server-0"]
+    state.entry = replace(state.entry, slots=1)
+    state.record_limit(None, now_s + 1.0, 1.0)
+    # Of two nodes, this one is the sender with some names of the other one.
+    for number in range(20):
+        subject.peer_table.peers.clear()
+        fields = {"forwarding_port": other.port, "message_interval_s": 9.0}
+        subject.peer_table.record_message(peer(f"peer-{number}", now_s, **fields))
+        if not subject.find_senders(dispatch_request(service=PLAIN_SERVICE), now_s):
+            break
+
+
+async def forwarded_port(pipeline):
+    """Opens a port whose requests count as forwarded by another node."""
+
+    async def serve(head, body, responder):
+        forwarded = ForwardedRequest("peer-0", 1.5, 1, 0, frozenset(), None, None)
+        await pipeline.handle_request(head, body, responder, forwarded)
+
+    port = HttpServer(serve, CallerLimits)
+    await port.listen("127.0.0.1", 0, 16)
+    return port
+
+
+@pytest.mark.parametrize("forwarded", [False, True], ids=["caller", "node"])
+def test_node_that_stops_gives_away_what_waits_for_a_brittle_server(forwarded):
+    """Guards against requests that wait in vain at the former sender of a server until it ends.
+
+    Those of callers are forwarded, those of other nodes refused, as these know further nodes.
+    """
     released = asyncio.Event()
 
     async def scenario(port, pipeline, servers):
         servers[0].script = [hold_until(released, respond_with())]
         other = await ServerStandin("node", answer_as_node()).start()
-        subject, now_s = pipeline.dispatcher, asyncio.get_running_loop().time()
-        state = subject.directory.servers["server-0"]
-        state.entry = replace(state.entry, slots=1)
-        state.record_limit(None, now_s + 1.0, 1.0)
-        # Of two nodes, this one is the sender with some names of the other one.
-        for number in range(20):
-            subject.peer_table.peers.clear()
-            fields = {"forwarding_port": other.port, "message_interval_s": 9.0}
-            subject.peer_table.record_message(peer(f"peer-{number}", now_s, **fields))
-            if not subject.find_senders(dispatch_request(service=PLAIN_SERVICE), now_s):
-                break
+        become_sender(pipeline, other)
         holder = start(port, request_bytes("/desk-read/x", "holder"))
         await wait_until(lambda: servers[0].requests)
-        waiting = start(port, request_bytes("/desk-read/x", "waiting"))
+        entry = await forwarded_port(pipeline) if forwarded else port
+        waiting = start(entry, request_bytes("/desk-read/x", "waiting"))
         await wait_until(lambda: pipeline.placer.waiters)
         assert not other.requests
         stop(pipeline, left_s=5.0)
+        done, _waiting = await asyncio.wait({waiting}, timeout=1.0)
+        assert done
         statuses = [(await waiting).status, len(other.requests)]
         released.set()
         statuses.append((await holder).status)
         other.server.close()
         return statuses
 
-    assert run_scenario([[respond_with()]], scenario) == [200, 1, 200]
+    expected = [503, 0, 200] if forwarded else [200, 1, 200]
+    assert run_scenario([[respond_with()]], scenario) == expected
 
 
 def test_stream_of_a_silent_server_outlasts_a_reload():
