Ignore signals while the process exits

A SIGHUP, or a second stop signal, ended a process by that signal if it came after the event loop was closed, as closing the loop restores the defaults. The process then has ended all requests but may still write its log, for seconds if the output is read slowly: since the exit waits for it until the stop limit, up to 5 s. The rest of the log was lost, and the exit status was -1.

--- a/src/tanagerworks/edge/main.py
+++ b/src/tanagerworks/edge/main.py
@@ -1,6 +1,7 @@
 """Command line of the edge process; the platform's start script provides the adapter."""
 
 import asyncio
+import signal
 import socket
 import sys
 from collections.abc import Callable, Sequence
@@ -58,4 +59,15 @@
     )
     status = await process.run(caller_listener)
     log_handler.exit_deadline_s = process.log_deadline_s
+    _ignore_signals()
     return status
+
+
+def _ignore_signals() -> None:
+    """Ignores further signals; the event loop would restore their defaults when it is closed.
+
+    These end the process, whose log may not be written yet.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/edge_soak.py
+++ b/tests/edge_soak.py
@@ -103,7 +103,8 @@
         }
         self.settings.write_text(json.dumps(document))
 
-    async def start(self):
+    async def start(self, output=None):
+        """Starts the process; its log goes to `output`, by default to the file of the node."""
         self.may_end = False
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -112,7 +113,7 @@
                 f"--callers={self.callers}",
                 cwd=_REPOSITORY,
                 env=os.environ | {"TANAGERWORKS_SETTINGS": str(self.settings)},
-                stdout=log,
+                stdout=output if output is not None else log,
                 stderr=log,
             )
 
--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import fcntl
 import os
 import signal
 import time
@@ -12,8 +13,10 @@
 import pytest
 
 from tests.edge_process_runner import edge_settings, publish_to_store, run_process
+from tests.edge_soak import EdgeNode
 from tests.platform_standin import (
     WIRE_CONFIGURATION,
+    StoreStandin,
     encode_chunk,
     never_respond,
     read_response,
@@ -305,3 +308,46 @@
         assert cut == []
 
     run_process(scenario, stop_limit_s=5.0)
+
+
+def test_signals_during_the_exit_do_not_end_the_process(tmp_path):
+    """Guards against a process that a reload ends by a signal while it writes its last lines.
+
+    Nobody reads the log, so the exit waits for it after the event loop is closed.
+    """
+
+    async def scenario():
+        store = await StoreStandin().start()
+        node = EdgeNode(0, tmp_path, store.address, [])
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4_096)
+        os.write(writer, b"\n" * 4_000)
+        await node.start(writer)
+        os.close(writer)
+        async with asyncio.timeout(20):
+            await wait_until_open(node.readiness, True)
+            node.process.send_signal(signal.SIGTERM)
+            await wait_until_open(node.callers, False)
+            while node.process.returncode is None:
+                node.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.05)
+        os.close(reader)
+        store.server.close_listener()
+        return node.process.returncode
+
+    assert asyncio.run(scenario()) == 0
+
+
+async def wait_until_open(address, is_open):
+    """Waits until a port is open, or closed."""
+    host, port = address.split(":")
+    while True:
+        try:
+            _reader, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+            found = True
+        except ConnectionRefusedError:
+            found = False
+        if found is is_open:
+            return
+        await asyncio.sleep(0.02)
