--- a/tests/test_platform_template.py
+++ b/tests/test_platform_template.py
@@ -13,7 +13,7 @@
 from tanagerworks.errors import SettingsError
 from tanagerworks.settings.edge import EdgeSettings
 from tanagerworks.settings.loader import load_settings
-from tests.edge_soak import EdgeNode
+from tests.edge_node import EdgeNode
 from tests.platform_standin import StoreStandin
 
 TEMPLATE = Path(__file__).resolve().parent.parent / "platform/settings.yaml.tmpl"
