--- a/tests/test_fault_early_signals.py
+++ b/tests/test_fault_early_signals.py
@@ -49,20 +49,32 @@
     assert run_with_early_signal(tmp_path, number) == (started, 0)
 
 
-def test_stop_is_not_lost_where_exceptions_are_swallowed():
-    """Guards against a stop signal that an import replaces by an error of its own.
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["try:", "    signal.raise_signal(signal.SIGTERM)", "except BaseException:", "    pass"],
+        [
+            "found = {signal}",
+            "watch = weakref.ref(found, lambda _found: signal.raise_signal(signal.SIGTERM))",
+            "del found",
+        ],
+    ],
+    ids=["import of an extension module", "callback of a weak reference"],
+)
+def test_stop_is_not_lost_where_exceptions_are_swallowed(lines):
+    """Guards against a process that starts and serves callers although it was told to stop.
 
-    Extension modules do so: a signal during an import of theirs came out as an ImportError.
+    Imports run callbacks of weak references, in which the interpreter drops exceptions; extension
+    modules replace one that comes during an import of theirs by an ImportError.
     """
-    lines = [
-        "import signal",
+    program = [
+        "import signal, weakref",
         "from tanagerworks.edge.early_signals import handle_signals_early",
         "handle_signals_early()",
-        "try:",
-        "    signal.raise_signal(signal.SIGTERM)",
-        "except BaseException:",
-        "    print('still running')",
+        *lines,
+        "print('still running')",
     ]
-    ended = subprocess.run([sys.executable, "-c", "\n".join(lines)], capture_output=True, text=True)
+    command = [sys.executable, "-c", "\n".join(program)]
+    ended = subprocess.run(command, capture_output=True, text=True)
     assert (ended.returncode, ended.stdout) == (0, "")
     assert ended.stderr == "stopped by a signal while starting\n"
