--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -22,7 +22,7 @@
 from tanagerworks.dispatch.durations import RouteDurations
 from tanagerworks.dispatch.request_identity import request_identity
 from tanagerworks.dispatch.server_state import ServerState
-from tanagerworks.dispatch.shutdown import Expectation, RequestFate, Shutdown
+from tanagerworks.dispatch.shutdown import Expectation, Shutdown
 from tanagerworks.edge.crash_detector import CrashDetector
 from tanagerworks.edge.event_stream import EventSplitter
 from tanagerworks.edge.exchange import SERVER_ERROR, BackendExchange, log_attempt_failure
@@ -47,6 +47,7 @@
     RetryDenial,
     is_retryable_route,
 )
+from tanagerworks.edge.shutdown_report import PROCESS_EXIT, describe_shutdown, find_fate
 from tanagerworks.edge.stream_origins import StreamOriginTable
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import (
@@ -90,8 +91,6 @@
 # If a deadline passes while the process is paused, the time to read and relay responses that have
 # arrived meanwhile.
 _DEADLINE_EXTENSION_S = 0.1
-# Result of a request that is still in progress when the process exits.
-_PROCESS_EXIT = "process_exit"
 
 
 class Pipeline:
@@ -204,7 +203,7 @@
         finally:
             self.active_requests -= 1
             if self.exiting and result == CallerLeftError.code:
-                result = _PROCESS_EXIT
+                result = PROCESS_EXIT
             self._record_request_end(call, request, result, error, arrived_s)
 
     # admit, classify
@@ -741,52 +740,14 @@
             extra["reason"] = error.message
             extra["run"] = error.outcome.value
         if self.shutdown is not None:
-            extra |= self._describe_shutdown(self.shutdown, request, error, arrived_s)
-            extra["fate"] = self._count_fate(self.shutdown, result).value
+            extra |= describe_shutdown(self.shutdown, request, error, arrived_s, now_s)
+            fate = find_fate(self.shutdown, result, now_s)
+            extra["fate"] = fate.value
+            self.shutdown.fates[fate] += 1
+            self.metrics.record_shutdown_fate(fate)
         level = logging.INFO if result == "answered" else logging.WARNING
         _LOGGER.log(level, "request ended", extra=extra)
 
-    def _describe_shutdown(
-        self,
-        shutdown: Shutdown,
-        request: RequestState | None,
-        error: TanagerError | None,
-        arrived_s: float,
-    ) -> dict[str, object]:
-        """Returns when a request came and ended relative to the stop signal, and what was assumed.
-
-        Requests that came before the signal have a negative time; what was assumed of them is known
-        only if they were not sent before it.
-        """
-        now_s = asyncio.get_running_loop().time()
-        described: dict[str, object] = {
-            "came_after_signal_ms": _milliseconds(arrived_s - shutdown.signalled_s),
-            "ended_after_signal_ms": _milliseconds(now_s - shutdown.signalled_s),
-        }
-        expectation = request.expectation if request is not None else None
-        if isinstance(error, StoppingError):
-            described["route"] = error.route
-            expectation = Expectation(error.needed_s, error.samples)
-        if expectation is not None:
-            described["expected_ms"] = _milliseconds(expectation.needed_s)
-            described["expected_from"] = expectation.samples
-        return described
-
-    def _count_fate(self, shutdown: Shutdown, result: str) -> RequestFate:
-        now_s = asyncio.get_running_loop().time()
-        fate = RequestFate.FAILED
-        if result == "answered":
-            fate = RequestFate.ANSWERED
-        elif result == StoppingError.code:
-            fate = RequestFate.REFUSED
-        elif result == CallerLeftError.code:
-            fate = RequestFate.CALLER_LEFT
-        elif result == _PROCESS_EXIT or now_s >= shutdown.deadline_s:
-            fate = RequestFate.CUT
-        shutdown.fates[fate] += 1
-        self.metrics.record_shutdown_fate(fate)
-        return fate
-
 
 async def _cannot_catch_up(_since_s: float) -> bool:
     return False
