--- a/src/tanagerworks/dispatch/shutdown.py
+++ b/src/tanagerworks/dispatch/shutdown.py
@@ -54,7 +54,9 @@
     def expect(
         self, route: Route, durations: RouteDurations, now_s: float, limit_s: float
     ) -> Expectation:
-        """Returns how long a request that arrives at `now_s` is assumed to take, up to `limit_s`.
+        """Returns how long a request that starts at `now_s` is assumed to take.
+
+        `now_s` is event loop time, `limit_s` the time in seconds until the request's own deadline.
 
         A stream may last until its deadline, but few do; refusing all would send callers to other
         nodes that are shutting down as well. Requests that must not run twice get all their time,
@@ -73,5 +75,5 @@
         return Expectation(min(limit_s, max(longest_s, oldest_s)), samples)
 
     def fits(self, expectation: Expectation, now_s: float) -> bool:
-        """Whether a request that is expected to take that long ends before the deadline."""
+        """Whether a request that starts at `now_s` (event loop time) ends before the deadline."""
         return now_s + expectation.needed_s <= self.deadline_s
--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -47,7 +47,12 @@
     RetryDenial,
     is_retryable_route,
 )
-from tanagerworks.edge.shutdown_report import PROCESS_EXIT, describe_shutdown, find_fate
+from tanagerworks.edge.shutdown_report import (
+    PROCESS_EXIT,
+    describe_shutdown,
+    find_fate,
+    to_milliseconds,
+)
 from tanagerworks.edge.stream_origins import StreamOriginTable
 from tanagerworks.edge.telemetry import EdgeMetrics
 from tanagerworks.errors import (
@@ -735,7 +740,7 @@
             extra["forwarded_to"] = request.forwarded_to or None
             extra["forwarded_by"] = request.forwarded_by
             extra["status"] = request.status
-            extra["first_byte_ms"] = _milliseconds(request.first_byte_s)
+            extra["first_byte_ms"] = to_milliseconds(request.first_byte_s)
         if error is not None:
             extra["reason"] = error.message
             extra["run"] = error.outcome.value
@@ -751,7 +756,3 @@
 
 async def _cannot_catch_up(_since_s: float) -> bool:
     return False
-
-
-def _milliseconds(seconds: float | None) -> float | None:
-    return round(seconds * 1000, 1) if seconds is not None else None
--- a/src/tanagerworks/edge/shutdown_report.py
+++ b/src/tanagerworks/edge/shutdown_report.py
@@ -9,7 +9,10 @@
 
 
 def find_fate(shutdown: Shutdown, result: str, now_s: float) -> RequestFate:
-    """Returns what became of a request that ends now with this result (event loop time)."""
+    """Returns what became of a request that ends at `now_s` (event loop time).
+
+    `result` is "answered", `PROCESS_EXIT` or the code of an error.
+    """
     if result == "answered":
         return RequestFate.ANSWERED
     if result == StoppingError.code:
@@ -30,22 +33,24 @@
 ) -> dict[str, object]:
     """Returns the fields on when a request came and ended, and how long it was assumed to take.
 
-    Times are in milliseconds after the stop signal, negative before it. What was assumed of a
+    The request came at `arrived_s` and ends at `now_s` (event loop times). The fields are in
+    milliseconds, for times after the stop signal, negative before it. What was assumed of a
     request is known only if it was not sent before the signal.
     """
     described: dict[str, object] = {
-        "came_after_signal_ms": _milliseconds(arrived_s - shutdown.signalled_s),
-        "ended_after_signal_ms": _milliseconds(now_s - shutdown.signalled_s),
+        "came_after_signal_ms": to_milliseconds(arrived_s - shutdown.signalled_s),
+        "ended_after_signal_ms": to_milliseconds(now_s - shutdown.signalled_s),
     }
     expectation = request.expectation if request is not None else None
     if isinstance(error, StoppingError):
         described["route"] = error.route
         expectation = Expectation(error.needed_s, error.samples)
     if expectation is not None:
-        described["expected_ms"] = _milliseconds(expectation.needed_s)
+        described["expected_ms"] = to_milliseconds(expectation.needed_s)
         described["expected_from"] = expectation.samples
     return described
 
 
-def _milliseconds(seconds: float) -> float:
-    return round(seconds * 1000, 1)
+def to_milliseconds(seconds: float | None) -> float | None:
+    """Returns a time for a log record, to a tenth of a millisecond; None for None."""
+    return round(seconds * 1000, 1) if seconds is not None else None
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -376,7 +376,7 @@
     retry_after_s = 0.05
 
     def __init__(self, route: str, needed_s: float, samples: int | None) -> None:
-        """States the route of the request and how long it was assumed to take.
+        """States the route of the request and how long it was assumed to take, in seconds.
 
         `samples` is the number of recorded durations behind that, None if it depends on none.
         """
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -239,7 +239,7 @@
             begun = {call_id for call_id in responses if call_id.startswith(("head", "body"))}
             assert begun <= complete
 
-    run_beside_node(tmp_path, scenario, stop_limit_s, respond_after(0.05))
+    run_beside_node(tmp_path, scenario, stop_limit_s, respond_late(0.05))
 
 
 @pytest.mark.parametrize("size", [8_000, 3_000_000])
@@ -271,7 +271,7 @@
         assert received == size
         writer.close()
 
-    run_beside_node(tmp_path, scenario, 8.0, respond_after(0.2, b"x" * size))
+    run_beside_node(tmp_path, scenario, 8.0, respond_late(0.2, b"x" * size))
 
 
 @pytest.mark.parametrize("delays_s", [[0.0, 0.02, 0.04, 0.06, 0.08], [-0.5] * 2])
@@ -301,7 +301,7 @@
             response = await read_response(reader)
             writer.close()
             passed_on = {headers["x-tanagerworks-attempt-id"] for _line, headers in server.requests}
-            assert response.complete or f"next-{number}" not in passed_on and delay_s >= 0.0
+            assert response.complete or (f"next-{number}" not in passed_on and delay_s >= 0.0)
 
         begun, stopping = set(), asyncio.Event()
         async with asyncio.TaskGroup() as group:
@@ -319,8 +319,8 @@
     run_beside_node(tmp_path, scenario, 8.0, answer, streams=True)
 
 
-def respond_after(delay_s, body=b"ok"):
-    """Sends a complete response after some time."""
+def respond_late(delay_s, body=b"ok"):
+    """Sends a complete response after some time, or at once to `c`, which waits for the node."""
 
     async def action(server, headers, reader, writer):
         await asyncio.sleep(delay_s if headers["x-tanagerworks-attempt-id"] != "c" else 0.0)
