Test of a stop beside the search for an origin: do not depend on the machine's uptime

The entries of the test's servers date from event loop time 0, that is, from the boot of the machine. The test now states that the system has just started for the first time. What it asserts is unchanged.

--- a/tests/test_shutdown_states.py
+++ b/tests/test_shutdown_states.py
@@ -136,6 +136,8 @@
         stop(pipeline)
         return True
 
+    # Otherwise the version of the stream is known only once this machine runs for ten minutes.
+    pipeline.dispatcher.directory.versions.record_first_start()
     pipeline.catch_up = catch_up
     return await send_request(port, resume_bytes("late", 1, None))
 
