Refuse streams that come late to a stopping node unless they cannot be cut

Cause: a late stream was taken if four times the longest of the last 64 of its route still fitted. What was seen before bounds neither the length nor the pace of the next stream.

Change: a stream that comes after the drain notice is taken only if its own deadline is before that of the stop, since nothing else bounds it. One that came before, when its caller could not know, is judged as it was, also while it waits for a server or for the origin of its stream. Streams that are taken up again, forwarded requests and second attempts go through the same check.

--- a/src/tanagerworks/edge/pipeline.py
+++ b/src/tanagerworks/edge/pipeline.py
@@ -294,7 +294,7 @@
         if call.timeout_s is not None:
             timeout_s = min(timeout_s, call.timeout_s)
         deadline_s = arrived_s + timeout_s
-        expectation = self._check_shutdown(route, arrived_s, deadline_s)
+        expectation = self._check_shutdown(route, arrived_s, arrived_s, deadline_s)
         service = self._pick_service(route, call)
         customer_name = customer.name if customer is not None else ""
         start_by_s = deadline_s
@@ -357,17 +357,19 @@
             timeout.reschedule(now_s)
 
     def _check_shutdown(
-        self, route: Route, now_s: float, request_deadline_s: float
+        self, route: Route, arrived_s: float, now_s: float, request_deadline_s: float
     ) -> Expectation | None:
         """Returns how long a request is assumed to take; None unless the node is shutting down.
 
+        All times are event loop times.
+
         Raises:
             StoppingError: it may not end before the shutdown deadline.
         """
         if self.shutdown is None:
             return None
         limit_s = request_deadline_s - now_s
-        expectation = self.shutdown.expect(route, self.durations, now_s, limit_s)
+        expectation = self.shutdown.expect(route, self.durations, arrived_s, now_s, limit_s)
         if not self.shutdown.fits(expectation, now_s):
             raise StoppingError(route.name, expectation.needed_s, expectation.samples)
         return expectation
@@ -384,7 +386,9 @@
         if request.executed_error is not None or request.responder.started:
             return
         now_s = asyncio.get_running_loop().time()
-        request.expectation = self._check_shutdown(request.route, now_s, request.deadline_s)
+        request.expectation = self._check_shutdown(
+            request.route, request.arrived_s, now_s, request.deadline_s
+        )
 
     def _pick_service(self, route: Route, call: Call) -> str:
         """Returns one of the route's services, chosen by weight.
--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import time
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -261,29 +262,46 @@
     store.put("op/config", WIRE_CONFIGURATION | changes)
 
 
-def stream_at_pace(pace):
-    """Sends ten events, with `pace[0]` seconds before each."""
+@dataclass
+class StreamShape:
+    """Length and pace of the streams that a server sends from now on."""
+
+    events: int
+    gap_s: float
+
+
+def stream_of(shape):
+    """Sends a stream with `shape.gap_s` before each event, both as they are at that moment."""
 
     async def action(server, headers, reader, writer):
         kind = ("content-type: text/event-stream", "transfer-encoding: chunked")
         writer.write(response_head(headers, "200 OK", *kind))
-        for number in range(1, 11):
-            await asyncio.sleep(pace[0])
+        for number in range(1, shape.events + 1):
+            await asyncio.sleep(shape.gap_s)
             writer.write(encode_chunk(b"id: %d\ndata: x\n\n" % number))
         writer.write(b"0\r\n\r\n")
 
     return action
 
 
-def test_stream_that_comes_late_in_a_stop_is_refused_or_whole():
-    """Guards against streams that are taken late and cut, since servers have become slower.
+@pytest.mark.parametrize(
+    ("early", "late"),
+    [
+        (StreamShape(10, 0.05), StreamShape(10, 0.175)),
+        (StreamShape(10, 0.02), StreamShape(10, 0.4)),
+        (StreamShape(10, 0.02), StreamShape(200, 0.02)),
+    ],
+    ids=["slower", "far slower", "longer"],
+)
+def test_stream_that_comes_late_in_a_stop_is_refused_or_whole(early, late):
+    """Guards against streams that are taken late and cut, as they last longer than those before.
 
     The balancer sends new callers to a node during its whole stop if too few others are left.
     """
 
     async def scenario(process, store, server, settings_versions):
-        pace = [0.05]
-        server.script = [stream_at_pace(pace)]
+        shape = replace(early)
+        server.script = [stream_of(shape)]
         publish_to_store(store, server)
         publish_stream_route(store)
         await wait_until(process.is_ready)
@@ -293,20 +311,21 @@
             return asyncio.ensure_future(send_request(process.caller_server, raw))
 
         for batch in ("a", "b"):
-            early = [send(f"early-{batch}{number}") for number in range(4)]
-            assert all(response.complete for response in await asyncio.gather(*early))
+            ended = [send(f"early-{batch}{number}") for number in range(4)]
+            assert all(response.complete for response in await asyncio.gather(*ended))
         process.stop_requested.set()
         # Keeps the process from ending before the late ones come.
         await asyncio.sleep(2.3)
+        shape.events, shape.gap_s = 10, 0.05
         holder = send("holder")
         await wait_until(lambda: process.drain_notice_over)
-        pace[0] = 0.175
-        late = {f"late-{number}": send(f"late-{number}") for number in range(4)}
-        await asyncio.gather(holder, *late.values(), return_exceptions=True)
+        shape.events, shape.gap_s = late.events, late.gap_s
+        sent = {f"late-{number}": send(f"late-{number}") for number in range(4)}
+        await asyncio.gather(holder, *sent.values(), return_exceptions=True)
         passed_on = {headers["x-tanagerworks-attempt-id"] for _line, headers in server.requests}
         cut = [
             call_id
-            for call_id, sending in late.items()
+            for call_id, sending in sent.items()
             if call_id in passed_on and (sending.exception() or not sending.result().complete)
         ]
         assert cut == []
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -23,7 +23,7 @@
     send_request,
     wait_until,
 )
-from tests.test_fault_planned_stop import publish_stream_route, stream_at_pace
+from tests.test_fault_planned_stop import StreamShape, publish_stream_route, stream_of
 
 
 def test_request_that_is_read_after_the_last_moment_is_refused():
@@ -317,7 +317,7 @@
 
     async def answer(server, headers, reader, writer):
         kind = headers["x-tanagerworks-attempt-id"].partition("-")[0]
-        action = stream_at_pace([0.4]) if kind == "stream" else respond_with()
+        action = stream_of(StreamShape(10, 0.4)) if kind == "stream" else respond_with()
         await action(server, headers, reader, writer)
 
     run_beside_node(tmp_path, scenario, 8.0, answer, streams=True)
