Soak of planned stops: streams whose length and pace change from one moment to the next

After the warm-up, the streams of one route after the other now get up to 40 times more events, longer gaps, or both, for 0.5 to 4 s, within seven tenths of the time that they have. They have a source of random numbers of their own, so the faults of a seed stay as they were. A new kind of short streams with a long deadline ("reply") is among them.

--- a/tests/edge_soak_stops.py
+++ b/tests/edge_soak_stops.py
@@ -1,8 +1,9 @@
 """A soak of the edge with planned stops in series, beside releases, reloads and slower servers.
 
 Callers keep connections until they end, or open new ones through a balancer; streams are of very
-different lengths. What is checked besides the promises of the other soak: requests get whole
-answers around each SIGTERM and SIGHUP, as `tests.planned_stops` states it.
+different lengths and paces, which also change from one moment to the next. What is checked besides
+the promises of the other soak: requests get whole answers around each SIGTERM and SIGHUP, as
+`tests.planned_stops` states it.
 """
 
 import asyncio
@@ -42,6 +43,11 @@
 # published while a request is on its way.
 _APPLY_S = 2.0
 _ON_THE_WAY_S = 0.2
+# How long the streams of a route keep a length and a pace, and the longest of either, times usual.
+_SHAPE_PERIOD_S = (0.5, 4.0)
+_MAX_STRETCH = 40.0
+# Streams that are stretched take at most this share of the time that they have, by intention.
+_STRETCHED_SHARE = 0.7
 _MAX_STALL_S = 0.1
 _STALL_CHECK_S = 0.02
 # For requests that were cut outside of planned work.
@@ -96,12 +102,13 @@
         _BOOK,
         RequestKind("chat", "models", 4_000, 15_000, 20, 0.0, 20, 0.04),
         RequestKind("short", "letters", 3_000, 15_000, 4, 0.0, 4, 0.023),
+        RequestKind("reply", "letters", 12_000, 12_000, 10, 0.1, 14, 0.02),
         RequestKind("middle", "letters", 12_000, 12_000, 50, 0.1, 70, 0.02),
         RequestKind("long", "contracts", 15_000, 15_000, 64, 0.5, 187, 0.023, (12_000, 72_000)),
     )
 }
 # How often callers choose each.
-_WEIGHTS = {"book": 2, "chat": 1, "short": 2, "middle": 4, "long": 4}
+_WEIGHTS = {"book": 2, "chat": 1, "short": 2, "reply": 3, "middle": 3, "long": 3}
 
 
 class Balancer:
@@ -164,6 +171,11 @@
         self.disruptions = []
         # When each configuration was published, with its timeouts in ms by route.
         self.published = []
+        # Of its own, so that it changes none of the other choices of a seed.
+        self.shape_source = random.Random(f"shapes {seed}")
+        # By route: times the usual number of events, and the usual time between two.
+        self.lengths = dict.fromkeys(_KINDS, 1.0)
+        self.gaps = dict.fromkeys(_KINDS, 1.0)
         # By service: times the usual pace.
         self.slowness = dict.fromkeys(self.services, 1.0)
 
@@ -207,7 +219,8 @@
         if self.balancer is None:
             self.balancer = Balancer(self.nodes)
             self.background = [
-                asyncio.create_task(task) for task in (self.balancer.run(), self.watch_stalls())
+                asyncio.create_task(task)
+                for task in (self.balancer.run(), self.watch_stalls(), self.vary_streams())
             ]
 
     async def watch_stalls(self):
@@ -218,6 +231,29 @@
             if self.now_s() - began_s > _MAX_STALL_S:
                 self.outcomes["stall of the soak"] += 1
 
+    async def vary_streams(self):
+        """Gives the streams of one route after the other another length and pace.
+
+        Not in the warm-up, so that nodes observe the usual ones first.
+        """
+        source = self.shape_source
+        await asyncio.sleep(self.warm_up_s)
+        while True:
+            route = source.choice([kind.route for kind in _KINDS.values() if kind.events])
+            stretch = math.exp(source.uniform(0.0, math.log(_MAX_STRETCH)))
+            share = source.random()
+            self.lengths[route], self.gaps[route] = stretch**share, stretch ** (1.0 - share)
+            await asyncio.sleep(source.uniform(*_SHAPE_PERIOD_S))
+            if source.random() < 0.5:
+                self.lengths[route] = self.gaps[route] = 1.0
+
+    def shape_stream(self, kind, source):
+        """Returns the number of events of a new stream, and the seconds between two."""
+        events, gap_s = kind.draw_events(source), kind.gap_s * self.gaps[kind.route]
+        most = _STRETCHED_SHARE * min(kind.deadline_ms, kind.timeout_ms) / 1000 / gap_s
+        stretched = round(min(events * self.lengths[kind.route], most))
+        return max(events, stretched), gap_s
+
     # Servers
 
     def answer_of(self, service):
@@ -453,9 +489,9 @@
     async def send(self, source, kind, node, reader, writer):
         """Sends one request and records its end; returns whether the connection may be kept."""
         call_id = self.next_call_id()
-        events = kind.draw_events(source) if kind.events else 0
+        events, gap_s = self.shape_stream(kind, source) if kind.events else (0, 0.0)
         body = b"b" * source.randint(*kind.body_bytes)
-        writer.write(self.encode_request(kind, call_id, events, body))
+        writer.write(self.encode_request(kind, call_id, events, gap_s, body))
         sent_s = self.now_s()
         try:
             async with asyncio.timeout(kind.deadline_ms / 1000 + _PATIENCE_S):
@@ -474,7 +510,7 @@
         self.check_answer(kind, call_id, events, response)
         return response.complete and response.headers.get("connection") != "close"
 
-    def encode_request(self, kind, call_id, events, body):
+    def encode_request(self, kind, call_id, events, gap_s, body):
         lines = [
             f"POST {kind.path} HTTP/1.1",
             "host: host.example",
@@ -484,7 +520,7 @@
             f"content-length: {len(body)}",
         ]
         if events:
-            lines += [f"x-events: {events}", f"x-gap-ms: {1000 * kind.gap_s}"]
+            lines += [f"x-events: {events}", f"x-gap-ms: {1000 * gap_s}"]
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
     def limit_s(self, kind, sent_s):
