Let all nodes know at which software version streams began

At the ninth, 14 of 37 streams that clients took up went on, beside 20 of 20 new ones; the others were refused as stream_origin_unknown.

Cause: a node told three peers, found by hashing, about each stream that began, and nobody later. The 14 are those whose hash chose the ninth node; it asked its peers about the other 23, which were gone. Ruled out: lost datagrams (the same 14 in each run), and streams that are known and not served (each of the 14 went on at once).

Change: in the next round of messages a node tells all live peers, as long as that takes at most 5 KB/s at the rate at which streams begin there. A node that starts, was paused, or hears peers again that were lost, copies what they know, half a second later, from one peer of each zone, over TCP. Both happen only while there are several versions, or may have been. Builds without it ignore the new field of the request.

A large fleet in which streams begin often is not covered: it is listed with a test.

--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -35,6 +35,7 @@
 from tanagerworks.edge.load_reports import LoadReports
 from tanagerworks.edge.part_announcements import PartAnnouncements
 from tanagerworks.edge.store_copies import fetch_store_copy, serve_store_copy
+from tanagerworks.edge.stream_origin_copies import StreamOriginCopier
 from tanagerworks.edge.stream_origins import StreamOriginTable
 from tanagerworks.edge.version_reports import add_version_reports, merge_version_reports
 from tanagerworks.errors import PeerError
@@ -141,6 +142,7 @@
         dispatcher: Dispatcher,
         store_view: StoreView,
         finder: PeerFinder,
+        stream_origins: StreamOriginTable,
     ) -> None:
         self.node = node
         self.address = address
@@ -178,7 +180,10 @@
         self.summarizing_from_s: float | None = None
         # Event loop time of the last summary of each other zone, and the time until the next.
         self.summaries_received: dict[str, tuple[float, float]] = {}
-        self.stream_origins = StreamOriginTable(dispatcher)
+        self.stream_origins = stream_origins
+        self.origin_copier = StreamOriginCopier(
+            stream_origins, lambda: (store_view.replica.era, store_view.replica.revision)
+        )
         # Times of hedged routes over the fleet; None if hedging is off.
         self.route_times: RouteTimeTable | None = None
         self.health = HealthExchange(node, zone, dispatcher.fleet_health, self.peer_table)
@@ -243,6 +248,8 @@
             _LOGGER.info(
                 "peer joined, returned or restarted", extra={"peer": state.name, "event": event}
             )
+            if event == "back" or peer.incarnation < self.incarnation:
+                self.origin_copier.add_sources([peer], now_s)
             # A new process waits for the first messages of its peers before it recovers its index
             # of cached parts.
             self._announce_to([state.address], state.zone == self.zone, now_s, greeting=True)
@@ -330,7 +337,8 @@
             self._check_pause(loop.time() - next_round_s)
             try:
                 self._send_round(loop.time())
-                self.stream_origins.share_unshared()
+                self.stream_origins.share()
+                self.origin_copier.copy_if_due(loop.time())
                 self._fetch_if_behind(loop.time())
                 self._handle_lost_peers(loop.time())
             except Exception:
@@ -350,9 +358,11 @@
             return
         _LOGGER.warning("process was paused", extra={"paused_s": round(late_s, 2)})
         self.peer_table.record_pause(late_s)
+        now_s = asyncio.get_running_loop().time()
+        self.origin_copier.add_sources(self.peer_table.live_peers(now_s), now_s)
         for zone, (received_s, interval_s) in self.summaries_received.items():
             self.summaries_received[zone] = (received_s + late_s, interval_s)
-        self.hears_zone_from_s = asyncio.get_running_loop().time()
+        self.hears_zone_from_s = now_s
 
     def _send_round(self, now_s: float) -> None:
         parts_by_server = self.dispatcher.take_unannounced_parts()
@@ -783,6 +793,8 @@
             for server_id, parts in self.dispatcher.cached_parts.keys_by_server().items():
                 copy.placements.add(server_id=server_id, parts=parts)
             copy.crashes.extend(all_crash_reports(self.dispatcher.crash_evidence, now_s))
+        if request.with_stream_origins:
+            copy.stream_origins.extend(self.stream_origins.recent_streams())
         return copy
 
     def _lacks_configuration(self, request: StoreCopyRequest, newest: Change) -> bool:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -156,8 +156,8 @@
             self.dispatcher,
             self.store_view,
             adapter.peer_finder,
+            self.pipeline.stream_origins,
         )
-        self.peer_exchange.stream_origins = self.pipeline.stream_origins
         self.peer_exchange.reaches_no_server = lambda: self.pipeline.reachability_check.is_cut_off
         self.pipeline.on_reachability_changed = self.peer_exchange.announce
         self.peer_exchange.on_peer_state_applied = self.pipeline.placer.wake_first_waiters
--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -2,14 +2,17 @@
 
 A caller whose stream broke off comes back to any node and names the attempt that brought the first
 event. While the servers of a service run several versions, or may have run several lately, or the
-store does not answer, a node tells some peers about each stream that begins; they are found by
-rendezvous hashing, so any node knows whom to ask. While it is known that there is one version,
-nothing is sent.
+store does not answer, a node tells some peers at once about each stream that begins; they are found
+by rendezvous hashing, so any node knows whom to ask. In the next round it tells all others, so that
+any node that is left can answer, unless the fleet is too large for that. A node that has just
+started copies what its peers know. While it is known that there is one version, nothing is sent.
 """
 
 import asyncio
 import contextlib
 import logging
+import math
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -24,8 +27,21 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Peers that are told about a stream. With a third of the nodes lost, one stream in 27 is unknown.
+# Peers that are told about a stream at once. With a third of the nodes lost, one stream in 27 is
+# unknown to those that are left, if the others have not been told either.
 _HOLDERS = 3
+# All peers are told if that takes at most this rate, and a datagram at most so often.
+_MAX_BYTES_PER_S = 5_000.0
+_MAX_DATAGRAMS_PER_S = 50.0
+# Bytes of a datagram with its IP and UDP headers, besides those of its streams.
+_DATAGRAM_BYTES = 42
+_STREAM_BYTES = 8
+# Longest and shortest time over which the rate is taken at which streams begin here.
+_RATE_WINDOW_S = 5.0
+_MIN_RATE_WINDOW_S = 1.0
+_MAX_RATE_SAMPLES = 1_000
+# A caller that takes a stream up comes back within this multiple of its route's timeout.
+_TAKE_UP_PER_TIMEOUT = 1.5
 # Peers that are asked about a stream: more, since the fleet may have changed in the meantime.
 _ASKED_PEERS = 6
 # Time for the answers. Peers answer within milliseconds; a lost one does not answer.
@@ -70,6 +86,13 @@
         # By `stream_key`, the latest last.
         self.origins: dict[int, _Origin] = {}
         self.questions: dict[int, _Question] = {}
+        # Streams that began here while a record of them was not needed.
+        self.unshared: dict[int, None] = {}
+        # Streams that some peers have not been told about, and when all were last told.
+        self.untold: list[int] = []
+        self.told_at_s = -math.inf
+        # When the last streams began here.
+        self.begun_s: deque[float] = deque(maxlen=_MAX_RATE_SAMPLES)
 
     def record_begin(self, attempt_id: str, service: str, version: str) -> None:
         """Records at which version an attempt's stream began, and tells peers if they must know.
@@ -79,28 +102,87 @@
         now_s = asyncio.get_running_loop().time()
         key = stream_key(attempt_id)
         self._add(key, _Origin(version, now_s, service))
+        self.begun_s.append(now_s)
         if self._must_share(service, now_s):
             self._share([key], now_s)
+        else:
+            self.unshared[key] = None
 
-    def share_unshared(self) -> None:
-        """Tells peers about streams that began while a record of them was not needed."""
+    def share(self) -> None:
+        """Tells peers what they may have to know; called in each round of messages."""
         now_s = asyncio.get_running_loop().time()
         self._drop_expired(now_s)
-        services = {origin.service for origin in self.origins.values() if not origin.shared}
+        self._share_unshared(now_s)
+        self._tell_all(now_s)
+
+    def _share_unshared(self, now_s: float) -> None:
+        """Tells peers about streams that began while a record of them was not needed."""
+        unshared = {key: self.origins[key] for key in self.unshared if key in self.origins}
+        services = {origin.service for origin in unshared.values()}
         shared_services = {
             service
             for service in services
             if service is not None and self._must_share(service, now_s)
         }
-        if shared_services:
-            self._share(
-                [
-                    key
-                    for key, origin in self.origins.items()
-                    if origin.service in shared_services and not origin.shared
-                ],
-                now_s,
-            )
+        shared = [key for key, origin in unshared.items() if origin.service in shared_services]
+        self._share(shared, now_s)
+        self.unshared = {key: None for key in unshared if not self.origins[key].shared}
+
+    def _tell_all(self, now_s: float) -> None:
+        """Tells all peers about the streams that some of them do not know yet.
+
+        In a large fleet, only the peers that are found by hashing are told.
+        """
+        if not self.untold:
+            return
+        addresses = [
+            parse_address(peer.address) for peer in self.dispatcher.peer_table.live_peers(now_s)
+        ]
+        if now_s - self.told_at_s < len(addresses) / _MAX_DATAGRAMS_PER_S:
+            return
+        untold, self.untold = self.untold, []
+        self.told_at_s = now_s
+        if not self._can_tell_all(len(addresses), now_s):
+            return
+        for known in self._recent_streams(untold, now_s):
+            message = StreamOrigins(known=[known])
+            for address in addresses:
+                self._send(message, address)
+
+    def _can_tell_all(self, peers: int, now_s: float) -> bool:
+        """Whether telling all peers of each stream stays below the rate allowed for it."""
+        while self.begun_s and self.begun_s[0] < now_s - _RATE_WINDOW_S:
+            self.begun_s.popleft()
+        window_s = max(_MIN_RATE_WINDOW_S, now_s - self.begun_s[0]) if self.begun_s else math.inf
+        streams_per_s = len(self.begun_s) / window_s
+        datagrams_per_s = min(_MAX_DATAGRAMS_PER_S, peers * streams_per_s)
+        bytes_per_s = datagrams_per_s * _DATAGRAM_BYTES + peers * streams_per_s * _STREAM_BYTES
+        return bytes_per_s <= _MAX_BYTES_PER_S
+
+    def recent_streams(self) -> Iterable[VersionStreams]:
+        """Yields all shared streams that a caller may still take up, a batch for each message."""
+        shared = [key for key, origin in self.origins.items() if origin.shared]
+        return self._recent_streams(shared, asyncio.get_running_loop().time())
+
+    def _recent_streams(self, keys: Iterable[int], now_s: float) -> Iterable[VersionStreams]:
+        """Yields those of some streams that a caller may still take up, by version."""
+        since_s = now_s - _TAKE_UP_PER_TIMEOUT * self._longest_timeout_s()
+        by_version: dict[str, list[int]] = {}
+        for key in keys:
+            origin = self.origins.get(key)
+            if origin is not None and origin.recorded_s >= since_s:
+                by_version.setdefault(origin.version, []).append(key)
+        for version, streams_of_version in by_version.items():
+            for batch in _batches(streams_of_version):
+                yield VersionStreams(version=version, streams=batch)
+
+    def _longest_timeout_s(self) -> float:
+        """Returns the longest timeout of a route with resumable streams; infinite if unknown."""
+        configuration = self.dispatcher.configuration
+        if configuration is None:
+            return math.inf
+        timeouts = (route.timeout_s for route in configuration.routes if route.resumable)
+        return max(timeouts, default=0.0)
 
     def known_version(self, attempt_id: str) -> str | None:
         """Returns the version at which an attempt's stream began, if this node knows it."""
@@ -119,13 +201,8 @@
 
     def receive(self, message: StreamOrigins, sender: tuple[str, int]) -> None:
         """Records what a peer tells, and answers what it asks."""
-        now_s = asyncio.get_running_loop().time()
         for known in message.known:
-            for key in known.streams:
-                if key not in self.origins:
-                    self._add(key, _Origin(known.version, now_s))
-                if key in self.questions:
-                    self.questions[key].answered.set()
+            self.merge(known)
         for key in message.unknown:
             question = self.questions.get(key)
             if question is None:
@@ -144,6 +221,15 @@
                 answer.known.append(VersionStreams(version=origin.version, streams=[key]))
         self._send(answer, sender)
 
+    def merge(self, known: VersionStreams) -> None:
+        """Records what a peer knows of streams, unless this node knows it already."""
+        now_s = asyncio.get_running_loop().time()
+        for key in known.streams:
+            if key not in self.origins:
+                self._add(key, _Origin(known.version, now_s, shared=True))
+            if key in self.questions:
+                self.questions[key].answered.set()
+
     async def _ask_peers(self, key: int) -> None:
         """Returns once a peer knows the stream, all say that they do not, or time is up."""
         if key not in self.questions:
@@ -167,6 +253,7 @@
         for key in keys:
             origin = self.origins[key]
             origin.shared = True
+            self.untold.append(key)
             for peer in self._ranked_peers(key, _HOLDERS, now_s):
                 streams = by_address.setdefault(parse_address(peer.address), {})
                 streams.setdefault(origin.version, []).append(key)
--- a/tests/edge_soak_faults.py
+++ b/tests/edge_soak_faults.py
@@ -3,7 +3,8 @@
 The seed fixes the random choices; the times depend also on how fast the processes run. What callers
 and servers see is checked: a stream has events of one software version, each once and in order; a
 request that may run once runs at most once, and not if its refusal says that it has not; callers at
-a node without trouble of its own are answered, whatever others send; no process ends by itself.
+a node without trouble of its own are answered, whatever others send; streams go on at the nodes
+that are left after most of them were lost; no process ends by itself.
 """
 
 import asyncio
@@ -51,6 +52,15 @@
 _MAX_UNANSWERED = 7
 _ANSWER_GRACE_S = 0.5
 _EXCHANGE_LIMIT_S = 2 * _DEADLINE_MS / 1000
+# Streams that run while most nodes are lost, and new ones beside those that are taken up then.
+_HELD_STREAMS = 24
+_NEW_STREAMS = 12
+_HELD_EVENT_GAP_MS = 500
+_QUICK_EVENT_GAP_MS = 10
+_HELD_DEADLINE_MS = 15_000
+# The users' rule counts from this number of streams, at servers with another one of their version.
+_MIN_TAKE_UPS = 12
+_MIN_SERVERS = 2
 # Statuses that promise that a request has not run.
 _PROMISES = (408, 421, 429, 503)
 
@@ -85,6 +95,10 @@
         self.last_shared_fault_s = 0.0
         # The next stream gets small chunks without end.
         self.endless_next = False
+        # Nodes that faults leave alone, since streams are to go on there.
+        self.spared = set()
+        # Event loop time of the last trouble of the store.
+        self.last_store_fault_s = 0.0
 
     async def run(self, seconds):
         """Starts everything, injects faults for some seconds, and ends everything."""
@@ -136,11 +150,13 @@
     def first_configuration(self):
         """Returns the configuration in force at the start."""
         route = {"type": "non_idempotent", "service": "desk", "prefix": "/book/", "name": "r-2"}
+        to_models = {"weighted-services": [{"service": "models", "weight": 1}], "max-attempts": 3}
+        held = {"prefix": "/held/", "name": "r-3", "timeout-ms": _HELD_DEADLINE_MS}
         return WIRE_CONFIGURATION | {
             "routes": [
-                WIRE_CONFIGURATION["routes"][0]
-                | {"weighted-services": [{"service": "models", "weight": 1}], "max-attempts": 3},
+                WIRE_CONFIGURATION["routes"][0] | to_models,
                 WIRE_CONFIGURATION["routes"][1] | route,
+                WIRE_CONFIGURATION["routes"][0] | to_models | held,
             ]
         }
 
@@ -165,7 +181,7 @@
         response = await self.exchange(node.readiness, b"GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n")
         return response is not None and response.status == 200
 
-    async def exchange(self, address, raw):
+    async def exchange(self, address, raw, limit_s=_EXCHANGE_LIMIT_S):
         host, _colon, port = address.rpartition(":")
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
@@ -173,7 +189,7 @@
             return None
         writer.write(raw)
         try:
-            async with asyncio.timeout(_EXCHANGE_LIMIT_S):
+            async with asyncio.timeout(limit_s):
                 return await read_response(reader)
         except TimeoutError:
             return None
@@ -216,15 +232,16 @@
             return
         kind = ("content-type: text/event-stream", "transfer-encoding: chunked")
         writer.write(response_head(headers, "200 OK", *kind))
-        if self.endless_next:
+        if self.endless_next and "x-gap-ms" not in headers:
             self.endless_next = False
             await self.send_small_chunks(writer, f"{_ENDLESS_EVENT}\n\n".encode())
             raise ConnectionResetError
+        gap_s = float(headers.get("x-gap-ms", 1000 * server.gap_s)) / 1000
         for number in range(int(headers.get("last-event-id", 0)) + 1, _EVENTS + 1):
             event = f"id: {number}\ndata: {server.version} {number}\n\n"
             writer.write(encode_chunk(event.encode()))
             await writer.drain()
-            await asyncio.sleep(server.gap_s)
+            await asyncio.sleep(gap_s)
         writer.write(b"0\r\n\r\n")
 
     async def answer_booking(self, server, headers, reader, writer):
@@ -259,16 +276,129 @@
             self.reload_node,
             self.answer_in_small_chunks,
             self.upload_in_small_chunks,
+            self.lose_most_nodes,
         ]
 
+    def unspared_nodes(self):
+        return [node for node in self.nodes if node not in self.spared]
+
+    def choose_node(self):
+        return self.random.choice(self.unspared_nodes())
+
     async def kill_node(self):
-        await self.random.choice(self.nodes).restart(signal.SIGKILL)
+        await self.choose_node().restart(signal.SIGKILL)
 
     async def stop_node(self):
-        await self.random.choice(self.nodes).restart(signal.SIGTERM)
+        await self.choose_node().restart(signal.SIGTERM)
 
     async def kill_all_nodes(self):
-        await asyncio.gather(*(node.restart(signal.SIGKILL) for node in self.nodes))
+        await self.kill(self.unspared_nodes())
+
+    async def kill(self, nodes):
+        await asyncio.gather(*(node.restart(signal.SIGKILL) for node in nodes))
+
+    async def lose_most_nodes(self):
+        """Kills all nodes but one or two, at once or in two waves, while streams run there.
+
+        Before that, one of those that are left may have been started again, just before the streams
+        began or just after. Callers take their streams up at those that are left.
+        """
+        if self.spared:
+            return
+        left = self.random.sample(self.nodes, self.random.randint(1, max(1, self.node_count // 4)))
+        self.spared.update(left)
+        try:
+            lost = self.unspared_nodes()
+            restart = self.random.choice(["before", "after", None])
+            if restart == "before":
+                await left[0].restart(self.random.choice([signal.SIGTERM, signal.SIGKILL]))
+            await asyncio.sleep(self.random.uniform(0.0, 1.0))
+            held = [asyncio.create_task(self.hold_stream(node)) for node in lost * _HELD_STREAMS]
+            held = held[:_HELD_STREAMS]
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            if restart == "after":
+                await left[0].restart(self.random.choice([signal.SIGTERM, signal.SIGKILL]))
+            # Only nodes count that have run for so long.
+            touched_s = max(node.last_fault_s for node in left) + _CONTACT_S
+            await asyncio.sleep(max(0.0, touched_s - asyncio.get_running_loop().time()))
+            first = self.random.randint(0, len(lost) - 1)
+            await self.kill(lost[:first])
+            await asyncio.sleep(self.random.choice([0.0, self.random.uniform(0.0, 2.0)]))
+            await self.kill(lost[first:])
+            await self.take_up_streams(left, await asyncio.gather(*held))
+        finally:
+            self.spared.clear()
+
+    async def hold_stream(self, node):
+        """Begins a stream; returns its call id and the events received when it ends."""
+        call_id = self.next_call_id()
+        raw = self.held_request(call_id, _HELD_EVENT_GAP_MS)
+        response = await self.exchange(node.callers, raw, _HELD_DEADLINE_MS / 1000)
+        return call_id, events_of(response), response is not None and response.complete
+
+    def held_request(self, call_id, gap_ms, *extra):
+        gap = f"x-gap-ms: {gap_ms}"
+        return self.request("/held/x", call_id, gap, *extra, deadline_ms=_HELD_DEADLINE_MS)
+
+    async def take_up_streams(self, left, streams):
+        """Takes up streams that broke off at the nodes that are left, beside new streams there."""
+        broken = [
+            (call_id, events) for call_id, events, complete in streams if events and not complete
+        ]
+        new = [
+            self.held_request(self.next_call_id(), _QUICK_EVENT_GAP_MS) for _ in range(_NEW_STREAMS)
+        ]
+        began_s = asyncio.get_running_loop().time()
+        usable = self.usable_versions()
+        raws = [
+            self.held_request(
+                self.next_call_id(),
+                _QUICK_EVENT_GAP_MS,
+                f"last-event-id: {len(events)}",
+                f"resumes: {call_id}",
+            )
+            for call_id, events in broken
+        ]
+        nodes = left * (len(raws) + len(new))
+        responses = await asyncio.gather(
+            *(
+                self.exchange(node.callers, raw)
+                for node, raw in zip(nodes, raws + new, strict=False)
+            )
+        )
+        usable &= self.usable_versions()
+        taken_up = went_on = 0
+        for (call_id, events), response in zip(broken, responses, strict=False):
+            received = events_of(response)
+            self.check_stream(call_id, events + received, False)
+            if version_of(events[0]) in usable:
+                taken_up += 1
+                went_on += bool(received)
+        begun = sum(bool(events_of(response)) for response in responses[len(broken) :])
+        if self.last_store_fault_s + _CONTACT_S > began_s or self.store.mode:
+            self.outcomes["streams taken up beside trouble of the store"] += taken_up
+            return
+        self.outcomes["streams taken up"] += taken_up
+        self.outcomes["streams that went on"] += went_on
+        self.check_take_ups(taken_up, went_on, begun)
+
+    def usable_versions(self):
+        """Returns the versions that enough servers run which no fault is about to remove."""
+        staying = Counter(
+            server.version
+            for server in self.servers.values()
+            if server.service == "models" and not server.leaving
+        )
+        return {version for version, count in staying.items() if count >= _MIN_SERVERS}
+
+    def check_take_ups(self, taken_up, went_on, begun):
+        """Checks that streams go on at least half as often as new ones begin, by the rule."""
+        if taken_up < _MIN_TAKE_UPS:
+            return
+        if went_on / taken_up < begun / _NEW_STREAMS / 2:
+            self.violations.append(
+                f"{went_on} of {taken_up} streams went on beside {begun} of {_NEW_STREAMS} new ones"
+            )
 
     async def replace_server(self):
         """Starts a server, mostly of another version, for one that leaves."""
@@ -313,20 +443,20 @@
 
     async def change_timeout(self):
         """Publishes a configuration with another timeout of the streams' route."""
-        chat, book = self.configuration["routes"]
+        chat, *others = self.configuration["routes"]
         chat = chat | {"timeout-ms": self.random.choice(_STREAM_TIMEOUTS_MS)}
         version = self.configuration["version"] + 1
-        self.configuration = self.configuration | {"version": version, "routes": [chat, book]}
+        self.configuration = self.configuration | {"version": version, "routes": [chat, *others]}
         self.store.put("op/config", self.configuration)
 
     async def pause_node(self):
-        node = self.random.choice(self.nodes)
+        node = self.choose_node()
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(self.random.uniform(0.1, _MAX_PAUSE_S))
         node.signal(signal.SIGCONT)
 
     async def reload_node(self):
-        self.random.choice(self.nodes).signal(signal.SIGHUP)
+        self.choose_node().signal(signal.SIGHUP)
 
     async def answer_in_small_chunks(self):
         """Lets a server answer one stream with small chunks without end."""
@@ -384,7 +514,7 @@
         self.store.mode = self.random.choice(["silent", "busy", "garbage"])
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         self.store.mode = ""
-        self.last_shared_fault_s = asyncio.get_running_loop().time()
+        self.last_shared_fault_s = self.last_store_fault_s = asyncio.get_running_loop().time()
 
     async def write_odd_entry(self):
         entry = WIRE_ENTRY | {"capacity": int("9" * 400)}
@@ -403,12 +533,12 @@
         self.call_number += 1
         return f"c{self.call_number}"
 
-    def request(self, path, call_id, *extra):
+    def request(self, path, call_id, *extra, deadline_ms=_DEADLINE_MS):
         lines = [
             f"POST {path} HTTP/1.1",
             "host: host.example",
             f"x-tanagerworks-attempt-id: {call_id}",
-            f"x-tanagerworks-deadline-ms: {_DEADLINE_MS}",
+            f"x-tanagerworks-deadline-ms: {deadline_ms}",
             f"authorization: Bearer {API_KEY}",
             *extra,
         ]
@@ -427,7 +557,7 @@
                 self.outcomes[f"stream {response.status if response else 'no connection'}"] += 1
                 await asyncio.sleep(0.1)
                 continue
-            received = [part for part in response.body.decode().split("\n\n") if part]
+            received = events_of(response)
             if _ENDLESS_EVENT in received:
                 self.outcomes["stream without end"] += 1
                 return
@@ -480,3 +610,14 @@
                 f"{len(unanswered)} of {len(self.booking_times)} bookings without answer for"
                 f" {limit_s} s"
             )
+
+
+def events_of(response):
+    """Returns the events of a response; none of an error response or without a response."""
+    if response is None or response.status != 200:
+        return []
+    return [part for part in response.body.decode().split("\n\n") if part]
+
+
+def version_of(event):
+    return event.split("data: ")[1].split()[0]
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -10,6 +10,7 @@
 from tanagerworks.edge.follower import STORE_SOURCE, StoreView
 from tanagerworks.edge.peers import PeerExchange
 from tanagerworks.edge.store_copies import fetch_store_copy
+from tanagerworks.edge.stream_origins import StreamOriginTable
 from tanagerworks.errors import PeerError
 from tanagerworks.membership.peer_table import PeerTable
 from tanagerworks.published.replica import Change
@@ -37,7 +38,14 @@
         self.dispatcher = Dispatcher(name, BOUNDS, PeerTable(loop.time()))
         self.store_view = StoreView(MetadataStore("127.0.0.1:1"), self.dispatcher)
         self.exchange = PeerExchange(
-            name, "", zone, incarnation, self.dispatcher, self.store_view, seeds
+            name,
+            "",
+            zone,
+            incarnation,
+            self.dispatcher,
+            self.store_view,
+            seeds,
+            StreamOriginTable(self.dispatcher),
         )
         self.resources = []
 
--- a/tests/test_edge_soak.py
+++ b/tests/test_edge_soak.py
@@ -8,6 +8,7 @@
 
 SECONDS = 20.0
 STOPS_SECONDS = 8.0
+LOSSES_SECONDS = 12.0
 
 
 def test_edge_keeps_its_promises_while_faults_overlap():
@@ -22,6 +23,14 @@
     assert soak.overlapping_stops > 0
 
 
+def test_streams_go_on_at_the_nodes_that_are_left(tmp_path):
+    """Guards against streams that nobody knows once most nodes were killed, at once or in waves."""
+    soak = Soak(1, tmp_path, node_count=6)
+    soak.faults = lambda: [soak.lose_most_nodes]
+    assert asyncio.run(run_soak(soak, LOSSES_SECONDS)) == []
+    assert soak.outcomes["streams taken up"] > 0
+
+
 def test_stop_that_ends_too_soon_is_noticed(tmp_path):
     """Guards against a soak that misses cut streams: its nodes stop long before the grace ends."""
     soak = StopSoak(1, tmp_path, node_count=3, stop_limit_s=3.4, kills=False)
@@ -44,3 +53,8 @@
     soak.booking_times = [0.1] * 100 + [0.9] * 9 + [1.4] * 8
     soak.check_bookings()
     assert not soak.violations
+    soak.check_take_ups(12, 6, 12)
+    soak.check_take_ups(11, 0, 12)
+    assert not soak.violations
+    soak.check_take_ups(12, 5, 12)
+    assert len(soak.violations) == 1
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -13,6 +13,8 @@
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.edge.follower import StoreView
 from tanagerworks.edge.peers import PeerExchange
+from tanagerworks.edge.stream_origins import StreamOriginTable
+from tanagerworks.errors import PeerError
 from tanagerworks.membership.peer_table import PeerTable
 from tests.edge_builders import BOUNDS
 
@@ -87,7 +89,9 @@
             self.dispatcher,
             self.store_view,
             _Seeds(seeds),
+            StreamOriginTable(self.dispatcher),
         )
+        self.exchange.origin_copier.fetch = self.fetch_copy
         self.exchange.random = random.Random(number)
         self.exchange.connection_made(self)
         self.task = None
@@ -131,6 +135,14 @@
         self.bytes_sent += len(data)
         self.fleet.deliver(self, data, address)
 
+    async def fetch_copy(self, address, request):
+        """Stands in for `fetch_store_copy` where a node copies the versions of streams."""
+        await asyncio.sleep(4 * self.fleet.delay_s)
+        other = self.fleet.by_address[address]
+        if not other.alive or (self.zone, other.zone) in self.fleet.cut_zones:
+            raise PeerError(f"{address}: timed out")
+        return other.exchange._build_copy(request)
+
     def receive(self, data, sender):
         if not self.alive:
             return
