Do not pass on answers with a status above 599

Cause: h11 accepts three digits from 200 on for a final status; HTTP ends at 599 (RFC 9110, section 15). A server in trouble could send 600 or 999, and the caller got that as the server's answer. 000 and other statuses that do not exist got 502 before.

Change: such a response counts as one that cannot be parsed.

--- a/src/tanagerworks/edge/backend_connection.py
+++ b/src/tanagerworks/edge/backend_connection.py
@@ -46,6 +46,8 @@
 # Idle connections that a node keeps to one server. Servers count the idle connections of all nodes
 # towards their connection limit and reset connections beyond it.
 MAX_IDLE_CONNECTIONS = 2
+# Status codes above are no part of HTTP (RFC 9110, section 15); h11 refuses those below 100.
+_MAX_STATUS = 599
 
 
 class BackendConnection(BoundedReader):
@@ -169,13 +171,16 @@
         """Stores an event for the reader; the last one of a response ends its data.
 
         Raises:
-            h11.RemoteProtocolError: there are too many informational responses.
+            h11.RemoteProtocolError: there are too many informational responses, or the status code
+                of the response does not exist.
         """
         if isinstance(event, h11.InformationalResponse):
             self.informational_count += 1
             if self.informational_count > _MAX_INFORMATIONAL_RESPONSES:
                 raise h11.RemoteProtocolError("too many informational responses")
             return
+        if isinstance(event, h11.Response) and event.status_code > _MAX_STATUS:
+            raise h11.RemoteProtocolError(f"status code {event.status_code} does not exist")
         if isinstance(event, h11.Data):
             self.pieces.append(bytes(event.data))
             self.buffered_bytes += len(event.data)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -214,6 +214,8 @@
         self.server = None
         self.port = 0
         self.writers = set()
+        # Whether requests are answered before their bodies are read; these stay unread.
+        self.answers_early = False
 
     def crash(self):
         """Ends the server as the end of its process does: with its port and all connections."""
@@ -237,7 +239,8 @@
                     name.lower(): value
                     for name, _colon, value in (line.partition(": ") for line in lines[1:] if line)
                 }
-                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                length = 0 if self.answers_early else int(headers.get("content-length", "0"))
+                body = await reader.readexactly(length)
                 self.requests.append((lines[0], headers))
                 self.bodies.append(body)
                 action = self.script.pop(0) if len(self.script) > 1 else self.script[0]
