Take only a success that a server signed for its answer

Cause: a success was accepted if it had the id of the request; the signature counted only for streams that go on at another server.

Change: answer_check.py decides for all ways of an answer, also for what another node passes on. A success without exactly one signature, with two ids, or beside a statement that it has not run, is a failure of the server with an unknown outcome.

--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -11,6 +11,7 @@
 from tanagerworks.dispatch.choice import Prompt
 from tanagerworks.dispatch.dispatcher import Dispatcher
 from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.edge.answer_check import check_answer, is_success
 from tanagerworks.edge.backend_connection import BackendConnection, ConnectionPool
 from tanagerworks.edge.event_stream import EventCounter
 from tanagerworks.edge.forwarded_headers import to_forwarded_response
@@ -275,7 +276,7 @@
             metadata=metadata,
             software_version=attempt.state.entry.version,
         )
-        if request.route.streams and 200 <= event.status_code < 300:
+        if request.route.streams and is_success(event.status_code):
             return headers, await self._relay_stream(request, attempt, connection, response)
         result = await self._relay_buffered(request, attempt, connection, response)
         return headers, result
@@ -286,11 +287,11 @@
         """Returns the headers of a response and what they say; records what the server states.
 
         Raises:
-            BackendProtocolError: the response may belong to another request.
+            BackendProtocolError: the response is no answer to the request.
         """
         headers = list(event.headers)
         metadata = self.backend_dialect.parse_response_head(event.status_code, headers)
-        self._check_request_id(request, metadata, event.status_code, is_new)
+        check_answer(request.call.call_id, event.status_code, metadata, is_new)
         if metadata.is_own:
             self._record_statement(attempt.state, metadata)
         return headers, metadata
@@ -336,18 +337,6 @@
         if state.record_limit(limit_per_s, now_s, rejections_per_s):
             log_limit(state, "answer")
 
-    def _check_request_id(
-        self, request: RequestState, metadata: ResponseMetadata, status: int, is_new: bool
-    ) -> None:
-        """Raises BackendProtocolError if the response may belong to another request.
-
-        A response without an id is accepted only if it is an error on a new connection.
-        """
-        if metadata.call_id is not None and metadata.call_id != request.call.call_id:
-            raise BackendProtocolError("the response has the id of another request")
-        if metadata.call_id is None and (not is_new or 200 <= status < 300):
-            raise BackendProtocolError("the response has no request id")
-
     async def _relay_buffered(
         self,
         request: RequestState,
@@ -642,10 +631,9 @@
 
     A server can answer with the text of an error under a status of success.
     """
-    assert response.metadata is not None
     content_type = find_header(response.headers, b"content-type") or b""
     has_events = content_type.startswith(b"text/event-stream")
-    if response.metadata.signed and (has_events or content_type == request.content_type):
+    if has_events or content_type == request.content_type:
         return
     raise BackendProtocolError(
         f"the response of type {content_type!r} does not continue a stream of type"
--- a/src/tanagerworks/edge/forwarding.py
+++ b/src/tanagerworks/edge/forwarding.py
@@ -17,6 +17,7 @@
 
 from tanagerworks.dispatch.forwarding import choose_node
 from tanagerworks.dispatch.server_state import ServerState
+from tanagerworks.edge.answer_check import check_answer
 from tanagerworks.edge.backend_connection import BackendConnection, open_connection
 from tanagerworks.edge.exchange import BackendExchange
 from tanagerworks.edge.forwarded_headers import (
@@ -120,7 +121,7 @@
             )
         attempt.state.entry = replace(attempt.state.entry, version=version)
         metadata = self.backend_dialect.parse_response_head(event.status_code, headers)
-        self._check_request_id(request, metadata, event.status_code, is_new)
+        check_answer(request.call.call_id, event.status_code, metadata, is_new)
         return headers, metadata
 
     def _handle_server_error(
