Refuse heads with bare line feeds, and a 204 that states a length

The property test of spoiled heads found both on the commit before: with a byte of the signature's value turned into a line feed, h11 ended the head there, so that the line with the length became part of a body that ended with its connection; with the status 200 turned into 204, the body was dropped. Each arrived as a complete success.

Change: a line of a head that does not end with CR and LF makes the answer unusable (RFC 9112, section 2.2, allows to take a bare LF, it does not demand it). So does a 204 with a length other than 0, or in chunks.

Heads in 1, 7 and 1,000 pieces, also behind an informational response.

--- a/src/tanagerworks/edge/backend_connection.py
+++ b/src/tanagerworks/edge/backend_connection.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import logging
+import re
 import socket
 from collections import deque
 
@@ -48,6 +49,12 @@
 MAX_IDLE_CONNECTIONS = 2
 # Status codes above are no part of HTTP (RFC 9110, section 15); h11 refuses those below 100.
 _MAX_STATUS = 599
+# End of a head as h11 finds it, and its longest part that a read may have brought before.
+_HEAD_END = re.compile(rb"\n\r?\n")
+_HEAD_END_OVERLAP = 2
+_BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+# Where the status code stands in a status line.
+_STATUS_OFFSET = len(b"HTTP/1.1 ")
 
 
 class BackendConnection(BoundedReader):
@@ -76,6 +83,9 @@
         # Whether the server may send data: from a request until the end of its response.
         self.awaiting_response = False
         self.informational_count = 0
+        # What has arrived of the head of a response, and whether all of it has.
+        self.head = bytearray()
+        self.head_complete = False
         self.request_count = 0
         # Event loop time.
         self.idle_since_s = 0.0
@@ -101,8 +111,13 @@
         if not self.awaiting_response:
             self._reject_extra_data()
             return
-        self.http.receive_data(data)  # type: ignore[arg-type]
-        self._parse()
+        try:
+            self._check_line_ends(data)
+        except h11.RemoteProtocolError as error:
+            self._fail(error)
+        else:
+            self.http.receive_data(data)  # type: ignore[arg-type]
+            self._parse()
 
     def eof_received(self) -> bool:
         """Completes a response without a length; any other open response is truncated."""
@@ -121,6 +136,36 @@
             self.error = exc
         self._wake_reader()
 
+    def _check_line_ends(self, data: memoryview | bytes) -> None:
+        """Checks that the lines of a head end with CR and LF.
+
+        h11 also takes a bare LF. A byte that has become one would end the head early, and the lines
+        that state the length would become part of the body.
+
+        Raises:
+            h11.RemoteProtocolError: a line ends otherwise.
+        """
+        if self.head_complete:
+            return
+        searched = max(0, len(self.head) - _HEAD_END_OVERLAP)
+        self.head += data
+        while match := _HEAD_END.search(self.head, searched):
+            searched = 0
+            if _BARE_LINE_FEED.search(self.head, 0, match.end()):
+                raise h11.RemoteProtocolError("a line of the head ends with a bare line feed")
+            is_informational = self.head[_STATUS_OFFSET : _STATUS_OFFSET + 1] == b"1"
+            del self.head[: match.end()]
+            if not is_informational:
+                self.head_complete = True
+                self.head.clear()
+                return
+
+    def _fail(self, error: h11.RemoteProtocolError) -> None:
+        """Ends the response with an error; more of it is neither needed nor stored."""
+        self.error = error
+        self.close()
+        self._wake_reader()
+
     def _parse(self) -> None:
         """Parses received data, as much as one turn of the event loop may take.
 
@@ -138,10 +183,7 @@
             else:
                 self.parse_pending = self.awaiting_response
         except h11.RemoteProtocolError as error:
-            self.error = error
-            self.awaiting_response = False
-            # More of the response is neither needed nor stored.
-            self.close()
+            self._fail(error)
         if self.parse_pending:
             asyncio.get_running_loop().call_soon(self._parse)
         elif not self.awaiting_response and self.http.trailing_data[0]:
@@ -229,6 +271,8 @@
         self.request_count += 1
         self.awaiting_response = True
         self.informational_count = 0
+        self.head.clear()
+        self.head_complete = False
         self.events.clear()
         self.pieces.clear()
         self.buffered_bytes = 0
--- a/src/tanagerworks/edge/exchange.py
+++ b/src/tanagerworks/edge/exchange.py
@@ -291,7 +291,7 @@
         """
         headers = list(event.headers)
         metadata = self.backend_dialect.parse_response_head(event.status_code, headers)
-        check_answer(request.call.call_id, event.status_code, metadata, is_new)
+        check_answer(request.call.call_id, event.status_code, headers, metadata, is_new)
         if metadata.is_own:
             self._record_statement(attempt.state, metadata)
         return headers, metadata
--- a/src/tanagerworks/edge/forwarding.py
+++ b/src/tanagerworks/edge/forwarding.py
@@ -121,7 +121,7 @@
             )
         attempt.state.entry = replace(attempt.state.entry, version=version)
         metadata = self.backend_dialect.parse_response_head(event.status_code, headers)
-        check_answer(request.call.call_id, event.status_code, metadata, is_new)
+        check_answer(request.call.call_id, event.status_code, headers, metadata, is_new)
         return headers, metadata
 
     def _handle_server_error(
--- a/tests/test_fault_unsigned_answers.py
+++ b/tests/test_fault_unsigned_answers.py
@@ -173,27 +173,31 @@
         pass
 
 
-def receive(data):
+def receive(data, pieces=1):
     """Returns the status, the signature and the body of an answer that a caller would get.
 
-    Raises BackendError if there is none.
+    It arrives in some pieces. Raises BackendError if there is none.
     """
     connection = BackendConnection()
     connection.transport = _Transport()
     connection.send_request(
         RequestHead(b"GET", b"/x", [(b"host", b"h")], False), [(b"host", b"h")], b""
     )
-    connection.data_received(data)
-    connection.eof_received()
+    size = max(1, len(data) // pieces)
+    for start in range(0, len(data), size):
+        connection.data_received(data[start : start + size])
+    if not connection.transport.closing:
+        connection.eof_received()
 
     async def read():
         head = await connection.next_event()
-        metadata = BackendHttp().parse_response_head(head.status_code, list(head.headers))
-        check_answer("c1", head.status_code, metadata, is_new=True)
+        headers = list(head.headers)
+        metadata = BackendHttp().parse_response_head(head.status_code, headers)
+        check_answer("c1", head.status_code, headers, metadata, is_new=True)
         body = b""
         while isinstance(event := await connection.next_event(), h11.Data):
             body += bytes(event.data)
-        return head.status_code, find_header(list(head.headers), SIGNATURE.split(b":")[0]), body
+        return head.status_code, find_header(headers, SIGNATURE.split(b":")[0]), body
 
     return asyncio.run(read())
 
@@ -211,7 +215,7 @@
     head = b"HTTP/1.1 200 OK\r\n" + id_line + SIGNATURE
     framed = head + HEADS[framing] + b"\r\n"
     body = encode_chunk(BODY) + b"0\r\n\r\n" if framing == "chunks" else BODY
-    return framed, body, range(len(head) - len(b"\r\n"), len(framed))
+    return framed, body, range(len(head), len(framed))
 
 
 @settings(max_examples=500, deadline=None, derandomize=True)
@@ -219,8 +223,8 @@
 def test_answer_with_a_spoiled_head_is_whole_and_signed_or_an_error(data, framing, how):
     """Guards against a success that is not both, whatever byte of its head is wrong.
 
-    What frames the body is left out, with the line end before it. An answer with too short a length
-    cannot be told from a sound one, nor can a signature with another value.
+    The line that frames the body is left out: an answer with too short a length cannot be told from
+    a sound one. Nor can a signature with another value.
     """
     head, body, frame = sound_answer(framing)
     places = [place for place in range(len(head)) if place not in frame]
@@ -240,3 +244,14 @@
     if 200 <= status < 300:
         assert signature is not None
         assert received == BODY
+
+
+@pytest.mark.parametrize("pieces", [1, 7, 1000])
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"])
+def test_line_feed_in_a_head_does_not_end_it(before, pieces):
+    """Guards against the lines that state the length as part of a body, after a stray line feed."""
+    head, body, _frame = sound_answer("length")
+    stray = head.replace(SIGNATURE, SIGNATURE + b"\n")
+    assert receive(before + head + body, pieces) == (200, b"server-a", BODY)
+    with pytest.raises(BackendError, match="line feed"):
+        receive(before + stray + body, pieces)
