Answer peers' requests for copies in tasks of the process

Cause: a coroutine as the callback of a stream server becomes a task of asyncio's streams. In Python 3.11 their own callback raises if that task is cancelled, and the loop logs an error with a traceback. A request for a copy that was in progress when the process exited left such a line.

Change: the callback is a plain function that starts a task of the exchange.

Measured: test_copy_that_is_requested_at_the_exit_is_no_error fails with a coroutine as the callback, and holds.

--- a/src/tanagerworks/edge/peers.py
+++ b/src/tanagerworks/edge/peers.py
@@ -189,6 +189,8 @@
         self.health = HealthExchange(node, zone, dispatcher.fleet_health, self.peer_table)
         self.health.send = self._send
         self.fetch_task: asyncio.Task[None] | None = None
+        # Requests of peers for copies that are being answered.
+        self.copy_tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
         self.transport: asyncio.DatagramTransport | None = None
         # Addresses of unknown nodes that peers have sent, with the attempts made so far.
@@ -770,6 +772,18 @@
         self.fetched_version = max(self.fetched_version, peer.configuration_version)
         self._confirm_copy(peer)
 
+    def accept_copy_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a peer's request in a task of its own.
+
+        As a coroutine, the callback would be a task of the streams, which log an error with
+        Python 3.11 if it is cancelled at the exit of the process.
+        """
+        task = asyncio.get_running_loop().create_task(self.serve_store_copy(reader, writer))
+        self.copy_tasks.add(task)
+        task.add_done_callback(self.copy_tasks.discard)
+
     async def serve_store_copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/tanagerworks/edge/process.py
+++ b/src/tanagerworks/edge/process.py
@@ -247,7 +247,7 @@
             lambda: self.peer_exchange, local_addr=(peers_host, peers_port)
         )
         copy_server = await asyncio.start_server(
-            self.peer_exchange.serve_store_copy, peers_host, peers_port
+            self.peer_exchange.accept_copy_request, peers_host, peers_port
         )
         await self.readiness_server.listen(*_split_address(addresses.readiness), BACKLOG)
         if caller_listener is None:
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -51,7 +51,7 @@
 
     async def start(self):
         loop = asyncio.get_running_loop()
-        copy_server = await asyncio.start_server(self.exchange.serve_store_copy, "127.0.0.1", 0)
+        copy_server = await asyncio.start_server(self.exchange.accept_copy_request, "127.0.0.1", 0)
         port = copy_server.sockets[0].getsockname()[1]
         self.exchange.address = f"127.0.0.1:{port}"
         transport, _protocol = await loop.create_datagram_endpoint(
--- a/tests/test_fault_planned_stop.py
+++ b/tests/test_fault_planned_stop.py
@@ -361,6 +361,32 @@
     run_process(scenario, stop_limit_s=5.0)
 
 
+def test_copy_that_is_requested_at_the_exit_is_no_error(caplog):
+    """Guards against a traceback in the log as a peer's request is cancelled with the process."""
+    # Stay open until the loop has ended.
+    connections = []
+
+    async def scenario(process, store, server, settings_versions):
+        publish_to_store(store, server)
+        server.script = [respond_after(3.0)]
+        await wait_until(process.is_ready)
+        # Keeps the process from ending at once.
+        raw = request_bytes("/book/x", "c1", "POST").replace(b"1500", b"9000")
+        holder = asyncio.ensure_future(send_request(process.caller_server, raw))
+        await wait_until(lambda: server.requests)
+        process.stop_requested.set()
+        await wait_until(lambda: process.drain_notice_over)
+        connections.append(
+            await asyncio.open_connection(*process.settings.addresses.peers.split(":"))
+        )
+        await wait_until(lambda: process.peer_exchange.copy_tasks)
+        assert (await holder).status == 200
+
+    run_process(scenario, route_timeout_ms=60_000, stop_limit_s=8.0)
+    # The stand-ins' own servers end with the loop, too.
+    assert not [record for record in caplog.records if "peers.py" in record.getMessage()]
+
+
 def test_signals_during_the_exit_do_not_end_the_process(tmp_path):
     """Guards against a process that a reload ends by a signal while it writes its last lines.
 
