Follow the store through a storm of large configurations

Cause: the response with the changes that a node had not read exceeded what it reads of one, and the same read was repeated. Each version of a read was decoded, so that nodes fell further behind.

Change: changes that are too large to be read count as lost history, so the node lists the store. Of the configurations of one read, the last usable one is decoded first, and those before it are not.

--- a/src/tanagerworks/edge/follower.py
+++ b/src/tanagerworks/edge/follower.py
@@ -202,19 +202,36 @@
             self._apply_changes([item], source)
 
     def _apply_changes(self, new_changes: list[Change], source: str) -> None:
+        configurations: list[Change] = []
+        others: list[Change] = []
         for change in new_changes:
-            try:
-                self.seen_writes.record(change)
-                self._apply_change(change, source)
-            except Exception:
-                # One bad value must not prevent the others from being applied.
-                _LOGGER.exception("published value cannot be applied", extra={"key": change.key})
+            self.seen_writes.record(change)
+            (configurations if self._is_configuration(change) else others).append(change)
+        # Decoding a large configuration holds up all requests, and only the last usable one counts.
+        for change in reversed(configurations):
+            self._try_change(change, source)
+            if self.configuration_item is change:
+                break
+        for change in others:
+            self._try_change(change, source)
         if not new_changes:
             return
         self.on_changed()
         if source == STORE_SOURCE:
             self.on_store_changed()
 
+    def _is_configuration(self, change: Change) -> bool:
+        """Whether a change writes the item of the configuration in force."""
+        item = self.configuration_item
+        return item is not None and change.key == item.key and change.value is not None
+
+    def _try_change(self, change: Change, source: str) -> None:
+        """Applies a change; one bad value must not prevent the others from being applied."""
+        try:
+            self._apply_change(change, source)
+        except Exception:
+            _LOGGER.exception("published value cannot be applied", extra={"key": change.key})
+
     def _apply_change(self, change: Change, source: str) -> None:
         now_s = asyncio.get_running_loop().time()
         directory = self.dispatcher.directory
--- a/src/tanagerworks/edge/http_client.py
+++ b/src/tanagerworks/edge/http_client.py
@@ -7,7 +7,7 @@
 
 from tanagerworks.edge.backend_connection import BackendConnection, open_connection
 from tanagerworks.edge.http_messages import HeaderList, RequestHead, find_header
-from tanagerworks.errors import BackendError, BackendProtocolError, PublishedStoreError
+from tanagerworks.errors import BackendError, PublishedStoreError, ResponseTooLargeError
 
 # A page of the store has about 1 MB before it is encoded; listings of caches are far smaller.
 _MAX_BODY_BYTES = 8_000_000
@@ -43,8 +43,9 @@
         """Returns the complete response.
 
         Raises:
-            PublishedStoreError: no complete response within `timeout_s` seconds or the size
-                limit, also if the address is not that of the store.
+            ResponseTooLargeError: the body exceeds the size limit.
+            PublishedStoreError: no complete response within `timeout_s` seconds, also if the
+                address is not that of the store.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -73,7 +74,7 @@
             assert isinstance(event, h11.Data)
             body += event.data
             if len(body) > _MAX_BODY_BYTES:
-                raise BackendProtocolError(f"the body exceeds {_MAX_BODY_BYTES} bytes")
+                raise ResponseTooLargeError(f"the body exceeds {_MAX_BODY_BYTES} bytes")
 
     def _close(self) -> None:
         if self.connection is not None:
--- a/src/tanagerworks/edge/interfaces.py
+++ b/src/tanagerworks/edge/interfaces.py
@@ -58,7 +58,8 @@
         """Returns the changes after `revision`; waits up to `wait_s` seconds for the first one.
 
         Raises:
-            HistoryLostError: the store no longer has the changes after `revision`.
+            HistoryLostError: the changes after `revision` cannot be read, and the items have to be
+                listed.
             PublishedStoreError: no usable response within `timeout_s` seconds.
         """
 
--- a/src/tanagerworks/errors.py
+++ b/src/tanagerworks/errors.py
@@ -453,6 +453,12 @@
     code = "store_unavailable"
 
 
+class ResponseTooLargeError(PublishedStoreError):
+    """A response is larger than this node reads; the same request gets it again."""
+
+    code = "store_response_too_large"
+
+
 class HistoryLostError(PublishedStoreError):
     """The store no longer has the changes after the requested revision; it must be listed again."""
 
