Reserve ports of tests across all runs on a machine

Cause: a free port was found by opening and closing it. Until the process that was to use it opened it, another run could choose it as well.

Change: the byte of each port in a shared file is locked until the process that chose it ends.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,11 +1,14 @@
 """Starts stand-ins and nodes as processes on loopback, for the demo, measurements and tests."""
 
+import fcntl
 import hashlib
 import json
+import os
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Iterable
@@ -37,13 +40,20 @@
 # after it has been chosen here and before the process that listens on it has started.
 _PORTS = range(10_000, 32_000)
 _allocated_ports: set[int] = set()
+# Descriptor of the file with the reservations of all processes, once it is open. Closing it, or
+# another one of the same file, would give up the reservations of this process.
+_reservations: list[int] = []
 
 
 def free_port() -> int:
-    """Returns a loopback port that was not returned before and is free for TCP and for UDP."""
+    """Returns a loopback port that was not returned before and is free for TCP and for UDP.
+
+    No other process on this machine that calls this function gets the port before this one ends:
+    the process that is to use it may open it much later.
+    """
     while True:
         port = _RANDOM.choice(_PORTS)
-        if port in _allocated_ports:
+        if port in _allocated_ports or not _reserve_port(port):
             continue
         with socket.socket() as tcp_probe, socket.socket(type=socket.SOCK_DGRAM) as udp_probe:
             try:
@@ -55,6 +65,18 @@
         return port
 
 
+def _reserve_port(port: int) -> bool:
+    """Locks the byte of a port in a file that all processes share, until this process ends."""
+    if not _reservations:
+        path = Path(tempfile.gettempdir()) / "tanager-reserved-ports"
+        _reservations.append(os.open(path, os.O_RDWR | os.O_CREAT, 0o666))
+    try:
+        fcntl.lockf(_reservations[0], fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def free_address() -> str:
     """Returns a free loopback address as ``IP:PORT``."""
     return f"127.0.0.1:{free_port()}"
