Tell peers about streams in doubt in the next rounds of messages

Cause: the lookup of a stream's version also told peers, which needs the time of the event loop.

Change: the lookup only marks the streams; the next two rounds of messages tell the peers.

--- a/src/tanagerworks/edge/stream_origins.py
+++ b/src/tanagerworks/edge/stream_origins.py
@@ -101,7 +101,9 @@
         # Streams that some peers have not been told about, and when all were last told.
         self.untold: list[int] = []
         self.told_at_s = -math.inf
-        # Streams in doubt of which the peers are told once more, as a datagram may be lost.
+        # Streams in doubt of which peers are still to be told, and those of which they were told in
+        # the last round. They are told twice, as a datagram may be lost.
+        self.doubted: list[int] = []
         self.retracted: list[int] = []
         # When the last streams began here.
         self.begun_s: deque[float] = deque(maxlen=_MAX_RATE_SAMPLES)
@@ -131,9 +133,9 @@
         """Tells peers what they may have to know; called in each round of messages."""
         now_s = asyncio.get_running_loop().time()
         self._drop_expired(now_s)
-        self._retract(self.retracted, now_s)
-        self.retracted = []
-        self._doubt_replaced(now_s)
+        self._doubt_replaced()
+        self._retract(self.retracted + self.doubted, now_s)
+        self.retracted, self.doubted = self.doubted, []
         self._share_unshared(now_s)
         self._tell_all(now_s)
 
@@ -210,17 +212,17 @@
 
     def known_version(self, attempt_id: str) -> str | None:
         """Returns the version at which an attempt's stream began, if this node knows it."""
-        self._doubt_replaced(asyncio.get_running_loop().time())
+        self._doubt_replaced()
         origin = self.origins.get(stream_key(attempt_id))
         return origin.version if origin is not None else None
 
     def is_in_doubt(self, attempt_id: str) -> bool:
         """Whether the version at which an attempt's stream began is not known any more."""
-        self._doubt_replaced(asyncio.get_running_loop().time())
+        self._doubt_replaced()
         origin = self.origins.get(stream_key(attempt_id))
         return origin is not None and origin.version is None
 
-    def _doubt_replaced(self, now_s: float) -> None:
+    def _doubt_replaced(self) -> None:
         """Puts the streams in doubt that may have begun at a process whose entry came later."""
         replaced_processes = self.dispatcher.directory.replaced_processes
         while replaced_processes:
@@ -239,8 +241,7 @@
                 "server runs another software version under its id",
                 extra={"server": replaced.process.server_id, "streams_in_doubt": len(doubted)},
             )
-            self._retract(doubted, now_s)
-            self.retracted += doubted
+            self.doubted += doubted
 
     def _retract(self, keys: Sequence[int], now_s: float) -> None:
         """Tells all peers that the versions of streams are in doubt."""
@@ -277,7 +278,7 @@
         if not message.asked:
             return
         answer = StreamOrigins()
-        self._doubt_replaced(asyncio.get_running_loop().time())
+        self._doubt_replaced()
         for key in message.asked[:_STREAMS_PER_DATAGRAM]:
             origin = self.origins.get(key)
             if origin is None or origin.version is None:
