--- a/src/tanagerworks/edge/stream_origin_copies.py
+++ b/src/tanagerworks/edge/stream_origin_copies.py
@@ -39,7 +39,10 @@
         self.task: asyncio.Task[None] | None = None
 
     def add_sources(self, peers: Iterable[Peer], now_s: float) -> None:
-        """Records that peers may have told others about streams without this node."""
+        """Records that peers may have told others about streams without this node.
+
+        `now_s` is event loop time, as in `copy_if_due`.
+        """
         for peer in peers:
             if not self.sources:
                 self.due_s = max(self.due_s, now_s + _CONTACT_DELAY_S)
--- a/tests/test_fault_large_configurations.py
+++ b/tests/test_fault_large_configurations.py
@@ -77,6 +77,22 @@
     return [Change("op/config", 10 + n, value) for n, value in enumerate(values)]
 
 
+def apply_in_one_read(versions):
+    """Returns the version in force after a read with these, and how many were decoded."""
+
+    async def scenario():
+        store = CountingStore()
+        dispatcher = Dispatcher("node", BOUNDS, PeerTable(0.0))
+        view = StoreView(store, dispatcher)
+        view.replace([replace(changes_of([1])[0], revision=5)], 5, "store")
+        store.decoded.clear()
+        changes = changes_of(versions)
+        view.apply(changes, changes[-1].revision, "store")
+        return dispatcher.version, len(store.decoded)
+
+    return run_in_virtual_time(scenario())
+
+
 @pytest.mark.parametrize(
     ("versions", "in_force", "decoded"),
     [
@@ -88,14 +104,10 @@
 def test_only_the_last_usable_configuration_of_a_read_is_decoded(versions, in_force, decoded):
     """Guards against a node that answers nobody while it decodes what is no longer in force."""
 
-    async def scenario():
-        store = CountingStore()
-        dispatcher = Dispatcher("node", BOUNDS, PeerTable(0.0))
-        view = StoreView(store, dispatcher)
-        view.replace([replace(changes_of([1])[0], revision=5)], 5, "store")
-        store.decoded.clear()
-        changes = changes_of(versions)
-        view.apply(changes, changes[-1].revision, "store")
-        return dispatcher.version, len(store.decoded)
+    assert apply_in_one_read(versions) == (in_force, decoded)
+
 
-    assert run_in_virtual_time(scenario()) == (in_force, decoded)
+def test_higher_version_stays_in_force_before_a_lower_one_in_the_same_read():
+    """Guards against a configuration that an older version replaces, as it was written later."""
+    in_force, _decoded = apply_in_one_read([4, 3])
+    assert in_force == 4
